--- a/tests/harness_helper.cpp
+++ b/tests/harness_helper.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr auto Platform = "platform";
+constexpr auto PlatformParty = "platform"; // name used by cut() and heal()
 // A reply that never comes is noticed after this time, as the daemon's time-outs would.
 constexpr Duration LostReplyTimeout = std::chrono::seconds(2);
 constexpr std::int64_t WallStart = 1'750'000'000;
@@ -71,7 +71,7 @@
 
 void Process::get(const std::string &key, StoreGetDone done) {
   ++world.platformCalls;
-  if (!world.reachable(hostName.value, Platform))
+  if (!world.reachable(hostName.value, PlatformParty))
     return answer(world.faultSettings.platformDelay, done, StoreStatus::Unreachable, StoreObject{});
   world.schedule(world.faultSettings.platformDelay, [this, key, done] {
     auto it = world.store.find(key);
@@ -84,7 +84,7 @@
 
 void Process::list(const std::string &prefix, StoreListDone done) {
   ++world.platformCalls;
-  if (!world.reachable(hostName.value, Platform))
+  if (!world.reachable(hostName.value, PlatformParty))
     return answer(world.faultSettings.platformDelay, done, StoreStatus::Unreachable,
                   std::vector<StoreObject>{});
   world.schedule(world.faultSettings.platformDelay, [this, prefix, done] {
@@ -100,7 +100,7 @@
                   StoreGetDone done) {
   ++world.platformCalls;
   auto &f = world.faultSettings;
-  if (!world.reachable(hostName.value, Platform))
+  if (!world.reachable(hostName.value, PlatformParty))
     return answer(f.platformDelay, done, StoreStatus::Unreachable, StoreObject{});
   if (world.chance(f.loseRequest))
     return answer(LostReplyTimeout, done, StoreStatus::Unknown, StoreObject{});
@@ -117,7 +117,7 @@
 void Process::erase(const std::string &key, std::uint64_t expected, StoreGetDone done) {
   ++world.platformCalls;
   auto &f = world.faultSettings;
-  if (!world.reachable(hostName.value, Platform))
+  if (!world.reachable(hostName.value, PlatformParty))
     return answer(f.platformDelay, done, StoreStatus::Unreachable, StoreObject{});
   world.schedule(f.platformDelay, [this, key, expected, done] {
     StoreObject result;
@@ -132,14 +132,14 @@
 void Process::watch(const std::string &key, std::uint64_t after, Duration maxWait,
                     StoreGetDone done) {
   ++world.platformCalls;
-  if (!world.reachable(hostName.value, Platform))
+  if (!world.reachable(hostName.value, PlatformParty))
     return answer(world.faultSettings.platformDelay, done, StoreStatus::Unreachable, StoreObject{});
   auto it = world.store.find(key);
   if (it != world.store.end() && it->second.version > after)
     return answer(world.faultSettings.platformDelay, done, StoreStatus::Ok, it->second);
   auto id = ++world.sequence;
   world.watches.push_back({key, after, id, [this, done](StoreStatus s, const StoreObject &o) {
-                             if (world.reachable(hostName.value, Platform))
+                             if (world.reachable(hostName.value, PlatformParty))
                                answer(world.faultSettings.platformDelay, done, s, o);
                              else
                                answer(LostReplyTimeout, done, StoreStatus::Unreachable,
@@ -153,7 +153,7 @@
 
 void Process::read(HostListDone done) {
   ++world.platformCalls;
-  if (!world.reachable(hostName.value, Platform))
+  if (!world.reachable(hostName.value, PlatformParty))
     return answer(world.faultSettings.platformDelay, done, StoreStatus::Unreachable,
                   std::vector<ListedNode>{});
   std::vector<ListedNode> listed;
@@ -338,7 +338,7 @@
 }
 
 bool World::reachable(const std::string &a, const std::string &b) const {
-  if ((a == Platform || b == Platform) && faultSettings.platformDown)
+  if ((a == PlatformParty || b == PlatformParty) && faultSettings.platformDown)
     return false;
   return !cuts.contains({a, b});
 }
