--- a/src/config.h
+++ b/src/config.h
@@ -41,6 +41,29 @@
 constexpr double WeightStoreLoadsPerSecond = 2.0;
 constexpr int WeightStoreAdaptersInFlight = 30;
 
+// Planner. A status call costs about half a kilobyte, so that this many a second take most of the
+// host's control traffic of 14 KB/s; with few endpoints each is read every EndpointStatusInterval.
+constexpr int LoadedEndpointPollsPerSecond = 20;
+constexpr int EmptyEndpointPollsPerSecond = 10;
+constexpr std::size_t MaxClaimsInFlight = 64;
+constexpr auto OrderRetryInterval = 500ms;
+constexpr auto EndpointSilentAfter = 3s; // its replicas no longer count as available
+constexpr auto RefusedOrderGrace = 500ms; // a duplicate of a refused order arrives well before
+constexpr auto RefusedEndpointPause = 5s; // no new load after it refused one
+constexpr auto IdleBeforeRelease = 2s;    // longer than the lag of the hosts' reports
+constexpr auto ReleaseEstimate = 1500ms;  // table to all hosts, status, unload
+constexpr auto HostReportTimeout = 5s;    // a silent host's requests no longer count
+constexpr auto RetentionSweep = 2s;       // each replica is looked at this often in a small fleet
+constexpr int RetentionChecksPerSecond = 200;
+constexpr auto PrewarmInterval = 5s;
+constexpr auto PrewarmDeadline = 60s;
+constexpr auto ReplacementDeadline = 30s;
+// A second replica pays when each one has had this many requests for some time: engines batch, so
+// that fewer gain little. It goes when the others would stay at half of that.
+constexpr int RequestsPerReplica = 16;
+constexpr auto ScaleUpAfter = 10s;
+constexpr auto ScaleDownAfter = 60s;
+
 // Requests.
 constexpr auto DefaultDeadline = 30s;
 constexpr auto MaxDeadline = 120s;
--- /dev/null
+++ b/src/planner.cpp
@@ -0,0 +1,289 @@
+#include "planner_impl_p.h"
+
+#include <algorithm>
+
+/// Requests of hosts and the public interface. Housekeeping is in planner_housekeeping.cpp.
+namespace catkin {
+
+namespace {
+
+// First guesses until loads were measured. Host memory and local disk are faster than the store.
+constexpr double MemoryRateFactor = 8;
+constexpr double DiskRateFactor = 2;
+constexpr double FirstAdapterSeconds = 0.02;
+constexpr Duration RetryWhenFull = std::chrono::seconds(2);
+// A load longer than the deadline is begun for the caller's next attempt only if it starts soon.
+constexpr Duration SoonStart = std::chrono::seconds(2);
+
+} // namespace
+
+Planner::Impl::Impl(Env &e, PlannerOptions o)
+    : env(e), options(std::move(o)),
+      retention(createRetentionPolicy(options.retention, options.weights)),
+      placement(createPlacementPolicy(options.placement, options.weights)),
+      bytesPerSecond{options.loadBytesPerSecond * MemoryRateFactor,
+                     options.loadBytesPerSecond * DiskRateFactor, options.loadBytesPerSecond},
+      adapterSeconds(FirstAdapterSeconds), storeTokens(options.storeLoadsPerSecond),
+      storeTokensAt(e.now()) {}
+
+Endpoint *Planner::Impl::find(const EndpointName &name) {
+  auto it = endpoints.find(name);
+  return it == endpoints.end() ? nullptr : &it->second;
+}
+
+Replica *Planner::Impl::find(const EndpointName &name, const ModelName &model,
+                             const std::string &orderId) {
+  auto *ep = find(name);
+  if (!ep)
+    return nullptr;
+  auto it = ep->replicas.find(model);
+  return it == ep->replicas.end() || it->second.orderId != orderId ? nullptr : &it->second;
+}
+
+const Model *Planner::Impl::modelOf(const ModelName &name) const {
+  if (!lists)
+    return nullptr;
+  auto it = lists->models.find(name);
+  return it == lists->models.end() ? nullptr : &it->second;
+}
+
+void Planner::Impl::log(DecisionKind kind, const ModelName &model, std::string chosen,
+                        std::string reason, const PlanName &plan, const std::string &requestId) {
+  env.decision({.kind = kind,
+                .requestId = requestId,
+                .plan = plan,
+                .model = model,
+                .chosen = std::move(chosen),
+                .reason = std::move(reason)});
+}
+
+// ---- Requests ----------------------------------------------------------------------------------
+
+void Planner::Impl::ensure(const EnsureRequest &request, const EnsureDone &done) {
+  auto refuse = [&](std::string reason, Duration retryAfter) {
+    ++counters.ensureRefused;
+    log(DecisionKind::Placement, request.model, {}, reason, request.plan, request.requestId);
+    done({.retryAfter = retryAfter, .reason = std::move(reason)});
+  };
+  if (!isLeading)
+    return done({.outcome = EnsureOutcome::NotPlanner});
+  if (!isReady) {
+    heldEnsures.emplace_back(request, done);
+    heldSince.push_back(env.now());
+    return;
+  }
+  auto *model = modelOf(request.model);
+  if (!model)
+    return refuse("no such model", Duration(0));
+  auto use = lists->uses.find(request.plan);
+  auto plan = lists->plans.find(request.plan);
+  if (plan == lists->plans.end() || use == lists->uses.end() ||
+      std::find(use->second.models.begin(), use->second.models.end(), request.model) ==
+          use->second.models.end())
+    return refuse("the plan may not use the model", Duration(0));
+  auto &known = models[request.model];
+  known.lastUse = env.now();
+  known.payer = request.plan;
+  if (joinExisting(request, done))
+    return;
+
+  std::string reason;
+  auto deadline = env.now() + request.remaining;
+  auto p = choose(*model, &plan->second, deadline, request.remaining, false, reason);
+  if (!p)
+    return refuse(std::move(reason), RetryWhenFull);
+  if (p->estimate > request.remaining) {
+    bool tooLong = p->loadTime > request.remaining && p->estimate - p->loadTime <= SoonStart;
+    if (!tooLong)
+      return refuse("the queue is longer than the deadline", p->estimate - request.remaining);
+    // Begun all the same: the caller's next attempt would otherwise meet the same wait.
+    commit(*model, request.plan, env.now() + p->estimate, false, *p, request.requestId);
+    pump();
+    return refuse("the load takes longer than the deadline", p->estimate);
+  }
+  auto *r = commit(*model, request.plan, deadline, false, *p, request.requestId);
+  pump();
+  auto *writing = r;
+  if (auto base = p->endpoint->replicas.find(model->base);
+      r->phase == Phase::Queued && base != p->endpoint->replicas.end())
+    writing = &base->second;
+  if (writing->phase == Phase::Recording)
+    writing->answers.push_back({.request = request, .deadline = deadline, .done = done});
+  else
+    done({.outcome = EnsureOutcome::Loading,
+          .endpoint = p->endpoint->name,
+          .estimate = std::max(p->estimate, Duration(1))});
+}
+
+/// Answers from a replica that is loaded or on its way. False if there is none.
+bool Planner::Impl::joinExisting(const EnsureRequest &request, const EnsureDone &done) {
+  Endpoint *ready = nullptr, *loading = nullptr, *releasing = nullptr;
+  Duration shortest{0};
+  for (auto &name : models[request.model].endpoints) {
+    auto &ep = endpoints.at(name);
+    auto &r = ep.replicas.at(request.model);
+    if (!available(ep))
+      continue;
+    if (r.phase == Phase::Ready) {
+      bool nearer = !ready || (ep.dataCentre == request.dataCentre &&
+                               ready->dataCentre != request.dataCentre);
+      ready = nearer ? &ep : ready;
+    } else if (r.phase == Phase::Releasing && !r.unresolved) {
+      releasing = &ep;
+    } else if (r.underWay() && options.guards.joinLoadUnderWay) {
+      if (r.phase == Phase::Ordering && !r.orderInFlight && !mayOrder(ep))
+        continue;
+      auto left = estimate(ep, r);
+      if (!loading || left < shortest) {
+        loading = &ep;
+        shortest = left;
+      }
+    }
+  }
+  if (!ready && releasing) {
+    cancelRelease(*releasing, releasing->replicas.at(request.model));
+    ready = releasing;
+  }
+  if (ready) {
+    done({.outcome = EnsureOutcome::Ready, .endpoint = ready->name});
+    return true;
+  }
+  if (!loading)
+    return false;
+  if (shortest > request.remaining) {
+    ++counters.ensureRefused;
+    done({.retryAfter = shortest, .reason = "the load under way ends after the deadline"});
+    return true;
+  }
+  auto &r = loading->replicas.at(request.model);
+  auto deadline = env.now() + request.remaining;
+  r.urgency = std::min(r.urgency, deadline);
+  if (r.phase == Phase::Recording)
+    r.answers.push_back({.request = request, .deadline = deadline, .done = done});
+  else
+    done({.outcome = EnsureOutcome::Loading,
+          .endpoint = loading->name,
+          .estimate = std::max(shortest, Duration(1))});
+  return true;
+}
+
+void Planner::Impl::answerHeld() {
+  auto held = std::exchange(heldEnsures, {});
+  auto since = std::exchange(heldSince, {});
+  for (std::size_t i = 0; i < held.size(); ++i) {
+    held[i].first.remaining -= env.now() - since[i];
+    ensure(held[i].first, held[i].second);
+  }
+}
+
+/// Answers what waited for the intent to be recorded.
+void Planner::Impl::answerOwed(Endpoint &ep, Replica &r) {
+  auto owed = std::exchange(r.answers, {});
+  for (auto &it : owed) {
+    auto target = ep.replicas.find(it.request.model);
+    auto left = target == ep.replicas.end() ? r.expectedLoad : estimate(ep, target->second);
+    it.done({.outcome = EnsureOutcome::Loading,
+             .endpoint = ep.name,
+             .estimate = std::max(left, Duration(1))});
+  }
+}
+
+/// Decides anew for requests whose load was dropped before it was recorded.
+void Planner::Impl::askAgain(std::vector<OwedAnswer> owed) {
+  for (auto &it : owed) {
+    auto again = [it](Impl &self) {
+      auto request = it.request;
+      request.remaining = it.deadline - self.env.now();
+      self.ensure(request, it.done);
+    };
+    env.after(Duration(0), inSession(again));
+  }
+}
+
+// ---- Public interface --------------------------------------------------------------------------
+
+Planner::Planner(Env &env, PlannerOptions options)
+    : impl(std::make_shared<Impl>(env, std::move(options))) {}
+
+Planner::~Planner() = default;
+
+void Planner::setLists(ListsPtr lists) { impl->lists = std::move(lists); }
+
+void Planner::setEndpoints(const std::vector<ListedNode> &engines) { impl->setEndpoints(engines); }
+
+void Planner::lead(std::uint64_t term, bool formerHolderEnded) {
+  impl->lead(term, formerHolderEnded);
+}
+
+void Planner::setOrderLimit(Instant limit) { impl->orderLimit = limit; }
+
+void Planner::formerHolderEnded() {
+  if (impl->isLeading && !impl->formerEnded)
+    impl->resolveFormerOrders();
+}
+
+void Planner::resign() { impl->resign(); }
+
+bool Planner::leading() const { return impl->isLeading; }
+
+bool Planner::ready() const { return impl->isReady; }
+
+std::uint64_t Planner::term() const { return impl->currentTerm; }
+
+void Planner::ensure(const EnsureRequest &request, EnsureDone done) { impl->ensure(request, done); }
+
+void Planner::onModelLoads(const HostName &host, const std::vector<ModelLoad> &loads) {
+  impl->onModelLoads(host, loads);
+}
+
+void Planner::setAcknowledgedVersion(std::uint64_t version) {
+  impl->acknowledged = std::min(version, impl->table.version());
+}
+
+void Planner::drain(const EndpointName &endpoint, bool on) {
+  auto *ep = impl->find(endpoint);
+  if (!ep || ep->drained == on)
+    return;
+  ep->drained = on;
+  impl->publishAll(*ep);
+}
+
+void Planner::tick() { impl->tick(); }
+
+const RouteTable &Planner::table() const { return impl->table; }
+
+std::map<EndpointName, std::vector<PlannedReplica>> Planner::replicas() const {
+  std::map<EndpointName, std::vector<PlannedReplica>> found;
+  for (auto &name : impl->populated)
+    for (auto &[model, r] : impl->endpoints.at(name).replicas) {
+      PlannedReplica copy = r;
+      copy.state = ReplicaState::Intended;
+      if (r.phase == Phase::Ready)
+        copy.state = ReplicaState::Loaded;
+      else if (r.phase > Phase::Ready)
+        copy.state = ReplicaState::Releasing;
+      found[name].push_back(std::move(copy));
+    }
+  return found;
+}
+
+std::vector<EndpointReport> Planner::endpointReports() const {
+  std::vector<EndpointReport> found;
+  for (auto &[name, ep] : impl->endpoints)
+    if (ep.report.incarnation != 0)
+      found.push_back(ep.report);
+  return found;
+}
+
+PlannerStats Planner::stats() const {
+  auto s = impl->counters;
+  s.replicas = s.loadsUnderWay = 0;
+  for (auto &name : impl->populated)
+    for (auto &[model, r] : impl->endpoints.at(name).replicas) {
+      s.replicas += r.committed() ? 1 : 0;
+      s.loadsUnderWay += r.committed() && r.underWay() ? 1 : 0;
+    }
+  return s;
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/planner_housekeeping.cpp
@@ -0,0 +1,326 @@
+#include "planner_impl_p.h"
+
+#include <algorithm>
+
+/// Periodic work of the planner. Each step visits what changed, or a bounded part of the rest.
+namespace catkin {
+
+namespace {
+
+constexpr Duration Second = std::chrono::seconds(1);
+constexpr Duration RecentUse = std::chrono::seconds(10);
+
+} // namespace
+
+void Planner::Impl::tick() {
+  if (!isLeading)
+    return;
+  auto now = env.now();
+  auto elapsed = now - lastTick;
+  lastTick = now;
+  if (!unclaimed.empty())
+    sendClaims();
+  pollDueEndpoints();
+  auto names = active;
+  for (auto &name : names)
+    if (auto *ep = find(name))
+      advance(*ep);
+  if (!isReady)
+    return;
+  pump();
+  checkRetention(elapsed);
+  if (now - lastSecond < Second)
+    return;
+  lastSecond = now;
+  everySecond();
+}
+
+void Planner::Impl::everySecond() {
+  forgetSilentHosts();
+  flushRecords();
+  checkQueued();
+  decideWanted();
+  leaveDepartingEndpoints();
+  scale();
+  enforceGrants();
+  if (env.now() - lastPrewarm < config::PrewarmInterval)
+    return;
+  lastPrewarm = env.now();
+  prewarm();
+}
+
+// ---- Use reported by hosts ---------------------------------------------------------------------
+
+/// `loads` are all models in use on the host; one that is left out is no longer in use there.
+void Planner::Impl::onModelLoads(const HostName &host, const std::vector<ModelLoad> &loads) {
+  auto now = env.now();
+  auto &known = hosts[host];
+  for (auto &it : known.loads) {
+    auto &use = models[it.model];
+    use.inFlight -= it.inFlight;
+    use.waiting -= it.waiting;
+    if (it.inFlight + it.waiting > 0)
+      use.lastUse = now;
+  }
+  known.heard = now;
+  known.loads = loads;
+  for (auto &it : loads) {
+    auto &use = models[it.model];
+    use.inFlight += it.inFlight;
+    use.waiting += it.waiting;
+    if (it.inFlight + it.waiting > 0 || it.arrivals > 0)
+      use.lastUse = now;
+    if (it.arrivals > 0)
+      retention->onArrivals(it.model, it.arrivals, now, env.wallSeconds());
+  }
+}
+
+void Planner::Impl::forgetSilentHosts() {
+  auto oldest = env.now() - config::HostReportTimeout;
+  for (auto it = hosts.begin(); it != hosts.end();) {
+    if (it->second.heard >= oldest) {
+      ++it;
+      continue;
+    }
+    auto name = it->first;
+    ++it;
+    onModelLoads(name, {});
+    hosts.erase(name);
+  }
+}
+
+bool Planner::Impl::needed(const ModelName &model) const {
+  auto it = models.find(model);
+  if (it == models.end())
+    return false;
+  return it->second.inFlight + it->second.waiting > 0 ||
+         (it->second.lastUse != Instant() && env.now() - it->second.lastUse < RecentUse);
+}
+
+/// True if another endpoint can serve the model.
+bool Planner::Impl::availableElsewhere(const ModelName &model, const EndpointName &except) const {
+  auto use = models.find(model);
+  if (use == models.end())
+    return false;
+  return std::any_of(use->second.endpoints.begin(), use->second.endpoints.end(), [&](auto &name) {
+    auto &ep = endpoints.at(name);
+    return name != except && available(ep) && ep.replicas.at(model).phase == Phase::Ready;
+  });
+}
+
+// ---- Loads that nobody asked for just now ------------------------------------------------------
+
+/// Decides anew for models that are needed and lost their replica.
+void Planner::Impl::decideWanted() {
+  auto now = env.now();
+  auto due = std::exchange(wanted, {});
+  for (auto &[name, it] : due) {
+    auto *model = modelOf(name);
+    auto &use = models[name];
+    bool there = std::any_of(use.endpoints.begin(), use.endpoints.end(), [&](auto &other) {
+      auto &ep = endpoints.at(other);
+      return available(ep) && ep.replicas.at(name).phase <= Phase::Ready;
+    });
+    if (there || !model || it.deadline <= now)
+      continue;
+    auto plan = lists->plans.find(it.payer.empty() ? use.payer : it.payer);
+    if (plan == lists->plans.end())
+      continue;
+    std::string reason;
+    auto p = choose(*model, &plan->second, it.deadline, it.deadline - now, false, reason);
+    if (p)
+      commit(*model, plan->first, it.deadline, false, *p, {});
+    else
+      wanted.insert({name, it});
+  }
+  pump();
+}
+
+/// Models in use on an endpoint that leaves are placed elsewhere; its idle replicas are released.
+void Planner::Impl::leaveDepartingEndpoints() {
+  if (!options.guards.skipLeavingEndpoints)
+    return;
+  std::vector<std::pair<EndpointName, ModelName>> releases;
+  for (auto &name : populated) {
+    auto &ep = endpoints.at(name);
+    if (!ep.departing())
+      continue;
+    for (auto &[model, r] : ep.replicas) {
+      if (r.phase == Phase::Queued || (r.phase == Phase::Loading && !r.isAdapter()))
+        wanted.insert({model, {.payer = r.payer, .deadline = r.urgency}});
+      if (r.phase != Phase::Ready)
+        continue;
+      bool elsewhere = availableElsewhere(model, name);
+      if (!elsewhere && needed(model))
+        wanted.insert(
+            {model, {.payer = r.payer, .deadline = env.now() + config::ReplacementDeadline}});
+      else if (!r.unresolved && !ep.hasDependents(model))
+        releases.emplace_back(name, model);
+    }
+  }
+  for (auto &[name, model] : releases)
+    startRelease(endpoints.at(name), endpoints.at(name).replicas.at(model), "endpoint is leaving");
+}
+
+/// One more replica when each has had many requests for some time, one fewer when the rest would
+/// do. A load costs seconds of the weight store, so that short peaks are left to batching.
+void Planner::Impl::scale() {
+  auto now = env.now();
+  for (auto &[name, use] : models) {
+    int ready = 0, underWay = 0;
+    Endpoint *least = nullptr;
+    for (auto &other : use.endpoints) {
+      auto &ep = endpoints.at(other);
+      auto &r = ep.replicas.at(name);
+      if (!available(ep))
+        continue;
+      underWay += r.underWay() ? 1 : 0;
+      if (r.phase != Phase::Ready)
+        continue;
+      ++ready;
+      if (!r.unresolved && !ep.hasDependents(name) &&
+          (!least || r.inFlight < least->replicas.at(name).inFlight))
+        least = &ep;
+    }
+    auto requests = use.inFlight + use.waiting;
+    bool busy = ready > 0 && underWay == 0 && requests >= ready * config::RequestsPerReplica;
+    bool quiet = ready > 1 && requests <= (ready - 1) * config::RequestsPerReplica / 2;
+    use.busySince = !busy ? Instant() : use.busySince == Instant() ? now : use.busySince;
+    use.quietSince = !quiet ? Instant() : use.quietSince == Instant() ? now : use.quietSince;
+    if (quiet && least && now - use.quietSince >= config::ScaleDownAfter) {
+      startRelease(*least, least->replicas.at(name), "the other replicas suffice");
+      use.quietSince = now;
+    }
+    if (!busy || now - use.busySince < config::ScaleUpAfter)
+      continue;
+    use.busySince = now;
+    auto *model = modelOf(name);
+    auto plan = model ? lists->plans.find(use.payer) : lists->plans.end();
+    if (!model || plan == lists->plans.end())
+      continue;
+    std::string reason;
+    auto deadline = now + config::ReplacementDeadline;
+    auto p = choose(*model, &plan->second, deadline, config::ReplacementDeadline, true, reason);
+    if (p)
+      commit(*model, plan->first, deadline, false, *p, {});
+  }
+}
+
+/// Drops queued loads that cannot start any more, and decides them anew if somebody still waits.
+void Planner::Impl::checkQueued() {
+  auto now = env.now();
+  std::vector<std::pair<EndpointName, ModelName>> drops;
+  for (auto &name : active) {
+    auto &ep = endpoints.at(name);
+    bool releasing = std::any_of(ep.replicas.begin(), ep.replicas.end(), [](auto &it) {
+      return it.second.phase >= Phase::Releasing && it.second.phase <= Phase::Unloading;
+    });
+    for (auto &[model, r] : ep.replicas) {
+      if (r.phase != Phase::Queued)
+        continue;
+      bool stuck = !releasing && ep.committedBytes() + r.bytes > ep.report.memoryBytes;
+      if (r.urgency <= now || !eligible(ep, r.bytes) || stuck)
+        drops.emplace_back(name, model);
+    }
+  }
+  for (auto &[name, model] : drops)
+    if (auto *ep = find(name))
+      dropReplica(*ep, model, "queued load cannot start", true);
+}
+
+/// Asks the retention rule which models to load ahead of use. They take only free room, and only
+/// when no request waits for the weight store.
+void Planner::Impl::prewarm() {
+  if (!lists)
+    return;
+  for (auto &name : retention->prewarm(env.now(), env.wallSeconds())) {
+    auto *model = modelOf(name);
+    auto &use = models[name];
+    if (!model || !use.endpoints.empty())
+      continue;
+    auto payer = use.payer;
+    for (auto it = lists->uses.begin(); payer.empty() && it != lists->uses.end(); ++it) {
+      auto &allowed = it->second.models;
+      if (std::find(allowed.begin(), allowed.end(), name) != allowed.end())
+        payer = it->first;
+    }
+    auto plan = lists->plans.find(payer);
+    auto deadline = env.now() + config::PrewarmDeadline;
+    if (plan == lists->plans.end() || storeWait(false, deadline) > Second)
+      continue;
+    std::string reason;
+    auto p = choose(*model, &plan->second, deadline, config::PrewarmDeadline, true, reason);
+    if (p)
+      commit(*model, payer, deadline, true, *p, {});
+  }
+  pump();
+}
+
+// ---- Retention ---------------------------------------------------------------------------------
+
+/// Looks at some replicas in turn: all within RetentionSweep in a small fleet, and at most
+/// RetentionChecksPerSecond in a large one.
+void Planner::Impl::checkRetention(Duration elapsed) {
+  std::size_t loaded = 0;
+  for (auto &name : populated)
+    loaded += endpoints.at(name).replicas.size();
+  auto perSecond = std::min<double>(static_cast<double>(loaded) / toSeconds(config::RetentionSweep),
+                                    config::RetentionChecksPerSecond);
+  retentionCredit =
+      std::min(retentionCredit + perSecond * toSeconds(elapsed), static_cast<double>(loaded));
+  while (retentionCredit >= 1 && !populated.empty()) {
+    retentionCredit -= 1;
+    auto name = populated.lower_bound(retentionCursor.first);
+    if (name == populated.end())
+      name = populated.begin();
+    auto &ep = endpoints.at(*name);
+    if (retentionCursor.first != ep.name)
+      retentionCursor = {ep.name, ModelName()};
+    auto r = ep.replicas.upper_bound(retentionCursor.second);
+    if (r == ep.replicas.end()) {
+      auto next = populated.upper_bound(ep.name);
+      retentionCursor = {next == populated.end() ? EndpointName() : *next, ModelName()};
+      retentionCredit += 1;
+      if (retentionCursor.first.empty())
+        return;
+      continue;
+    }
+    retentionCursor.second = r->first;
+    checkReplica(ep, r->second);
+  }
+}
+
+void Planner::Impl::checkReplica(Endpoint &ep, Replica &r) {
+  if (!idle(ep, r) || ep.hasDependents(r.model))
+    return;
+  if (lists && !modelOf(r.model))
+    startRelease(ep, r, "model is no longer listed");
+  else if (retention->shouldRelease(retentionInput(ep, r)))
+    startRelease(ep, r, "idle");
+}
+
+/// Releases idle replicas of plans that hold more than their grant, as after it was lowered.
+void Planner::Impl::enforceGrants() {
+  if (!lists)
+    return;
+  std::map<PlanName, PlanTotals> sums;
+  for (auto &name : populated)
+    for (auto &[model, r] : endpoints.at(name).replicas)
+      if (r.phase < Phase::Releasing && !r.payer.empty()) {
+        ++sums[r.payer].models;
+        sums[r.payer].bytes += r.bytes;
+      }
+  for (auto &[name, sum] : sums) {
+    auto it = lists->plans.find(name);
+    Plan none{.name = name};
+    auto &plan = it == lists->plans.end() ? none : it->second;
+    if (sum.models <= plan.grant.models && sum.bytes <= plan.grant.acceleratorBytes)
+      continue;
+    auto room = grantRoom(plan, Model{});
+    if (!room.releasable.empty())
+      startRelease(*room.releasable[0].first, *room.releasable[0].second,
+                   "the plan holds more than its grant");
+  }
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/planner_impl_p.h
@@ -0,0 +1,325 @@
+#pragma once
+
+#include "config.h"
+#include "planner_p.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// State of the planner and the steps of its protocol, shared by the planner's source files only.
+namespace catkin {
+
+/// Where a replica stands between the decision to load it and its end.
+enum class Phase {
+  Queued,           ///< decided; waits for memory, grant, base or the weight store; not recorded
+  Recording,        ///< intent is being written
+  Ordering,         ///< recorded; the load order is to be sent, in flight, or of unknown fate
+  Loading,          ///< the engine accepted the order
+  Ready,            ///< loaded
+  Releasing,        ///< marked in the table; waits for acknowledgements and idleness
+  RecordingRelease, ///< intent to unload is being written
+  Unloading,        ///< the unload order is to be sent, in flight, or of unknown fate
+  Held,             ///< unloaded, but a former planner may still send an order
+  Count
+};
+
+/// Answer owed to a host once the load is recorded.
+struct OwedAnswer {
+  EnsureRequest request;
+  Instant deadline;
+  Planner::EnsureDone done;
+};
+
+struct Replica : PlannedReplica {
+  Phase phase = Phase::Queued;
+  CopySource source = CopySource::Remote;
+  bool recovered = false;     ///< taken from a former planner's record and not yet seen loaded
+  bool prewarmed = false;     ///< loaded ahead of use
+  bool orderInFlight = false; ///< sent, not answered
+  bool everSent = false;      ///< an order may have reached the endpoint
+  bool refused = false;       ///< the load order was refused
+  Instant urgency{};          ///< earliest deadline of a request that waits for it
+  Instant decidedAt{};
+  Instant sentAt{};
+  Instant acceptedAt{};
+  Instant readyAt{};
+  Instant nextTry{};
+  Duration expectedLoad{0};
+  int inFlight = 0;                 ///< by the endpoint's report
+  std::uint64_t releaseVersion = 0; ///< table version that marks it as releasing
+  Instant releaseAcked{};           ///< when all hosts were seen to have applied that version
+  std::vector<OwedAnswer> answers;
+
+  bool isAdapter() const { return !base.empty(); }
+  bool committed() const { return phase != Phase::Queued; } ///< its order may be on its way
+  bool underWay() const { return phase <= Phase::Loading; }
+};
+
+/// Content of endpoints/<name>.
+struct EndpointRecord {
+  std::uint64_t term = 0;
+  std::string writeId; ///< recognises one's own write when its reply was lost
+  std::vector<PlannedReplica> replicas;
+};
+
+std::string encodeEndpointRecord(const EndpointRecord &record);
+std::optional<EndpointRecord> decodeEndpointRecord(std::string_view text);
+
+struct Endpoint {
+  EndpointName name;
+  Address address;
+  DataCentreName dataCentre;
+  Liveness liveness = Liveness::Gone; ///< by the host list
+  bool drained = false;               ///< by an operator
+  std::map<ModelName, Replica> replicas;
+
+  EndpointReport report; ///< newest; its figures lag
+  Instant reportAskedAt{};
+  bool claimed = false; ///< this incarnation has accepted the current term
+  bool claimTried = false;
+  bool claimInFlight = false;
+  Instant nextClaim{};
+  bool reachable = false;
+  Instant silentSince{};
+  Instant avoidUntil{};
+  std::uint64_t orderEpoch = 0; ///< changes when an order is sent or answered
+  bool pollInFlight = false;
+  Instant pollAt{};  ///< scheduled in the poll queue
+  Instant pollDue{}; ///< earliest extra poll that is scheduled
+
+  std::uint64_t recordVersion = 0;
+  bool recordMalformed = false; ///< not overwritten; the endpoint gets no orders
+  bool writing = false;
+  bool dirty = false; ///< the record is behind
+  int refusedWrites = 0;
+  std::string writeId;
+  std::string writeValue;
+  std::vector<std::function<void(bool)>> writeDone;
+  std::vector<std::function<void(bool)>> nextWriteDone;
+
+  bool fencing() const { return report.checksFencing; }
+  bool departing() const { return drained || liveness != Liveness::Live || report.leaving; }
+  std::uint64_t committedBytes() const;
+  std::uint64_t plannedBytes() const; ///< without what is being released
+  /// Adapters of the base model that are there or on their way.
+  bool hasDependents(const ModelName &base) const;
+};
+
+/// Use of a model, summed over hosts.
+struct ModelUse {
+  int inFlight = 0;
+  int waiting = 0;
+  Instant lastUse{};
+  Instant busySince{};  ///< enough requests for one more replica since then
+  Instant quietSince{}; ///< one replica fewer would do since then
+  PlanName payer;       ///< plan that last asked
+  std::set<EndpointName> endpoints;
+};
+
+/// A load to be decided as soon as it can be.
+struct Wanted {
+  PlanName payer;
+  Instant deadline{};
+};
+
+struct PlanTotals {
+  int models = 0;
+  std::uint64_t bytes = 0;
+};
+
+struct Placement {
+  Endpoint *endpoint = nullptr;
+  const Model *base = nullptr; ///< to be loaded first; null if it is there
+  std::vector<std::pair<EndpointName, ModelName>> releases;
+  Duration estimate{0};
+  Duration loadTime{0};
+  double cost = 0;
+};
+
+struct Planner::Impl : std::enable_shared_from_this<Planner::Impl> {
+  Impl(Env &e, PlannerOptions o);
+
+  Env &env;
+  PlannerOptions options;
+  ListsPtr lists;
+  std::unique_ptr<RetentionPolicy> retention;
+  std::unique_ptr<PlacementPolicy> placement;
+  std::map<EndpointName, Endpoint> endpoints;
+  std::map<ModelName, ModelUse> models;
+  std::map<ModelName, Wanted> wanted;
+  RouteTable table;
+  PlannerStats counters;
+
+  bool isLeading = false;
+  bool isReady = false;
+  bool formerEnded = false;
+  bool recordsRead = false;
+  bool platformDown = false;
+  int listFailures = 0;
+  std::uint64_t currentTerm = 0;
+  std::uint64_t session = 0; ///< callbacks of an earlier session are ignored
+  std::uint64_t sequence = 0;
+  std::uint64_t acknowledged = 0;
+  Instant orderLimit{};
+  Instant lastSecond{};
+  Instant lastPrewarm{};
+  Instant lastTick{};
+  std::size_t claimsInFlight = 0;
+  std::set<EndpointName> unclaimed;
+  std::set<EndpointName> active;    ///< endpoints with a replica that is not simply loaded
+  std::set<EndpointName> populated; ///< endpoints with replicas
+  std::set<EndpointName> dirtyRecords;
+  std::set<std::pair<Instant, EndpointName>> polls;
+  std::pair<EndpointName, ModelName> retentionCursor;
+  double retentionCredit = 0;
+  std::vector<std::pair<EnsureRequest, EnsureDone>> heldEnsures;
+  std::vector<Instant> heldSince;
+
+  struct HostReport {
+    Instant heard;
+    std::vector<ModelLoad> loads;
+  };
+  std::map<HostName, HostReport> hosts;
+
+  // Learned load figures.
+  std::array<double, static_cast<std::size_t>(CopySource::Count)> bytesPerSecond{};
+  double adapterSeconds = 0;
+  double storeTokens = 0;
+  Instant storeTokensAt{};
+  bool pumpScheduled = false;
+
+  /// Wraps a callback so that it runs only in the session that made it.
+  template <class F> auto inSession(F f) {
+    return [weak = weak_from_this(), made = session, f = std::move(f)](auto &&...args) {
+      auto self = weak.lock();
+      if (self && self->session == made)
+        f(*self, std::forward<decltype(args)>(args)...);
+    };
+  }
+  Endpoint *find(const EndpointName &name);
+  Replica *find(const EndpointName &name, const ModelName &model, const std::string &orderId);
+  const Model *modelOf(const ModelName &name) const;
+
+  // planner_recovery.cpp: start of a term, claims, what endpoints report.
+  void lead(std::uint64_t term, bool ended);
+  void resign();
+  void onStaleTerm();
+  void readRecords();
+  void onRecords(StoreStatus status, const std::vector<StoreObject> &objects);
+  void mergeRecord(Endpoint &ep, const EndpointRecord &record);
+  void requireClaim(Endpoint &ep);
+  void sendClaims();
+  void onClaimed(Endpoint &ep, OrderStatus status, const EndpointReport &report);
+  void becomeReadyIfRecovered();
+  void resolveFormerOrders();
+  bool noteReport(Endpoint &ep, const EndpointReport &report);
+  void onRestart(Endpoint &ep);
+  void reconcile(Endpoint &ep, Instant reportSentAt);
+  bool reconcileReplica(Endpoint &ep, Replica &r, const EngineModel *seen);
+  void adopt(Endpoint &ep, const EngineModel &seen);
+  void setEndpoints(const std::vector<ListedNode> &engines);
+  void onGone(Endpoint &ep);
+
+  // planner_records.cpp: conditional updates of endpoints/<name>.
+  void record(Endpoint &ep, std::function<void(bool)> done);
+  void markDirty(Endpoint &ep);
+  void flushRecords();
+  void startWrite(Endpoint &ep);
+  void sendWrite(Endpoint &ep);
+  void onWritten(Endpoint &ep, StoreStatus status, const StoreObject &object);
+  void readBack(Endpoint &ep);
+  void onReadBack(Endpoint &ep, StoreStatus status, const StoreObject &object);
+  void finishWrite(Endpoint &ep, bool ok);
+
+  // planner_orders.cpp: orders, polls and the release protocol.
+  bool mayOrder(const Endpoint &ep) const;
+  void beginLoad(Endpoint &ep, Replica &r);
+  void onIntentRecorded(const EndpointName &name, const ModelName &model, const std::string &id,
+                        bool ok);
+  void sendLoad(Endpoint &ep, Replica &r);
+  void onLoadAnswer(Endpoint &ep, Replica &r, OrderStatus status, const EndpointReport &report);
+  void becomeReady(Endpoint &ep, Replica &r);
+  void startRelease(Endpoint &ep, Replica &r, std::string_view reason);
+  void cancelRelease(Endpoint &ep, Replica &r);
+  void continueRelease(Endpoint &ep, Replica &r);
+  void sendUnload(Endpoint &ep, Replica &r);
+  void onUnloadAnswer(Endpoint &ep, Replica &r, OrderStatus status, const EndpointReport &report);
+  void noteContact(Endpoint &ep, bool reached);
+  void poll(Endpoint &ep);
+  void pollWithin(Endpoint &ep, Duration d);
+  void pollLoading(Endpoint &ep);
+  void schedulePoll(Endpoint &ep);
+  void pollDueEndpoints();
+  void advance(Endpoint &ep);
+  void learnLoad(const Replica &r);
+  void addReplica(Endpoint &ep, Replica r);
+  void dropReplica(Endpoint &ep, const ModelName &model, std::string_view reason, bool again);
+  void publish(Endpoint &ep, const Replica &r);
+  void publishAll(Endpoint &ep);
+  void classify(Endpoint &ep);
+
+  // planner_placement.cpp: where to load, grants, estimates.
+  bool eligible(const Endpoint &ep, std::uint64_t bytes) const;
+  bool available(const Endpoint &ep) const;
+  PlanTotals totals(const PlanName &plan, bool committedOnly) const;
+  bool idle(const Endpoint &ep, const Replica &r) const;
+  RetentionInput retentionInput(const Endpoint &ep, const Replica &r) const;
+  Duration loadTime(CopySource source, std::uint64_t bytes, bool adapter) const;
+  CopySource sourceOf(const Endpoint &ep, const ModelName &model) const;
+  Duration storeWait(bool adapter, Instant urgency) const;
+  Duration estimate(const Endpoint &ep, const Replica &r) const;
+  struct GrantRoom {
+    int models = 0;
+    std::int64_t bytes = 0;
+    std::vector<std::pair<Endpoint *, Replica *>> releasable; ///< own idle replicas, lowest first
+  };
+  GrantRoom grantRoom(const Plan &plan, const Model &model);
+  bool chooseEvictions(const Endpoint &ep, std::uint64_t need, const Model &model, Placement &p,
+                       double &cost) const;
+  bool chooseGrantReleases(const GrantRoom &room, const PlanName &plan, const Model &model,
+                           Placement &p);
+  std::optional<Placement> consider(Endpoint &ep, const Model &model, const Plan *plan,
+                                    const GrantRoom &room, Duration storeQueue, bool prewarm,
+                                    std::string &reason);
+  std::optional<Placement> choose(const Model &model, const Plan *plan, Instant urgency,
+                                  Duration remaining, bool prewarm, std::string &reason);
+  Replica *commit(const Model &model, const PlanName &payer, Instant urgency, bool prewarm,
+                  const Placement &p, const std::string &requestId);
+  void pump();
+  bool startable(const Endpoint &ep, const Replica &r);
+  bool takeStoreSlot(const Replica &r);
+  int storeInUse(bool adapter) const;
+  void refillStoreTokens();
+
+  // planner.cpp: requests and housekeeping.
+  void ensure(const EnsureRequest &request, const EnsureDone &done);
+  bool joinExisting(const EnsureRequest &request, const EnsureDone &done);
+  void answerHeld();
+  void answerOwed(Endpoint &ep, Replica &r);
+  void askAgain(std::vector<OwedAnswer> owed);
+  void tick();
+  void everySecond();
+  void decideWanted();
+  void scale();
+  void leaveDepartingEndpoints();
+  void checkQueued();
+  void checkRetention(Duration elapsed);
+  void checkReplica(Endpoint &ep, Replica &r);
+  void enforceGrants();
+  void prewarm();
+  bool needed(const ModelName &model) const;
+  bool availableElsewhere(const ModelName &model, const EndpointName &except) const;
+  void onModelLoads(const HostName &host, const std::vector<ModelLoad> &loads);
+  void forgetSilentHosts();
+  void log(DecisionKind kind, const ModelName &model, std::string chosen, std::string reason,
+           const PlanName &plan = {}, const std::string &requestId = {});
+};
+
+} // namespace catkin
--- /dev/null
+++ b/src/planner_orders.cpp
@@ -0,0 +1,467 @@
+#include "planner_impl_p.h"
+
+#include <algorithm>
+
+/// Orders to endpoints, status polls, and the life of a replica from its recorded intent to its
+/// release.
+namespace catkin {
+
+namespace {
+
+// Status polls of an endpoint that is loading: often enough not to lengthen a cold start
+// noticeably.
+constexpr Duration ShortestLoadPoll = std::chrono::milliseconds(10);
+constexpr Duration LongestLoadPoll = std::chrono::milliseconds(500);
+constexpr Duration StalePollRetry = std::chrono::milliseconds(20);
+constexpr Duration ReleasePollInterval = std::chrono::milliseconds(250);
+constexpr double RateWeight = 0.3; // of the newest load in the learned rate
+
+} // namespace
+
+// ---- Conditions --------------------------------------------------------------------------------
+
+/// Checked immediately before each load or unload order. An endpoint that ignores fencing would
+/// obey an order that is sent after a newer planner has begun.
+bool Planner::Impl::mayOrder(const Endpoint &ep) const {
+  if (!isLeading || !ep.claimed || ep.recordMalformed || ep.liveness == Liveness::Gone)
+    return false;
+  if (ep.fencing())
+    return true;
+  return recordsRead && (env.now() < orderLimit || !options.guards.stopOrdersAtLeaseEnd);
+}
+
+// ---- Table and indexes -------------------------------------------------------------------------
+
+void Planner::Impl::publish(Endpoint &ep, const Replica &r) {
+  if (!r.committed() || r.phase == Phase::Held)
+    return table.remove(r.model, ep.name);
+  auto state = ReplicaState::Intended;
+  if (r.phase == Phase::Ready)
+    state = ReplicaState::Loaded;
+  else if (r.phase > Phase::Ready)
+    state = ReplicaState::Releasing;
+  table.set({.model = r.model,
+             .endpoint = ep.name,
+             .address = ep.address,
+             .dataCentre = ep.dataCentre,
+             .state = state,
+             .leaving = ep.departing(),
+             .generation = ep.report.generation,
+             .running = ep.report.running,
+             .queued = ep.report.queued});
+}
+
+void Planner::Impl::publishAll(Endpoint &ep) {
+  for (auto &[model, r] : ep.replicas)
+    publish(ep, r);
+}
+
+/// Keeps the sets of endpoints that housekeeping visits.
+void Planner::Impl::classify(Endpoint &ep) {
+  bool busy = false;
+  for (auto &[model, r] : ep.replicas)
+    busy |= r.phase != Phase::Ready && r.phase != Phase::Held;
+  if (busy)
+    active.insert(ep.name);
+  else
+    active.erase(ep.name);
+  if (ep.replicas.empty())
+    populated.erase(ep.name);
+  else
+    populated.insert(ep.name);
+}
+
+void Planner::Impl::addReplica(Endpoint &ep, Replica r) {
+  auto model = r.model;
+  models[model].endpoints.insert(ep.name);
+  auto &added = ep.replicas[model] = std::move(r);
+  publish(ep, added);
+  classify(ep);
+}
+
+/// Ends a replica. With `again`, a model that is still needed is placed anew.
+void Planner::Impl::dropReplica(Endpoint &ep, const ModelName &model, std::string_view reason,
+                                bool again) {
+  auto it = ep.replicas.find(model);
+  if (it == ep.replicas.end())
+    return;
+  auto r = std::move(it->second);
+  ep.replicas.erase(it);
+  models[model].endpoints.erase(ep.name);
+  table.remove(model, ep.name);
+  if (r.committed())
+    markDirty(ep);
+  log(DecisionKind::Release, model, ep.name.value, std::string(reason), r.payer);
+  bool wait = r.underWay() && r.urgency > env.now();
+  if (again && (wait || (r.phase <= Phase::Ready && needed(model))))
+    wanted[model] = {.payer = r.payer,
+                     .deadline = std::max(r.urgency, env.now() + config::ReplacementDeadline)};
+  askAgain(std::move(r.answers));
+  std::vector<ModelName> waiting;
+  for (auto &[name, other] : ep.replicas)
+    if (other.base == model && other.phase == Phase::Queued)
+      waiting.push_back(name);
+  for (auto &name : waiting)
+    dropReplica(ep, name, "its base was dropped", again);
+  classify(ep);
+}
+
+// ---- Load --------------------------------------------------------------------------------------
+
+void Planner::Impl::beginLoad(Endpoint &ep, Replica &r) {
+  ++counters.loadsDecided;
+  r.phase = Phase::Recording;
+  r.term = currentTerm;
+  r.orderId = std::to_string(currentTerm) + ":" + std::to_string(++sequence);
+  publish(ep, r);
+  bool unrecorded = platformDown && ep.fencing();
+  if (unrecorded || !options.guards.recordIntentBeforeOrder) {
+    markDirty(ep);
+    return onIntentRecorded(ep.name, r.model, r.orderId, true);
+  }
+  auto done = [name = ep.name, model = r.model, id = r.orderId](Impl &self, bool ok) {
+    self.onIntentRecorded(name, model, id, ok);
+  };
+  record(ep, inSession(done));
+}
+
+void Planner::Impl::onIntentRecorded(const EndpointName &name, const ModelName &model,
+                                     const std::string &id, bool ok) {
+  auto *r = find(name, model, id);
+  if (!r || r->phase != Phase::Recording)
+    return;
+  auto &ep = *find(name);
+  if (!ok && !ep.fencing())
+    return dropReplica(ep, model, "intent could not be recorded", true);
+  // The record may have shown another planner's order, which takes the memory.
+  if (ep.committedBytes() > ep.report.memoryBytes)
+    return dropReplica(ep, model, "memory was taken by a former planner's order", true);
+  r->phase = Phase::Ordering;
+  r->nextTry = env.now();
+  answerOwed(ep, *r);
+  sendLoad(ep, *r);
+}
+
+void Planner::Impl::sendLoad(Endpoint &ep, Replica &r) {
+  if (ep.departing() && options.guards.skipLeavingEndpoints) {
+    if (!r.everSent)
+      dropReplica(ep, r.model, "endpoint is leaving", true);
+    return;
+  }
+  if (!mayOrder(ep))
+    return;
+  r.orderInFlight = r.everSent = true;
+  r.sentAt = env.now();
+  ++ep.orderEpoch;
+  EngineOrder order{.kind = OrderKind::Load,
+                    .term = currentTerm,
+                    .orderId = r.orderId,
+                    .model = r.model,
+                    .base = r.base,
+                    .bytes = r.bytes};
+  auto done = [name = ep.name, model = r.model, id = r.orderId](Impl &self, OrderStatus status,
+                                                                const EndpointReport &report) {
+    auto *it = self.find(name);
+    if (it)
+      ++it->orderEpoch;
+    if (auto *replica = self.find(name, model, id))
+      self.onLoadAnswer(*it, *replica, status, report);
+    else if (status == OrderStatus::StaleTerm)
+      self.onStaleTerm();
+  };
+  env.engines().order(ep.address, order, inSession(done));
+}
+
+void Planner::Impl::onLoadAnswer(Endpoint &ep, Replica &r, OrderStatus status,
+                                 const EndpointReport &report) {
+  auto now = env.now();
+  r.orderInFlight = false;
+  if (status == OrderStatus::StaleTerm)
+    return onStaleTerm();
+  noteContact(ep, status != OrderStatus::Unreachable && status != OrderStatus::Unknown);
+  switch (status) {
+  case OrderStatus::Ok:
+    r.phase = Phase::Loading;
+    r.acceptedAt = now;
+    if (ep.report.incarnation != report.incarnation) {
+      // Keeps this replica, which the new incarnation accepted, when the others are dropped.
+      r.orderInFlight = true;
+      noteReport(ep, report);
+      r.orderInFlight = false;
+      r.phase = Phase::Loading;
+    }
+    for (auto &it : report.models)
+      if (it.model == r.model && it.ready)
+        becomeReady(ep, r);
+    break;
+  case OrderStatus::Unreachable:
+  case OrderStatus::Unknown:
+    r.nextTry = now + config::OrderRetryInterval;
+    break;
+  default:
+    r.refused = !r.unresolved;
+    r.nextTry = now + (r.refused ? config::RefusedOrderGrace : config::OrderRetryInterval);
+    ep.avoidUntil = now + config::RefusedEndpointPause;
+    log(DecisionKind::Placement, r.model, ep.name.value,
+        "load refused: " + std::string(toString(status)), r.payer);
+    pollWithin(ep, config::RefusedOrderGrace);
+    break;
+  }
+  classify(ep);
+  pollLoading(ep);
+}
+
+void Planner::Impl::becomeReady(Endpoint &ep, Replica &r) {
+  if (r.phase == Phase::Ready)
+    return;
+  learnLoad(r);
+  r.phase = Phase::Ready;
+  r.readyAt = env.now();
+  r.refused = false;
+  markDirty(ep);
+  publish(ep, r);
+  classify(ep);
+  env.after(Duration(0), inSession([](Impl &self) { self.pump(); }));
+}
+
+/// Rates are learned per source, since memory, disk and the weight store differ by far.
+void Planner::Impl::learnLoad(const Replica &r) {
+  if (r.sentAt == Instant() || r.acceptedAt < r.sentAt)
+    return;
+  auto took = std::max(toSeconds(env.now() - r.acceptedAt), 1e-3);
+  if (r.isAdapter() && r.source == CopySource::Remote) {
+    adapterSeconds += RateWeight * (took - adapterSeconds);
+    return;
+  }
+  auto &rate = bytesPerSecond[static_cast<std::size_t>(r.source)];
+  rate += RateWeight * (static_cast<double>(r.bytes) / took - rate);
+}
+
+// ---- Release -----------------------------------------------------------------------------------
+
+void Planner::Impl::startRelease(Endpoint &ep, Replica &r, std::string_view reason) {
+  r.phase = Phase::Releasing;
+  r.releaseAcked = {};
+  publish(ep, r);
+  r.releaseVersion = table.version();
+  ++counters.releasesDecided;
+  log(DecisionKind::Release, r.model, ep.name.value, std::string(reason), r.payer);
+  classify(ep);
+}
+
+/// Possible until the intent to unload is being written.
+void Planner::Impl::cancelRelease(Endpoint &ep, Replica &r) {
+  r.phase = Phase::Ready;
+  publish(ep, r);
+  log(DecisionKind::Placement, r.model, ep.name.value, "release cancelled", r.payer);
+  classify(ep);
+}
+
+void Planner::Impl::continueRelease(Endpoint &ep, Replica &r) {
+  if (ep.hasDependents(r.model))
+    return cancelRelease(ep, r);
+  auto now = env.now();
+  if (options.guards.waitForTableAcks) {
+    if (acknowledged < r.releaseVersion)
+      return;
+    if (r.releaseAcked == Instant())
+      r.releaseAcked = now;
+    if (ep.reportAskedAt < r.releaseAcked)
+      return pollWithin(ep, Duration(0));
+    if (r.inFlight > 0)
+      return pollWithin(ep, ReleasePollInterval);
+  }
+  if (!mayOrder(ep) || (platformDown && !ep.fencing()))
+    return;
+  r.phase = Phase::RecordingRelease;
+  r.term = currentTerm;
+  r.orderId = std::to_string(currentTerm) + ":" + std::to_string(++sequence);
+  auto done = [name = ep.name, model = r.model, id = r.orderId](Impl &self, bool ok) {
+    auto *it = self.find(name, model, id);
+    if (!it || it->phase != Phase::RecordingRelease)
+      return;
+    auto &endpoint = *self.find(name);
+    it->phase = ok || endpoint.fencing() ? Phase::Unloading : Phase::Releasing;
+    if (it->phase == Phase::Unloading)
+      self.sendUnload(endpoint, *it);
+  };
+  if ((platformDown && ep.fencing()) || !options.guards.recordIntentBeforeOrder) {
+    markDirty(ep);
+    return done(*this, true);
+  }
+  record(ep, inSession(done));
+}
+
+void Planner::Impl::sendUnload(Endpoint &ep, Replica &r) {
+  if (!mayOrder(ep))
+    return;
+  r.orderInFlight = true;
+  r.sentAt = env.now();
+  ++ep.orderEpoch;
+  EngineOrder order{.kind = OrderKind::Unload,
+                    .term = currentTerm,
+                    .orderId = r.orderId,
+                    .model = r.model,
+                    .base = r.base,
+                    .bytes = r.bytes};
+  auto done = [name = ep.name, model = r.model, id = r.orderId](Impl &self, OrderStatus status,
+                                                                const EndpointReport &report) {
+    auto *it = self.find(name);
+    if (it)
+      ++it->orderEpoch;
+    if (auto *replica = self.find(name, model, id))
+      self.onUnloadAnswer(*it, *replica, status, report);
+    else if (status == OrderStatus::StaleTerm)
+      self.onStaleTerm();
+  };
+  env.engines().order(ep.address, order, inSession(done));
+}
+
+void Planner::Impl::onUnloadAnswer(Endpoint &ep, Replica &r, OrderStatus status,
+                                   const EndpointReport &) {
+  r.orderInFlight = false;
+  if (status == OrderStatus::StaleTerm)
+    return onStaleTerm();
+  noteContact(ep, status != OrderStatus::Unreachable && status != OrderStatus::Unknown);
+  r.nextTry = env.now() + config::OrderRetryInterval;
+  if (status != OrderStatus::Ok && status != OrderStatus::NotFound)
+    return;
+  if (r.unresolved && !ep.fencing()) {
+    r.phase = Phase::Held;
+    publish(ep, r);
+    classify(ep);
+    return;
+  }
+  dropReplica(ep, r.model, "unloaded", false);
+  pump();
+}
+
+// ---- Status polls ------------------------------------------------------------------------------
+
+void Planner::Impl::noteContact(Endpoint &ep, bool reached) {
+  ep.reachable = reached;
+  if (reached)
+    ep.silentSince = {};
+  else if (ep.silentSince == Instant())
+    ep.silentSince = env.now();
+}
+
+void Planner::Impl::poll(Endpoint &ep) {
+  if (ep.pollInFlight || !isLeading || ep.liveness == Liveness::Gone)
+    return;
+  ep.pollInFlight = true;
+  auto done = [name = ep.name, epoch = ep.orderEpoch,
+               asked = env.now()](Impl &self, bool reached, const EndpointReport &report) {
+    auto *it = self.find(name);
+    if (!it)
+      return;
+    it->pollInFlight = false;
+    self.noteContact(*it, reached);
+    self.schedulePoll(*it);
+    if (!reached)
+      return self.pollLoading(*it);
+    if (report.checksFencing && report.term > self.currentTerm)
+      return self.onStaleTerm();
+    self.noteReport(*it, report);
+    // An order was sent or answered meanwhile: the report may be older than its effect.
+    if (epoch != it->orderEpoch)
+      return self.pollWithin(*it, StalePollRetry);
+    it->reportAskedAt = asked;
+    self.reconcile(*it, asked);
+    self.pollLoading(*it);
+    self.advance(*it);
+  };
+  env.engines().status(ep.address, inSession(done));
+}
+
+void Planner::Impl::pollWithin(Endpoint &ep, Duration d) {
+  auto due = env.now() + d;
+  if (ep.pollDue > env.now() && ep.pollDue <= due)
+    return;
+  ep.pollDue = due;
+  auto run = [name = ep.name, due](Impl &self) {
+    auto *it = self.find(name);
+    if (!it || it->pollDue != due)
+      return;
+    it->pollDue = {};
+    self.poll(*it);
+  };
+  env.after(d, inSession(run));
+}
+
+/// Polls an endpoint that is loading near the expected end of the load.
+void Planner::Impl::pollLoading(Endpoint &ep) {
+  auto now = env.now();
+  Duration soonest = LongestLoadPoll;
+  bool any = false;
+  for (auto &[model, r] : ep.replicas) {
+    if (r.phase != Phase::Loading)
+      continue;
+    any = true;
+    auto elapsed = now - r.acceptedAt;
+    auto left = r.expectedLoad - elapsed;
+    soonest = std::min(soonest, left > Duration(0) ? left : elapsed / 20);
+  }
+  if (any)
+    pollWithin(ep, std::max(soonest, ShortestLoadPoll));
+}
+
+/// Next regular poll. The sum over endpoints is bounded, since each costs time and traffic.
+void Planner::Impl::schedulePoll(Endpoint &ep) {
+  polls.erase({ep.pollAt, ep.name});
+  bool loaded = populated.contains(ep.name);
+  auto n = loaded ? populated.size() : endpoints.size() - populated.size();
+  auto perSecond =
+      loaded ? config::LoadedEndpointPollsPerSecond : config::EmptyEndpointPollsPerSecond;
+  auto interval = std::max<Duration>(config::EndpointStatusInterval,
+                                     fromSeconds(static_cast<double>(n) / perSecond));
+  // Spreads endpoints that were claimed together.
+  auto share = static_cast<double>(env.random() % 1024) / 1024;
+  bool first = ep.pollAt == Instant();
+  ep.pollAt = env.now() + fromSeconds(toSeconds(interval) * (first ? share : 0.75 + share / 2));
+  polls.insert({ep.pollAt, ep.name});
+}
+
+void Planner::Impl::pollDueEndpoints() {
+  auto now = env.now();
+  while (!polls.empty() && polls.begin()->first <= now) {
+    auto name = polls.begin()->second;
+    polls.erase(polls.begin());
+    if (auto *ep = find(name); ep && ep->liveness != Liveness::Gone) {
+      schedulePoll(*ep);
+      poll(*ep);
+    }
+  }
+}
+
+// ---- Retries -----------------------------------------------------------------------------------
+
+/// Takes the next step of every replica on the endpoint that waits for one.
+void Planner::Impl::advance(Endpoint &ep) {
+  auto now = env.now();
+  std::vector<ModelName> names;
+  for (auto &[model, r] : ep.replicas)
+    if (r.phase != Phase::Ready && r.phase != Phase::Held)
+      names.push_back(model);
+  for (auto &name : names) {
+    auto it = ep.replicas.find(name);
+    if (it == ep.replicas.end())
+      continue;
+    auto &r = it->second;
+    if (r.phase == Phase::Releasing)
+      continueRelease(ep, r);
+    if (r.orderInFlight || r.nextTry > now)
+      continue;
+    if (r.phase == Phase::Unloading)
+      sendUnload(ep, r);
+    if (r.phase != Phase::Ordering || r.refused || (r.recovered && !r.unresolved))
+      continue;
+    bool silent = ep.silentSince != Instant() && now - ep.silentSince > config::EndpointSilentAfter;
+    if (silent && !r.everSent)
+      dropReplica(ep, name, "endpoint does not answer", true);
+    else
+      sendLoad(ep, r);
+  }
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/planner_records.cpp
@@ -0,0 +1,206 @@
+#include "planner_impl_p.h"
+
+#include <boost/json.hpp>
+
+/// Conditional updates of endpoints/<name>. Each endpoint has at most one write under way; a write
+/// carries everything decided until it leaves.
+namespace catkin {
+
+namespace {
+
+constexpr auto KeyPrefix = "endpoints/";
+constexpr Duration WriteRetryInterval = std::chrono::milliseconds(250);
+constexpr int MaxRefusedWrites = 4; // then the platform counts as down
+
+std::string keyOf(const Endpoint &ep) { return KeyPrefix + ep.name.value; }
+
+ReplicaState recordedState(const Replica &r) {
+  if (r.phase <= Phase::Loading)
+    return ReplicaState::Intended;
+  return r.phase <= Phase::Releasing ? ReplicaState::Loaded : ReplicaState::Releasing;
+}
+
+PlannedReplica decodeReplica(const boost::json::object &o) {
+  auto state = parseEnum<ReplicaState>(std::string_view(o.at("state").as_string()));
+  if (!state)
+    throw std::invalid_argument("state");
+  auto text = [&o](const char *key) { return std::string(o.at(key).as_string()); };
+  return {.model = ModelName(text("model")),
+          .base = ModelName(text("base")),
+          .bytes = o.at("bytes").to_number<std::uint64_t>(),
+          .state = *state,
+          .term = o.at("term").to_number<std::uint64_t>(),
+          .orderId = text("order_id"),
+          .payer = PlanName(text("payer")),
+          .unresolved = o.at("unresolved").as_bool()};
+}
+
+} // namespace
+
+std::string encodeEndpointRecord(const EndpointRecord &record) {
+  boost::json::array replicas;
+  for (auto &it : record.replicas)
+    replicas.push_back({{"model", it.model.value},
+                        {"base", it.base.value},
+                        {"bytes", it.bytes},
+                        {"state", std::string(toString(it.state))},
+                        {"term", it.term},
+                        {"order_id", it.orderId},
+                        {"payer", it.payer.value},
+                        {"unresolved", it.unresolved}});
+  return boost::json::serialize(boost::json::object{
+      {"term", record.term}, {"write_id", record.writeId}, {"replicas", std::move(replicas)}});
+}
+
+std::optional<EndpointRecord> decodeEndpointRecord(std::string_view text) {
+  try {
+    auto value = boost::json::parse({text.data(), text.size()});
+    auto &o = value.as_object();
+    EndpointRecord r{.term = o.at("term").to_number<std::uint64_t>(),
+                     .writeId = std::string(o.at("write_id").as_string())};
+    for (auto &it : o.at("replicas").as_array())
+      r.replicas.push_back(decodeReplica(it.as_object()));
+    return r;
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+void Planner::Impl::markDirty(Endpoint &ep) {
+  ep.dirty = true;
+  dirtyRecords.insert(ep.name);
+}
+
+/// Writes the endpoint's record; `done` learns whether a record with everything decided so far is
+/// stored.
+void Planner::Impl::record(Endpoint &ep, std::function<void(bool)> done) {
+  ep.nextWriteDone.push_back(std::move(done));
+  if (!ep.writing)
+    startWrite(ep);
+}
+
+void Planner::Impl::flushRecords() {
+  auto names = dirtyRecords;
+  for (auto &name : names) {
+    auto *ep = find(name);
+    if (!ep || ep->recordMalformed) {
+      dirtyRecords.erase(name);
+      continue;
+    }
+    if (!ep->writing)
+      startWrite(*ep);
+    // One probe at a time is enough while the platform is down.
+    if (platformDown)
+      return;
+  }
+}
+
+void Planner::Impl::startWrite(Endpoint &ep) {
+  ep.writing = true;
+  ep.dirty = false;
+  dirtyRecords.erase(ep.name);
+  ep.refusedWrites = 0;
+  ep.writeDone = std::exchange(ep.nextWriteDone, {});
+  ep.writeId = options.host.value + ":" + std::to_string(currentTerm) + ":" +
+               std::to_string(++sequence) + ":" + std::to_string(env.random());
+  EndpointRecord content{.term = currentTerm, .writeId = ep.writeId};
+  for (auto &[model, r] : ep.replicas) {
+    if (!r.committed())
+      continue;
+    PlannedReplica copy = r;
+    copy.state = recordedState(r);
+    content.replicas.push_back(std::move(copy));
+  }
+  ep.writeValue = encodeEndpointRecord(content);
+  sendWrite(ep);
+}
+
+void Planner::Impl::sendWrite(Endpoint &ep) {
+  auto done = [name = ep.name](Impl &self, StoreStatus status, const StoreObject &object) {
+    if (auto *it = self.find(name))
+      self.onWritten(*it, status, object);
+  };
+  env.platform().put(keyOf(ep), ep.writeValue, ep.recordVersion, inSession(done));
+}
+
+void Planner::Impl::onWritten(Endpoint &ep, StoreStatus status, const StoreObject &object) {
+  switch (status) {
+  case StoreStatus::Ok:
+    ep.recordVersion = object.version;
+    return finishWrite(ep, true);
+  case StoreStatus::Conflict:
+  case StoreStatus::NotFound:
+  case StoreStatus::Unknown:
+    return readBack(ep);
+  case StoreStatus::Refused: {
+    if (++ep.refusedWrites >= MaxRefusedWrites)
+      return finishWrite(ep, false);
+    auto again = [name = ep.name](Impl &self) {
+      if (auto *it = self.find(name))
+        self.sendWrite(*it);
+    };
+    return env.after(WriteRetryInterval, inSession(again));
+  }
+  default:
+    return finishWrite(ep, false);
+  }
+}
+
+void Planner::Impl::readBack(Endpoint &ep) {
+  auto done = [name = ep.name](Impl &self, StoreStatus status, const StoreObject &object) {
+    if (auto *it = self.find(name))
+      self.onReadBack(*it, status, object);
+  };
+  env.platform().get(keyOf(ep), inSession(done));
+}
+
+/// Decides from the stored object whether the write took effect. A write that did not is repeated
+/// with the version that was read, so that the first copy cannot take effect as well.
+void Planner::Impl::onReadBack(Endpoint &ep, StoreStatus status, const StoreObject &object) {
+  if (status == StoreStatus::NotFound) {
+    ep.recordVersion = 0;
+    return sendWrite(ep);
+  }
+  if (status != StoreStatus::Ok)
+    return finishWrite(ep, false);
+  auto stored = decodeEndpointRecord(object.value);
+  if (!stored) {
+    ep.recordMalformed = true;
+    log(DecisionKind::Placement, {}, ep.name.value, "record is malformed; endpoint not used");
+    return finishWrite(ep, false);
+  }
+  if (stored->term > currentTerm)
+    return onStaleTerm();
+  bool newer = object.version != ep.recordVersion;
+  ep.recordVersion = object.version;
+  if (stored->writeId == ep.writeId)
+    return finishWrite(ep, true);
+  // A write of a former planner took effect after this one had read the record.
+  if (newer && stored->term < currentTerm) {
+    mergeRecord(ep, *stored);
+    EndpointRecord content = *decodeEndpointRecord(ep.writeValue);
+    for (auto &[model, r] : ep.replicas) {
+      auto same = [&](auto &it) { return it.model == model; };
+      if (r.recovered && std::none_of(content.replicas.begin(), content.replicas.end(), same))
+        content.replicas.push_back(r);
+    }
+    ep.writeValue = encodeEndpointRecord(content);
+  }
+  sendWrite(ep);
+}
+
+void Planner::Impl::finishWrite(Endpoint &ep, bool ok) {
+  auto name = ep.name;
+  ep.writing = false;
+  platformDown = !ok && !ep.recordMalformed;
+  if (!ok)
+    markDirty(ep);
+  auto done = std::exchange(ep.writeDone, {});
+  for (auto &it : done)
+    it(ok);
+  auto *now = find(name);
+  if (now && isLeading && !now->writing && !now->nextWriteDone.empty())
+    startWrite(*now);
+}
+
+} // namespace catkin
--- a/src/route_table_p.h
+++ b/src/route_table_p.h
@@ -2,6 +2,7 @@
 
 #include "messages_p.h"
 
+#include <cstddef>
 #include <map>
 #include <utility>
 
@@ -19,7 +20,7 @@
   void remove(const ModelName &model, const EndpointName &endpoint);
 
   /// Fills tableVersion, fullTable, entries and removed of `reply` for a host that has
-  /// `hostVersion` of the table of the same term (0: none).
+  /// `hostVersion` of the table of the same term (0: none). Cost is proportional to the changes.
   void fillDelta(std::uint64_t hostVersion, SyncReply &reply) const;
 
   /// Applies what fillDelta produced.
@@ -35,8 +36,14 @@
     bool removed = false; ///< kept so that hosts learn of the removal
   };
 
+  void touch(const Key &key, Row &row);
+  void forgetOldRemovals();
+
   std::map<Key, Row> rows;
+  std::map<std::uint64_t, Key> changes; ///< newest change of each row
   std::uint64_t currentVersion = 0;
+  std::uint64_t deltaSince = 0; ///< a host with an older version needs the full table
+  std::size_t removedRows = 0;
 };
 
 } // namespace catkin
