Add control loop, lease, membership and messages between hosts

Cause: the hosts need one planner at a time, a shared routing table, member list and shares, without a consensus group.

Change: Lease (conditional update, own writes recognised by write id), Membership (a host that reports is never ended by the lagging list), messages as JSON, and Control, which composes them with planner, shares and configuration over Env. Members are sent only when they change: at 340 hosts the list in every reply would be 34 kB a second and host.

--- a/src/config.h
+++ b/src/config.h
@@ -25,9 +25,16 @@
 constexpr auto LeaseHolderMargin = 500ms;
 constexpr auto LeaseCandidateMargin = 500ms;
 constexpr std::size_t LeaseCandidates = 3;
+constexpr int LeaseReleaseAttempts = 20;
+constexpr auto LeaseReleaseRetry = 50ms;
 
 // Control loop between hosts.
 constexpr auto SyncMaxWait = 1000ms;
+constexpr auto SyncRetry = 200ms;
+constexpr auto SyncPokeInterval = 50ms; // at most this often besides the long poll
+constexpr auto ControlTick = 50ms;
+constexpr auto PlannerLostAfter = 1500ms;      // then this host looks at the lease itself
+constexpr auto RefuseWithoutPlannerAfter = 8s; // longer than an ordinary failover
 constexpr auto MemberTimeout = 3000ms;
 constexpr auto HostListInterval = 2000ms;
 constexpr auto EndpointStatusInterval = 1000ms;
--- /dev/null
+++ b/src/control.cpp
@@ -0,0 +1,545 @@
+#include "control_p.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace catkin {
+
+namespace {
+
+std::vector<ListedNode> ofKind(const std::vector<ListedNode> &nodes, ListedKind kind) {
+  std::vector<ListedNode> found;
+  std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(found),
+               [kind](auto &it) { return it.kind == kind; });
+  return found;
+}
+
+bool sameShares(const std::vector<HostShare> &a, const std::vector<HostShare> &b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](auto &x, auto &y) { return x.plan == y.plan && x.version == y.version; });
+}
+
+/// What other hosts need to know of a member. Its revision changes often and concerns only the
+/// planner, which reports it to operators.
+Member published(Member m) {
+  m.revision = 0;
+  return m;
+}
+
+bool samePublished(const Member &a, const Member &b) {
+  return a.host == b.host && a.incarnation == b.incarnation && a.callerAddress == b.callerAddress &&
+         a.peerAddress == b.peerAddress && a.liveness == b.liveness && a.overloaded == b.overloaded;
+}
+
+} // namespace
+
+struct Control::Impl : std::enable_shared_from_this<Control::Impl> {
+  /// A sync that waits on the planner for something to report.
+  struct Waiter {
+    SyncRequest request;
+    Instant until;
+    std::function<void(const SyncReply &)> done;
+  };
+  /// What the planner last heard from and sent to one host.
+  struct HostView {
+    std::uint64_t incarnation = 0;
+    std::uint64_t acknowledgedTable = 0;
+    std::vector<HostShare> sentShares;
+  };
+
+  Env &env;
+  ControlOptions options;
+  ControlHooks hooks;
+  Membership membership;
+  Lease lease;
+  Planner planner;
+  ShareTable shares;
+  ConfigSync config;
+
+  bool stopped = false;
+  // As the planner.
+  std::vector<Waiter> waiters;
+  std::map<HostName, HostView> hostViews;
+  std::vector<Member> publishedMembers;
+  std::uint64_t membersVersion = 0;
+  LeaseRecord formerHolder;
+  bool formerEnded = false;
+  // As any host.
+  RouteTable table;
+  std::uint64_t tableTerm = 0;
+  std::uint64_t seenMembersVersion = 0;
+  Instant plannerHeard;
+  Instant lastPoke;
+  bool everSynced = false;
+  std::size_t nextPeer = 0;
+
+  Impl(Env &env, ControlOptions o, ControlHooks h)
+      : env(env), options(std::move(o)), hooks(std::move(h)),
+        lease(
+            env,
+            {.host = options.self.host,
+             .incarnation = options.self.incarnation,
+             .address = options.self.peerAddress},
+            [this](auto &mine, auto &former) { onLeaseAcquired(mine, former); },
+            [this] { onLeaseLost(); }),
+        planner(env, withGuards(options)), shares(env, options.guards),
+        config(env, {.peers = options.peers, .guards = options.guards},
+               [this](ListsPtr lists) { onLists(lists); }) {}
+
+  static PlannerOptions withGuards(const ControlOptions &options) {
+    auto out = options.planner;
+    out.host = options.self.host;
+    out.guards = options.guards;
+    return out;
+  }
+
+  void start() {
+    plannerHeard = env.now();
+    config.start();
+    lease.start();
+    readHostList();
+    tick();
+    syncLoop();
+  }
+
+  // ---- Sources of news ------------------------------------------------------------------------
+
+  void onLists(const ListsPtr &lists) {
+    planner.setLists(lists);
+    shares.setLists(lists);
+    options.self.revision = lists->revision;
+    env.decision({.kind = DecisionKind::Config,
+                  .chosen = std::to_string(lists->revision),
+                  .reason = "lists in force"});
+    if (hooks.listsApplied)
+      hooks.listsApplied(lists);
+  }
+
+  void readHostList() {
+    if (stopped)
+      return;
+    env.hostList().read([self = shared_from_this()](StoreStatus s, const auto &nodes) {
+      if (s == StoreStatus::Ok && !self->stopped)
+        self->onHostList(nodes);
+      self->env.after(config::HostListInterval, [self] { self->readHostList(); });
+    });
+  }
+
+  void onHostList(const std::vector<ListedNode> &nodes) {
+    membership.setListed(ofKind(nodes, ListedKind::Host));
+    planner.setEndpoints(ofKind(nodes, ListedKind::Engine));
+    if (hooks.nodesListed)
+      hooks.nodesListed(nodes);
+  }
+
+  // ---- Planner side ----------------------------------------------------------------------------
+
+  void onLeaseAcquired(const LeaseRecord &mine, const LeaseRecord &former) {
+    membership.startObserving(env.now());
+    hostViews.clear();
+    publishedMembers.clear();
+    formerHolder = former;
+    formerEnded = former.holder.empty() || former.holder == options.self.host;
+    planner.setOrderLimit(lease.validUntil());
+    planner.lead(mine.term, formerEnded);
+    shares.lead(mine.term);
+  }
+
+  void onLeaseLost() {
+    planner.resign();
+    shares.resign();
+    for (auto &it : std::exchange(waiters, {}))
+      it.done(notPlanner());
+  }
+
+  void tick() {
+    if (stopped)
+      return;
+    env.after(config::ControlTick, [self = shared_from_this()] { self->tick(); });
+    if (!lease.held())
+      return;
+    planner.setOrderLimit(lease.validUntil());
+    if (!planner.leading())
+      return;
+    noteEndedHosts();
+    updateMembers();
+    planner.setAcknowledgedVersion(acknowledgedVersion());
+    planner.tick();
+    shares.tick();
+    answerWaiters();
+  }
+
+  /// Shares of ended processes return; the former planner's orders are settled once it has ended.
+  void noteEndedHosts() {
+    auto now = env.now();
+    for (auto it = hostViews.begin(); it != hostViews.end();) {
+      if (membership.ended(it->first, it->second.incarnation, now)) {
+        shares.onEnded({it->first, it->second.incarnation});
+        it = hostViews.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    if (!formerEnded && membership.ended(formerHolder.holder, formerHolder.incarnation, now)) {
+      formerEnded = true;
+      planner.formerHolderEnded();
+    }
+  }
+
+  void updateMembers() {
+    std::vector<Member> next;
+    for (auto &it : membership.live(env.now()))
+      next.push_back(published(it));
+    if (std::equal(next.begin(), next.end(), publishedMembers.begin(), publishedMembers.end(),
+                   samePublished))
+      return;
+    publishedMembers = std::move(next);
+    ++membersVersion;
+    std::vector<HostName> names;
+    for (auto &it : publishedMembers)
+      if (it.liveness == Liveness::Live)
+        names.push_back(it.host);
+    lease.setCandidates(std::move(names));
+  }
+
+  /// Lowest table version applied by the hosts that report here. A silent host is not waited for:
+  /// a request that it still sends to a released replica is refused by the endpoint as not run.
+  std::uint64_t acknowledgedVersion() const {
+    auto lowest = planner.table().version();
+    for (auto &it : publishedMembers) {
+      auto view = hostViews.find(it.host);
+      lowest = std::min(lowest, view == hostViews.end() ? 0 : view->second.acknowledgedTable);
+    }
+    return lowest;
+  }
+
+  void onSync(const SyncRequest &request, std::function<void(const SyncReply &)> done) {
+    lease.observe(request.term, HostName(), Address{});
+    if (!lease.held())
+      return done(notPlanner());
+    membership.onSync(request.self, env.now());
+    if (membership.ended(request.self.host, request.self.incarnation, env.now()))
+      return done(notPlanner()); // delayed message of a process that has been replaced
+    auto &view = hostViews[request.self.host];
+    if (view.incarnation != request.self.incarnation) {
+      if (view.incarnation != 0)
+        shares.onEnded({request.self.host, view.incarnation});
+      view = {.incarnation = request.self.incarnation, .acknowledgedTable = 0, .sentShares = {}};
+    }
+    if (request.tableTerm == planner.term())
+      view.acknowledgedTable = std::max(view.acknowledgedTable, request.tableVersion);
+    noteFormerHolder(request);
+    planner.onModelLoads(request.self.host, request.models);
+    shares.onSync({request.self.host, request.self.incarnation}, request.plans);
+    config.onRevisionSeen(request.self.revision, request.self.peerAddress);
+    waiters.push_back({request,
+                       env.now() + std::min<Duration>(request.maxWait, config::SyncMaxWait),
+                       std::move(done)});
+    if (request.maxWait <= Duration(0))
+      answerWaiters();
+  }
+
+  /// The former holder reports under the new term, so it has resigned. Orders that it had already
+  /// sent can be on their way for as long as an order may take.
+  void noteFormerHolder(const SyncRequest &request) {
+    if (formerEnded || request.self.host != formerHolder.holder ||
+        request.self.incarnation != formerHolder.incarnation || request.term < planner.term())
+      return;
+    formerEnded = true;
+    auto term = planner.term();
+    env.after(2 * config::OrderTimeout, [self = shared_from_this(), term] {
+      if (self->planner.leading() && self->planner.term() == term)
+        self->planner.formerHolderEnded();
+    });
+  }
+
+  void answerWaiters() {
+    auto now = env.now();
+    std::vector<std::pair<Waiter, SyncReply>> due;
+    std::erase_if(waiters, [&](Waiter &it) {
+      auto reply = makeReply(it.request);
+      if (!hasNews(it.request, reply) && now < it.until)
+        return false;
+      due.emplace_back(std::move(it), std::move(reply));
+      return true;
+    });
+    for (auto &[waiter, reply] : due) {
+      auto view = hostViews.find(waiter.request.self.host);
+      if (view != hostViews.end())
+        view->second.sentShares = reply.shares;
+      waiter.done(reply);
+    }
+  }
+
+  bool hasNews(const SyncRequest &request, const SyncReply &reply) const {
+    auto view = hostViews.find(request.self.host);
+    return !reply.entries.empty() || !reply.removed.empty() ||
+           (planner.ready() && request.tableTerm != reply.term) ||
+           reply.membersVersion != request.membersVersion ||
+           reply.revision > request.self.revision ||
+           (view != hostViews.end() && !sameShares(reply.shares, view->second.sentShares));
+  }
+
+  SyncReply notPlanner() const {
+    auto &it = lease.newest();
+    return {
+        .isPlanner = false, .term = it.term, .planner = it.holder, .plannerAddress = it.address};
+  }
+
+  /// Until recovery is complete a reply leaves the host's table as it is: the old one still routes.
+  SyncReply makeReply(const SyncRequest &request) const {
+    SyncReply reply{.isPlanner = true,
+                    .term = planner.term(),
+                    .planner = options.self.host,
+                    .plannerAddress = options.self.peerAddress,
+                    .tableVersion = request.tableVersion};
+    if (planner.ready())
+      planner.table().fillDelta(request.tableTerm == planner.term() ? request.tableVersion : 0,
+                                reply);
+    reply.membersVersion = membersVersion;
+    if (membersVersion != request.membersVersion || request.term != planner.term())
+      reply.members = publishedMembers;
+    if (shares.ready())
+      reply.shares = shares.sharesOf({request.self.host, request.self.incarnation});
+    reply.revision = options.self.revision;
+    return reply;
+  }
+
+  // ---- Host side -------------------------------------------------------------------------------
+
+  SyncRequest makeRequest(Duration maxWait) {
+    SyncRequest request{.self = options.self,
+                        .term = lease.newest().term,
+                        .tableTerm = tableTerm,
+                        .tableVersion = table.version(),
+                        .membersVersion = seenMembersVersion,
+                        .maxWait = maxWait};
+    if (hooks.fillReport)
+      hooks.fillReport(request);
+    request.self.overloaded = request.self.overloaded || options.self.overloaded;
+    return request;
+  }
+
+  void syncLoop() {
+    if (stopped)
+      return;
+    sync(config::SyncMaxWait, [self = shared_from_this()](bool ok) {
+      self->env.after(ok ? Duration(0) : Duration(config::SyncRetry), [self] { self->syncLoop(); });
+    });
+  }
+
+  /// One sync with the planner, wherever it is; `done` gets whether the planner answered.
+  void sync(Duration maxWait, std::function<void(bool)> done) {
+    lease.setPlannerLost(plannerLost());
+    if (lease.held()) {
+      onSync(makeRequest(maxWait), [self = shared_from_this(), done](const SyncReply &reply) {
+        self->env.after(Duration(0), [self, reply, done] { done(self->onReply(reply)); });
+      });
+      return;
+    }
+    auto to = plannerLost() ? nextContact() : lease.newest().address;
+    if (to.empty())
+      to = nextContact();
+    if (to.empty())
+      return env.after(config::SyncRetry, [done] { done(false); });
+    env.peers().call(to, "sync", encode(makeRequest(maxWait)), maxWait + config::RpcTimeout,
+                     [self = shared_from_this(), done](RpcStatus s, const std::string &text) {
+                       auto reply = s == RpcStatus::Ok ? decodeSyncReply(text) : std::nullopt;
+                       done(reply && self->onReply(*reply));
+                     });
+  }
+
+  /// A host to ask who the planner is: the planner itself every other time, then each peer in turn.
+  Address nextContact() {
+    auto contacts = options.peers;
+    for (auto &it : membership.all())
+      if (it.host != options.self.host && !it.peerAddress.empty())
+        contacts.push_back(it.peerAddress);
+    auto turn = nextPeer++;
+    if (contacts.empty() || (turn % 2 == 0 && !lease.newest().address.empty()))
+      return lease.newest().address;
+    return contacts[(turn / 2) % contacts.size()];
+  }
+
+  bool plannerLost() const { return env.now() - plannerHeard > config::PlannerLostAfter; }
+
+  bool onReply(const SyncReply &reply) {
+    if (stopped)
+      return false;
+    lease.observe(reply.term, reply.planner, reply.plannerAddress);
+    if (!reply.isPlanner || reply.term < lease.newest().term)
+      return false;
+    plannerHeard = env.now();
+    lease.setPlannerLost(false);
+    applyTable(reply);
+    if (!reply.members.empty()) {
+      seenMembersVersion = reply.membersVersion;
+      if (!lease.held())
+        membership.setMembers(reply.members);
+      setCandidates(reply.members);
+    }
+    config.onRevisionSeen(reply.revision, reply.plannerAddress);
+    if (hooks.sharesChanged)
+      hooks.sharesChanged(reply.shares);
+    return true;
+  }
+
+  void setCandidates(const std::vector<Member> &members) {
+    std::vector<HostName> names;
+    for (auto &it : members)
+      if (it.liveness == Liveness::Live)
+        names.push_back(it.host);
+    lease.setCandidates(std::move(names));
+  }
+
+  void applyTable(const SyncReply &reply) {
+    if (!reply.fullTable && reply.entries.empty() && reply.removed.empty())
+      return;
+    if (!reply.fullTable && (reply.term != tableTerm || reply.tableVersion <= table.version()))
+      return; // a delayed reply
+    if (reply.fullTable)
+      table = RouteTable();
+    table.apply(reply);
+    tableTerm = reply.term;
+    everSynced = true;
+    if (hooks.tableChanged)
+      hooks.tableChanged(table.entries());
+  }
+
+  void ensure(const EnsureRequest &request, Instant deadline,
+              std::function<void(const EnsureReply &)> done) {
+    auto remaining = deadline - env.now();
+    if (remaining <= Duration(0) ||
+        env.now() - plannerHeard > Duration(config::RefuseWithoutPlannerAfter))
+      return done(withoutPlanner());
+    auto attempt = request;
+    attempt.remaining = remaining;
+    auto onReply = [self = shared_from_this(), request, deadline, done](const EnsureReply &reply) {
+      if (reply.outcome != EnsureOutcome::NotPlanner)
+        return done(reply);
+      self->env.after(config::SyncRetry,
+                      [self, request, deadline, done] { self->ensure(request, deadline, done); });
+    };
+    if (planner.leading())
+      return planner.ensure(attempt, onReply);
+    auto to = lease.newest().address;
+    if (to.empty())
+      return onReply({.outcome = EnsureOutcome::NotPlanner});
+    env.peers().call(to, "ensure", encode(attempt),
+                     std::min<Duration>(remaining, config::RpcTimeout),
+                     [onReply](RpcStatus s, const std::string &text) {
+                       auto reply = s == RpcStatus::Ok ? decodeEnsureReply(text) : std::nullopt;
+                       onReply(reply.value_or(EnsureReply{.outcome = EnsureOutcome::NotPlanner}));
+                     });
+  }
+
+  static EnsureReply withoutPlanner() {
+    return {.outcome = EnsureOutcome::Refused,
+            .retryAfter = config::LeaseTtl + config::RpcTimeout,
+            .reason = "no planner answers"};
+  }
+
+  // ---- Calls from other hosts -------------------------------------------------------------------
+
+  void callSync(const std::string &params, std::function<void(std::string)> done) {
+    auto request = decodeSyncRequest(params);
+    if (!request)
+      return done({});
+    onSync(*request, [done](const SyncReply &reply) { done(encode(reply)); });
+  }
+
+  void callEnsure(const std::string &params, std::function<void(std::string)> done) {
+    auto request = decodeEnsureRequest(params);
+    if (!request)
+      return done({});
+    if (!planner.leading())
+      return done(encode(EnsureReply{.outcome = EnsureOutcome::NotPlanner}));
+    planner.ensure(*request, [done](const EnsureReply &reply) { done(encode(reply)); });
+  }
+
+  void callLists(const std::string &, std::function<void(std::string)> done) {
+    done(config.document());
+  }
+
+  void callDrain(const std::string &params, std::function<void(std::string)> done) {
+    // {"on":true} or {"on":false}; anything else is taken as malformed.
+    if (params.find("true") == std::string::npos && params.find("false") == std::string::npos)
+      return done({});
+    setLeaving(params.find("true") != std::string::npos);
+    done("{}");
+  }
+
+  void setLeaving(bool on) {
+    options.self.liveness = on ? Liveness::Leaving : Liveness::Live;
+    if (on)
+      lease.release([] {});
+    else
+      lease.start();
+    sync(Duration(0), [](bool) {});
+  }
+
+  void stop(std::function<void()> done) {
+    options.self.liveness = Liveness::Gone;
+    lease.release([self = shared_from_this(), done] {
+      self->sync(Duration(0), [self, done](bool) {
+        self->stopped = true;
+        done();
+      });
+    });
+  }
+};
+
+Control::Control(Env &env, ControlOptions options, ControlHooks hooks)
+    : impl(std::make_shared<Impl>(env, std::move(options), std::move(hooks))) {}
+
+Control::~Control() { impl->stopped = true; }
+
+void Control::start() { impl->start(); }
+
+void Control::setLeaving(bool on) { impl->setLeaving(on); }
+
+void Control::stop(std::function<void()> done) { impl->stop(std::move(done)); }
+
+void Control::onCall(const std::string &method, const std::string &paramsJson,
+                     std::function<void(std::string)> done) {
+  struct Method {
+    std::string_view name;
+    void (Impl::*handle)(const std::string &, std::function<void(std::string)>);
+  };
+  static constexpr std::array Methods{
+      Method{"sync", &Impl::callSync}, Method{"ensure", &Impl::callEnsure},
+      Method{"lists", &Impl::callLists}, Method{"drain", &Impl::callDrain}};
+  for (auto &it : Methods)
+    if (it.name == method)
+      return ((*impl).*it.handle)(paramsJson, std::move(done));
+  done({});
+}
+
+void Control::ensure(const EnsureRequest &request, std::function<void(const EnsureReply &)> done) {
+  impl->ensure(request, impl->env.now() + request.remaining, std::move(done));
+}
+
+void Control::poke() {
+  auto now = impl->env.now();
+  if (now - impl->lastPoke < Duration(config::SyncPokeInterval))
+    return;
+  impl->lastPoke = now;
+  impl->sync(Duration(0), [](bool) {});
+}
+
+bool Control::ready() const { return impl->config.ready() && impl->everSynced; }
+
+bool Control::isPlanner() const { return impl->lease.held(); }
+
+const LeaseRecord &Control::planner() const { return impl->lease.newest(); }
+
+ConfigSync &Control::config() { return impl->config; }
+
+Membership &Control::membership() { return impl->membership; }
+
+Planner &Control::planningState() { return impl->planner; }
+
+ShareTable &Control::shareTable() { return impl->shares; }
+
+} // namespace catkin
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -42,7 +42,10 @@
   ~Control();
 
   void start();
-  /// Graceful stop: announces leaving, releases the lease; `done` once the host may exit.
+  /// Announces that this host gets no new work and gives the lease up. `on` false takes it back.
+  void setLeaving(bool on);
+  /// Last step of a graceful stop, after all requests have ended: reports the host as gone, so that
+  /// its shares return at once. `done` once the process may exit.
   void stop(std::function<void()> done);
 
   /// Handles a call from another host (methods sync, ensure, lists). `done` gets the result JSON,
--- /dev/null
+++ b/src/json.cpp
@@ -0,0 +1,89 @@
+#include "json_p.h"
+
+#include <limits>
+
+namespace catkin {
+
+const json::value *JsonReader::find(std::string_view key) const { return object.if_contains(key); }
+
+std::string JsonReader::text(std::string_view key) {
+  auto *v = find(key);
+  if (!v)
+    return {};
+  if (!v->is_string()) {
+    ok = false;
+    return {};
+  }
+  return std::string(std::string_view(v->get_string()));
+}
+
+std::int64_t JsonReader::integer64(std::string_view key) {
+  auto *v = find(key);
+  if (!v)
+    return 0;
+  boost::system::error_code ec;
+  auto n = v->to_number<std::int64_t>(ec);
+  ok = ok && !ec;
+  return ec ? 0 : n;
+}
+
+std::uint64_t JsonReader::unsignedInt(std::string_view key) {
+  auto *v = find(key);
+  if (!v)
+    return 0;
+  boost::system::error_code ec;
+  auto n = v->to_number<std::uint64_t>(ec);
+  ok = ok && !ec;
+  return ec ? 0 : n;
+}
+
+int JsonReader::integer(std::string_view key) {
+  auto n = integer64(key);
+  if (n < std::numeric_limits<int>::min() || n > std::numeric_limits<int>::max()) {
+    ok = false;
+    return 0;
+  }
+  return static_cast<int>(n);
+}
+
+double JsonReader::number(std::string_view key) {
+  auto *v = find(key);
+  if (!v)
+    return 0;
+  if (!v->is_number()) {
+    ok = false;
+    return 0;
+  }
+  return v->to_number<double>();
+}
+
+bool JsonReader::flag(std::string_view key) {
+  auto *v = find(key);
+  if (!v)
+    return false;
+  if (!v->is_bool()) {
+    ok = false;
+    return false;
+  }
+  return v->get_bool();
+}
+
+Address JsonReader::address(std::string_view key) {
+  auto it = text(key);
+  if (it.empty())
+    return {};
+  auto a = parseAddress(it);
+  ok = ok && a.has_value();
+  return a.value_or(Address{});
+}
+
+bool parseObject(std::string_view text, json::object &out) {
+  boost::system::error_code ec;
+  auto v = json::parse(json::string_view(text.data(), text.size()), ec);
+  if (ec || !v.is_object())
+    return false;
+  out = std::move(v.get_object());
+  return true;
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/lease.cpp
@@ -0,0 +1,291 @@
+#include "lease_p.h"
+
+#include "config.h"
+#include "json_p.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include <xxhash.h>
+
+namespace catkin {
+
+namespace {
+
+constexpr auto LeaseKey = "planner/lease";
+
+// A host that is not among the candidates waits longer, so that the candidates go first.
+constexpr Duration OutsiderDelay = std::chrono::milliseconds(2000);
+
+std::string format(const LeaseRecord &r) {
+  return json::serialize(json::object{{"holder", r.holder.value},
+                                      {"incarnation", r.incarnation},
+                                      {"address", r.address.empty() ? "" : r.address.toString()},
+                                      {"term", r.term},
+                                      {"renewal", r.renewal},
+                                      {"write_id", r.writeId}});
+}
+
+std::optional<LeaseRecord> parse(const std::string &text) {
+  json::object object;
+  if (!parseObject(text, object))
+    return std::nullopt;
+  JsonReader in(object);
+  LeaseRecord r{.holder = in.name<HostName>("holder"),
+                .incarnation = in.unsignedInt("incarnation"),
+                .address = in.address("address"),
+                .term = in.unsignedInt("term"),
+                .renewal = in.unsignedInt("renewal"),
+                .writeId = in.text("write_id")};
+  return in.ok ? std::optional(r) : std::nullopt;
+}
+
+} // namespace
+
+struct Lease::Impl : std::enable_shared_from_this<Lease::Impl> {
+  Env &env;
+  LeaseOptions options;
+  Acquired acquired;
+  Lost lost;
+  std::vector<HostName> candidates;
+  LeaseRecord newest; ///< highest term seen from anywhere
+  LeaseRecord stored; ///< last record read from the platform
+  std::uint64_t storedVersion = 0;
+  Instant storedChanged; ///< when storedVersion was first seen
+  bool everRead = false;
+  bool holding = false;
+  bool stopped = false;
+  bool plannerLost = false;
+  bool busy = false; ///< a platform call is under way
+  Instant valid;
+  std::uint64_t writes = 0;
+  std::map<std::string, Instant> sent; ///< own writes of unknown fate, with the time of sending
+
+  Impl(Env &env, LeaseOptions options, Acquired acquired, Lost lost)
+      : env(env), options(std::move(options)), acquired(std::move(acquired)),
+        lost(std::move(lost)) {}
+
+  bool isCandidate() const {
+    if (candidates.empty())
+      return true;
+    auto rank = [&](const HostName &host) {
+      return XXH64(host.value.data(), host.value.size(), newest.term);
+    };
+    auto mine = rank(options.host);
+    auto before = std::count_if(candidates.begin(), candidates.end(), [&](auto &it) {
+      return it != options.host && it != newest.holder && rank(it) > mine;
+    });
+    return before < static_cast<std::ptrdiff_t>(config::LeaseCandidates);
+  }
+
+  bool isMine(const LeaseRecord &r) const {
+    return r.holder == options.host && r.incarnation == options.incarnation;
+  }
+
+  Instant validity(Instant sentAt) const {
+    return sentAt + config::LeaseTtl - config::LeaseHolderMargin;
+  }
+
+  void step() {
+    if (stopped)
+      return;
+    auto self = shared_from_this();
+    env.after(config::LeaseRenewInterval, [self] { self->step(); });
+    if (busy)
+      return;
+    if (holding)
+      renew();
+    else if (isCandidate() || plannerLost || !everRead)
+      readStored();
+  }
+
+  void readStored() {
+    busy = true;
+    env.platform().get(LeaseKey, [self = shared_from_this()](StoreStatus s, const StoreObject &o) {
+      self->busy = false;
+      self->onRead(s, o);
+    });
+  }
+
+  void onRead(StoreStatus status, const StoreObject &object) {
+    if (stopped)
+      return;
+    if (status == StoreStatus::NotFound)
+      return acquire(LeaseRecord{}, 0);
+    if (status != StoreStatus::Ok)
+      return;
+    auto record = parse(object.value);
+    if (!record)
+      return; // an operator's mistake in the store; never overwritten blindly
+    note(*record, object.version);
+    if (isMine(*record) && record->term >= newest.term)
+      return confirm(*record);
+    if (holding)
+      return drop();
+    if (mayAcquire(*record))
+      acquire(*record, object.version);
+  }
+
+  /// Takes up a record read from the platform.
+  void note(const LeaseRecord &record, std::uint64_t version) {
+    if (!everRead || version != storedVersion)
+      storedChanged = env.now();
+    everRead = true;
+    storedVersion = version;
+    stored = record;
+    if (record.term >= newest.term)
+      newest = record;
+  }
+
+  /// The stored record is this process's own: a write whose reply was lost has taken effect.
+  void confirm(const LeaseRecord &record) {
+    auto it = sent.find(record.writeId);
+    if (it != sent.end())
+      valid = std::max(valid, validity(it->second));
+    sent.clear();
+    if (!holding)
+      become(record, LeaseRecord{});
+  }
+
+  bool mayAcquire(const LeaseRecord &record) const {
+    if (record.holder.empty() || record.holder == options.host)
+      return isCandidate() || plannerLost;
+    auto unchanged = env.now() - storedChanged;
+    if (unchanged < config::LeaseTtl + config::LeaseCandidateMargin)
+      return false;
+    return isCandidate() ||
+           unchanged >= config::LeaseTtl + config::LeaseCandidateMargin + OutsiderDelay;
+  }
+
+  std::string nextWriteId() {
+    return options.host.value + "/" + std::to_string(options.incarnation) + "/" +
+           std::to_string(++writes);
+  }
+
+  void write(LeaseRecord record, std::uint64_t version,
+             std::function<void(StoreStatus, const StoreObject &)> done) {
+    record.writeId = nextWriteId();
+    auto sentAt = env.now();
+    sent[record.writeId] = sentAt;
+    busy = true;
+    env.platform().put(
+        LeaseKey, format(record), version,
+        [self = shared_from_this(), record, sentAt, done](StoreStatus s, const StoreObject &o) {
+          self->busy = false;
+          if (s == StoreStatus::Ok) {
+            self->sent.clear();
+            self->valid = self->validity(sentAt);
+            self->note(record, o.version);
+          }
+          done(s, o);
+        });
+  }
+
+  void acquire(const LeaseRecord &former, std::uint64_t version) {
+    LeaseRecord mine{.holder = options.host,
+                     .incarnation = options.incarnation,
+                     .address = options.address,
+                     .term = std::max(former.term, newest.term) + 1};
+    write(mine, version, [self = shared_from_this(), mine, former](StoreStatus s, auto &) {
+      if (self->stopped)
+        return self->giveBack(1, [] {});
+      if (s == StoreStatus::Ok)
+        self->become(mine, former);
+      // Conflict: another host was first. Unknown: the next read tells.
+    });
+  }
+
+  void become(const LeaseRecord &mine, const LeaseRecord &former) {
+    holding = true;
+    newest = mine;
+    env.decision({.kind = DecisionKind::Lease,
+                  .chosen = options.host.value,
+                  .alternatives = {former.holder.value},
+                  .reason = "acquired term " + std::to_string(mine.term)});
+    acquired(mine, former);
+  }
+
+  void renew() {
+    auto record = stored;
+    ++record.renewal;
+    write(record, storedVersion, [self = shared_from_this()](StoreStatus s, auto &) {
+      if (s == StoreStatus::Conflict || s == StoreStatus::Unknown)
+        self->readStored();
+    });
+  }
+
+  void drop() {
+    if (!holding)
+      return;
+    holding = false;
+    env.decision({.kind = DecisionKind::Lease,
+                  .chosen = newest.holder.value,
+                  .reason = "lost to term " + std::to_string(newest.term)});
+    lost();
+  }
+
+  /// Writes the record without a holder, if it is this process's own. A renewal under way or a lost
+  /// reply is waited out, because its version is needed.
+  void giveBack(int attempts, Task done) {
+    if (attempts == 0 || !isMine(stored))
+      return env.after(Duration(0), std::move(done));
+    auto again = [self = shared_from_this(), attempts, done] {
+      self->giveBack(attempts - 1, done);
+    };
+    if (busy)
+      return env.after(config::LeaseReleaseRetry, again);
+    auto record = stored;
+    record.holder = HostName();
+    record.address = Address{};
+    write(record, storedVersion, [self = shared_from_this(), again, done](StoreStatus s, auto &) {
+      if (s == StoreStatus::Ok || s == StoreStatus::Unreachable)
+        return done();
+      self->env.platform().get(LeaseKey, [self, again](StoreStatus s, const StoreObject &o) {
+        auto record = s == StoreStatus::Ok ? parse(o.value) : std::nullopt;
+        if (record)
+          self->note(*record, o.version);
+        again();
+      });
+    });
+  }
+};
+
+Lease::Lease(Env &env, LeaseOptions options, Acquired acquired, Lost lost)
+    : impl(std::make_shared<Impl>(env, std::move(options), std::move(acquired), std::move(lost))) {}
+
+Lease::~Lease() { impl->stopped = true; }
+
+void Lease::setCandidates(std::vector<HostName> hosts) { impl->candidates = std::move(hosts); }
+
+void Lease::start() {
+  impl->stopped = false;
+  impl->step();
+}
+
+void Lease::setPlannerLost(bool lost) { impl->plannerLost = lost; }
+
+void Lease::release(std::function<void()> done) {
+  impl->stopped = true;
+  if (impl->holding) {
+    impl->holding = false;
+    impl->lost();
+  }
+  impl->giveBack(config::LeaseReleaseAttempts, std::move(done));
+}
+
+bool Lease::held() const { return impl->holding; }
+
+Instant Lease::validUntil() const { return impl->valid; }
+
+const LeaseRecord &Lease::newest() const { return impl->newest; }
+
+void Lease::observe(std::uint64_t term, const HostName &holder, const Address &address) {
+  if (term <= impl->newest.term)
+    return;
+  impl->newest = {.holder = holder, .address = address, .term = term};
+  if (impl->holding)
+    impl->drop();
+}
+
+} // namespace catkin
--- a/src/lease_p.h
+++ b/src/lease_p.h
@@ -38,6 +38,8 @@
   void setCandidates(std::vector<HostName> hosts);
   /// Starts observing, and acquiring if this host is a candidate.
   void start();
+  /// The planner does not answer this host: observe the lease even if not a candidate.
+  void setPlannerLost(bool lost);
   /// Gives the lease up so that the next candidate can take it at once. No more acquiring.
   void release(std::function<void()> done);
 
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,104 @@
+#include "membership_p.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace catkin {
+
+void Membership::onSync(const Member &member, Instant now) {
+  auto &row = rows[member.host];
+  if (member.incarnation < row.member.incarnation)
+    return; // a delayed message of a process that has been replaced
+  row = {member, now};
+}
+
+void Membership::setMembers(const std::vector<Member> &members) {
+  std::map<HostName, Row> next;
+  for (auto &it : members)
+    next[it.host] = {it, Instant::max()};
+  // A newer incarnation seen here is kept: it proves that the older process has ended.
+  for (auto &[host, row] : rows) {
+    auto it = next.find(host);
+    if (it != next.end() && it->second.member.incarnation < row.member.incarnation)
+      it->second = row;
+  }
+  rows = std::move(next);
+}
+
+void Membership::startObserving(Instant now) {
+  for (auto &[host, row] : rows)
+    row.heard = std::min(row.heard, now);
+}
+
+void Membership::setListed(const std::vector<ListedNode> &hosts) {
+  std::map<HostName, Liveness> next;
+  for (auto &it : hosts)
+    next[HostName(it.name)] = it.liveness;
+  // A host that was listed and no longer is has gone. One that was never listed may just be new.
+  for (auto &[host, liveness] : listed)
+    next.try_emplace(host, Liveness::Gone);
+  listed = std::move(next);
+}
+
+std::vector<Member> Membership::live(Instant now) const {
+  std::vector<Member> found;
+  for (auto &[host, row] : rows) {
+    if (silent(row, now) || row.member.liveness == Liveness::Gone)
+      continue;
+    auto member = row.member;
+    auto it = listed.find(host);
+    if (it != listed.end() && it->second == Liveness::Leaving)
+      member.liveness = Liveness::Leaving;
+    found.push_back(std::move(member));
+  }
+  return found;
+}
+
+std::vector<Member> Membership::all() const {
+  std::vector<Member> found;
+  for (auto &[host, row] : rows)
+    found.push_back(row.member);
+  return found;
+}
+
+std::vector<Address> Membership::callerAddresses(Instant now, std::uint64_t seed,
+                                                 const DataCentreName &nearest) const {
+  std::vector<Address> near;
+  std::vector<Address> far;
+  for (auto &it : live(now)) {
+    if (it.liveness != Liveness::Live || it.overloaded)
+      continue;
+    (it.dataCentre == nearest ? near : far).push_back(it.callerAddress);
+  }
+  auto rotate = [seed](std::vector<Address> &list) {
+    if (!list.empty())
+      std::rotate(list.begin(), list.begin() + static_cast<std::ptrdiff_t>(seed % list.size()),
+                  list.end());
+  };
+  rotate(near);
+  rotate(far);
+  near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
+bool Membership::ended(const HostName &host, std::uint64_t incarnation, Instant now) const {
+  auto it = rows.find(host);
+  if (it != rows.end()) {
+    auto &member = it->second.member;
+    if (member.incarnation > incarnation)
+      return true;
+    if (member.incarnation == incarnation && member.liveness == Liveness::Gone)
+      return true;
+    if (member.incarnation == incarnation && !silent(it->second, now))
+      return false;
+  }
+  auto entry = listed.find(host);
+  return entry != listed.end() && entry->second == Liveness::Gone;
+}
+
+bool Membership::silent(const Row &row, Instant now) {
+  return row.heard < now && now - row.heard > config::MemberTimeout;
+}
+
+} // namespace catkin
--- a/src/membership_p.h
+++ b/src/membership_p.h
@@ -14,8 +14,11 @@
 public:
   /// A host reported itself to this host.
   void onSync(const Member &member, Instant now);
-  /// The planner's view.
-  void setMembers(const std::vector<Member> &members, Instant now);
+  /// The planner's view replaces this host's own. It stays until the next one: without a planner
+  /// the last view is the best there is.
+  void setMembers(const std::vector<Member> &members);
+  /// This host became the planner: from now on each host must report here itself.
+  void startObserving(Instant now);
   /// Hosts of the platform's list.
   void setListed(const std::vector<ListedNode> &hosts);
 
@@ -26,16 +29,19 @@
   /// `nearest` come first.
   std::vector<Address> callerAddresses(Instant now, std::uint64_t seed,
                                        const DataCentreName &nearest) const;
-  /// True if that process has certainly ended: a newer incarnation was seen, or the platform's list
-  /// shows the host as gone.
-  bool ended(const HostName &host, std::uint64_t incarnation) const;
+  /// True if that process has certainly ended: a newer incarnation was seen, it said so itself, or
+  /// the platform's list shows the host as gone and it does not report any more. The list lags, so
+  /// a host that reports is not gone, whatever the list says.
+  bool ended(const HostName &host, std::uint64_t incarnation, Instant now) const;
 
 private:
   struct Row {
     Member member;
-    Instant heard;
+    Instant heard; ///< Instant::max() for a member known from the planner
   };
 
+  static bool silent(const Row &row, Instant now);
+
   std::map<HostName, Row> rows;
   std::map<HostName, Liveness> listed;
 };
--- a/src/messages_p.h
+++ b/src/messages_p.h
@@ -36,7 +36,7 @@
   DataCentreName dataCentre;
   Liveness liveness = Liveness::Live;
   bool overloaded = false;
-  std::uint64_t revision = 0; ///< configuration in force there
+  std::uint64_t revision = 0; ///< configuration in force there; only in the member's own report
 };
 
 /// A replica as the routing table shows it.
@@ -62,8 +62,10 @@
 
 struct SyncRequest {
   Member self;
-  std::uint64_t term = 0; ///< newest planner term seen
+  std::uint64_t term = 0;      ///< newest planner term seen
+  std::uint64_t tableTerm = 0; ///< term of the table that tableVersion counts in
   std::uint64_t tableVersion = 0;
+  std::uint64_t membersVersion = 0; ///< of the member list last received in this term
   Duration maxWait{0};
   std::vector<ModelLoad> models;
   std::vector<PlanUse> plans;
@@ -78,7 +80,8 @@
   bool fullTable = false; ///< entries replace the whole table
   std::vector<RouteEntry> entries;
   std::vector<std::pair<ModelName, EndpointName>> removed;
-  std::vector<Member> members;
+  std::uint64_t membersVersion = 0;
+  std::vector<Member> members;   ///< sent only if membersVersion differs from the request's
   std::vector<HostShare> shares; ///< shares of the calling host
   std::uint64_t revision = 0;
 };
