--- a/src/policy_p.h
+++ b/src/policy_p.h
@@ -62,6 +62,7 @@
   int running = 0;             ///< requests on the endpoint
   bool baseLoaded = false;     ///< adapters: the base is already there
   bool checksFencing = true;
+  bool sameDataCentre = true; ///< as the host that asked
 };
 
 /// Ranks candidates. The lowest cost wins; ties go to the lower endpoint name.
