Add router, admission and attempt decisions

The request side needs its decision code before the gateway can use it.

Router keeps replicas per model and state per endpoint, so a decision costs the number of replicas of one model, not of models. The load of an endpoint is the host's own requests in flight plus the reported load of the others; the own part of a report is subtracted so that it is not counted twice. An ejected endpoint gets one probe after the ejection time; if every replica is ejected, one request at a time goes through, because refusing everything for 5 s helps nobody.

Admission uses deficit round robin by expected service time between plans and smooth weighted round robin (16:4:1) between priority classes. Strict priority was ruled out: it starves low plans. Waits without a known estimate are expected to last as long again as they have lasted, so a request is given up at half of its deadline at the latest.

AttemptState gains earlierMayHaveRun: a refusal proves "not run" only if no earlier attempt may have run.

--- /dev/null
+++ b/src/admission.cpp
@@ -0,0 +1,464 @@
+#include "admission_p.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <list>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace catkin {
+
+namespace {
+
+constexpr auto ClassCount = static_cast<std::size_t>(Priority::Count);
+// Starts of a class relative to the others while all of them could start. Low is served too, so
+// that a plan of low priority is slow but never starved.
+constexpr std::array<int, ClassCount> ClassWeight{1, 4, 16};
+// Cost of a request whose service time is unknown or tiny; bounds how far cheap requests of one
+// plan can run ahead of expensive ones of another.
+constexpr Duration MinCost = std::chrono::milliseconds(20);
+constexpr Duration MaxCost = std::chrono::seconds(2);
+// Requests that wait are judged again this often; new ones and new estimates are judged at once.
+constexpr Duration ReviewInterval = std::chrono::milliseconds(50);
+// The time between starts is a decayed mean. Estimates from fewer starts are too rough to refuse
+// the end of a queue on; until then only a stall of the whole queue counts.
+constexpr double StartDecay = 0.95;
+constexpr double MinStartsForEstimate = 6;
+
+struct Waiting {
+  Admission::Ticket ticket = 0;
+  WaitingRequest request;
+  Admission::Done done;
+};
+using WaitingList = std::list<Waiting>;
+
+/// Requests of one plan in one priority class, by model, so that a cold model does not hold up
+/// requests for loaded ones.
+struct PlanQueue {
+  Duration deficit{0};
+  std::map<ModelName, WaitingList> models;
+};
+
+struct PriorityClass {
+  int credit = 0;
+  std::map<PlanName, PlanQueue> plans;
+  PlanName cursor; ///< plan served last
+};
+
+/// What is known of a plan's share: how fast its waiting requests start.
+struct PlanState {
+  std::size_t waiting = 0;
+  bool blocked = false;  ///< its share is in full use
+  Instant blockedSince;  ///< last start, or the refusal of the share that began the wait
+  double gapSeconds = 0; ///< decayed sum of the times between starts while blocked
+  double starts = 0;     ///< decayed count of these starts
+  Duration interval() const {
+    return starts < MinStartsForEstimate ? Duration{0} : fromSeconds(gapSeconds / starts);
+  }
+};
+
+struct ModelState {
+  std::size_t waiting = 0;
+  bool ready = false;
+  Instant notReadySince;
+  std::optional<Instant> readyAt;
+};
+
+struct Position {
+  std::size_t priority;
+  PlanName plan;
+  ModelName model;
+  WaitingList::iterator it;
+};
+
+Duration costOf(const Waiting &w) { return std::clamp(w.request.serviceTime, MinCost, MaxCost); }
+
+} // namespace
+
+struct Admission::Impl {
+  AcquireShare acquire;
+  ModelReady ready;
+  Guards guards;
+  std::array<PriorityClass, ClassCount> classes;
+  std::unordered_map<PlanName, PlanState> plans;
+  std::unordered_map<ModelName, ModelState> models;
+  std::map<Ticket, Position> positions;
+  std::vector<Ticket> unjudged; ///< enqueued since the last pump
+  std::set<ModelName> changedEstimates;
+  Ticket lastTicket = 0;
+  Instant reviewed;
+  bool pumping = false;
+  bool pumpAgain = false;
+
+  // State of one pass of startAll().
+  std::set<PlanName> noShare;
+  std::unordered_map<ModelName, bool> readyNow;
+
+  Waiting remove(Ticket ticket) {
+    auto at = positions.find(ticket);
+    auto &p = at->second;
+    auto &queue = classes[p.priority].plans[p.plan].models[p.model];
+    Waiting w = std::move(*p.it);
+    queue.erase(p.it);
+    --plans[p.plan].waiting;
+    --models[p.model].waiting;
+    positions.erase(at);
+    return w;
+  }
+
+  void finish(Ticket ticket, const AdmissionResult &result) {
+    Waiting w = remove(ticket);
+    w.done(result);
+  }
+
+  // ---- Starting --------------------------------------------------------------------------------
+
+  bool modelReady(const ModelName &model, Instant now) {
+    auto [it, fresh] = readyNow.try_emplace(model, false);
+    if (!fresh)
+      return it->second;
+    it->second = ready(model);
+    auto &state = models[model];
+    if (!it->second && state.ready)
+      state.notReadySince = now;
+    state.ready = it->second;
+    if (state.ready)
+      state.readyAt.reset();
+    return it->second;
+  }
+
+  /// Oldest waiting request of the plan whose model is ready; null if none.
+  Waiting *head(PlanQueue &queue, Instant now) {
+    Waiting *oldest = nullptr;
+    for (auto &[model, list] : queue.models) {
+      if (list.empty() || !modelReady(model, now))
+        continue;
+      if (!oldest || list.front().ticket < oldest->ticket)
+        oldest = &list.front();
+    }
+    return oldest;
+  }
+
+  struct Candidate {
+    PlanQueue *queue;
+    Waiting *head;
+  };
+
+  /// Plans of the class that could start a request, beginning after the one served last.
+  std::vector<Candidate> startable(PriorityClass &c, Instant now) {
+    std::vector<Candidate> found;
+    auto visit = [&](auto begin, auto end) {
+      for (auto it = begin; it != end; ++it) {
+        if (noShare.contains(it->first))
+          continue;
+        if (auto *w = head(it->second, now))
+          found.push_back({&it->second, w});
+      }
+    };
+    auto next = c.plans.upper_bound(c.cursor);
+    visit(next, c.plans.end());
+    visit(c.plans.begin(), next);
+    return found;
+  }
+
+  /// The next start: what pick() found, applied only if the plan's share allows it.
+  struct Pick {
+    Waiting *head = nullptr;
+    Duration quantum{0};
+    std::array<bool, ClassCount> contending{};
+  };
+
+  /// Deficit round robin: the plan served last goes on while its deficit lasts, then the next plan
+  /// gets a quantum. The quantum is the largest cost at the head of a queue, so one visit suffices.
+  static void pickPlan(const PriorityClass &c, const std::vector<Candidate> &found, Pick &pick) {
+    auto &last = found.back();
+    bool goesOn = last.head->request.plan == c.cursor && last.queue->deficit >= costOf(*last.head);
+    if (goesOn) {
+      pick.head = last.head;
+      return;
+    }
+    pick.head = found.front().head;
+    for (auto &it : found)
+      pick.quantum = std::max(pick.quantum, costOf(*it.head));
+  }
+
+  /// Smooth weighted round robin between the classes that could start a request.
+  Pick pick(Instant now) {
+    Pick result;
+    std::vector<Candidate> best;
+    int highest = std::numeric_limits<int>::min();
+    for (std::size_t i = ClassCount; i-- > 0;) {
+      auto found = startable(classes[i], now);
+      result.contending[i] = !found.empty();
+      int credit = classes[i].credit + ClassWeight[i];
+      if (found.empty() || credit <= highest)
+        continue;
+      highest = credit;
+      best = std::move(found);
+    }
+    if (!best.empty())
+      pickPlan(classes[classOf(*best.front().head)], best, result);
+    return result;
+  }
+
+  static std::size_t classOf(const Waiting &w) {
+    return static_cast<std::size_t>(w.request.priority);
+  }
+
+  void startAll(Instant now) {
+    noShare.clear();
+    readyNow.clear();
+    for (auto next = pick(now); next.head; next = pick(now)) {
+      auto plan = next.head->request.plan;
+      if (acquire(plan))
+        start(next, now);
+      else
+        block(plan, now);
+    }
+    for (auto &[name, state] : plans)
+      state.blocked = state.blocked && noShare.contains(name);
+  }
+
+  void charge(const Pick &picked) {
+    auto &w = *picked.head;
+    int total = 0;
+    for (std::size_t i = 0; i < ClassCount; ++i)
+      if (picked.contending[i]) {
+        classes[i].credit += ClassWeight[i];
+        total += ClassWeight[i];
+      }
+    auto &c = classes[classOf(w)];
+    c.credit -= total;
+    c.cursor = w.request.plan;
+    auto &deficit = c.plans[w.request.plan].deficit;
+    deficit = std::min(deficit + picked.quantum, 2 * MaxCost) - costOf(w);
+  }
+
+  void block(const PlanName &plan, Instant now) {
+    noShare.insert(plan);
+    auto &state = plans[plan];
+    if (!state.blocked)
+      state.blockedSince = now;
+    state.blocked = true;
+  }
+
+  void start(const Pick &picked, Instant now) {
+    auto &w = *picked.head;
+    charge(picked);
+    noteStart(plans[w.request.plan], now);
+    // The start takes capacity of the model, so ask again before the next one.
+    readyNow.erase(w.request.model);
+    finish(w.ticket, {.outcome = AdmissionOutcome::Start});
+  }
+
+  static void noteStart(PlanState &state, Instant now) {
+    if (!state.blocked)
+      return;
+    state.gapSeconds = state.gapSeconds * StartDecay + toSeconds(now - state.blockedSince);
+    state.starts = state.starts * StartDecay + 1;
+    state.blockedSince = now;
+  }
+
+  // ---- Refusing --------------------------------------------------------------------------------
+
+  /// When the model can serve, as far as is known. Without progress, it is expected to take as long
+  /// again as it has taken so far.
+  static Instant modelAt(const ModelState &m, Instant now) {
+    if (m.ready)
+      return now;
+    if (!m.readyAt)
+      return now + (now - m.notReadySince);
+    return std::max(*m.readyAt, now + std::max(Duration{0}, now - *m.readyAt));
+  }
+
+  /// When the plan's share admits a request that has `ahead` others of its plan before it. A queue
+  /// that stands still is expected to do so for as long again.
+  static Instant shareAt(const PlanState &p, std::size_t ahead, Instant now) {
+    if (!p.blocked)
+      return now;
+    Duration stalled = now - p.blockedSince;
+    return now + std::max(p.interval() * static_cast<std::int64_t>(ahead + 1), stalled);
+  }
+
+  /// Refuses the request if it cannot be served by its deadline.
+  bool judge(const Waiting &w, std::size_t ahead, Instant now) {
+    auto modelReadyAt = modelAt(models[w.request.model], now);
+    auto shareFreeAt = shareAt(plans[w.request.plan], ahead, now);
+    auto startAt = std::max(modelReadyAt, shareFreeAt);
+    if (startAt + w.request.serviceTime <= w.request.deadline)
+      return false;
+    const char *reason = startAt == now                ? "deadline_too_short"
+                         : modelReadyAt >= shareFreeAt ? "model_not_ready_in_time"
+                                                       : "share_not_free_in_time";
+    finish(w.ticket, {AdmissionOutcome::Refused, startAt - now, reason});
+    return true;
+  }
+
+  std::size_t aheadOf(const Position &p) {
+    std::size_t n = 0;
+    for (std::size_t i = p.priority; i < ClassCount; ++i) {
+      auto it = classes[i].plans.find(p.plan);
+      if (it == classes[i].plans.end())
+        continue;
+      for (auto &[model, list] : it->second.models)
+        n += list.size();
+    }
+    return n > 0 ? n - 1 : 0;
+  }
+
+  /// New requests: the queue limit and the first estimate.
+  void judgeNew(Instant now) {
+    auto tickets = std::exchange(unjudged, {});
+    for (auto it : tickets) {
+      auto at = positions.find(it);
+      if (at == positions.end())
+        continue;
+      auto &w = *at->second.it;
+      auto &plan = plans[w.request.plan];
+      if (plan.waiting > config::MaxWaitingPerPlan) {
+        auto wait = shareAt(plan, plan.waiting, now) - now;
+        finish(it, {AdmissionOutcome::Refused, wait, "queue_full"});
+      } else if (guards.refuseWhenLate) {
+        judge(w, aheadOf(at->second), now);
+      }
+    }
+  }
+
+  void judgeAll(Instant now) {
+    reviewed = now;
+    // Per plan, higher classes first; within a class by age. Refusals shorten the wait of the rest.
+    std::unordered_map<PlanName, std::size_t> ahead;
+    for (std::size_t i = ClassCount; i-- > 0;)
+      for (auto it : ticketsOf(i)) {
+        auto at = positions.find(it);
+        if (at == positions.end())
+          continue;
+        auto &n = ahead[at->second.plan];
+        if (!judge(*at->second.it, n, now))
+          ++n;
+      }
+  }
+
+  std::vector<Ticket> ticketsOf(std::size_t priority) const {
+    std::vector<Ticket> tickets;
+    for (auto &[name, plan] : classes[priority].plans)
+      for (auto &[model, list] : plan.models)
+        for (auto &w : list)
+          tickets.push_back(w.ticket);
+    std::sort(tickets.begin(), tickets.end());
+    return tickets;
+  }
+
+  std::vector<Ticket> ticketsOf(const ModelName &model) const {
+    std::vector<Ticket> tickets;
+    for (auto &[ticket, p] : positions)
+      if (p.model == model)
+        tickets.push_back(ticket);
+    return tickets;
+  }
+
+  void judgeChangedModels(Instant now) {
+    auto changed = std::exchange(changedEstimates, {});
+    for (auto &model : changed)
+      for (auto it : ticketsOf(model))
+        if (auto at = positions.find(it); at != positions.end())
+          judge(*at->second.it, 0, now);
+  }
+
+  void pumpOnce(Instant now) {
+    startAll(now);
+    judgeNew(now);
+    if (guards.refuseWhenLate) {
+      judgeChangedModels(now);
+      if (now - reviewed >= ReviewInterval)
+        judgeAll(now);
+    }
+    dropEmpty();
+  }
+
+  void dropEmpty() {
+    for (auto &c : classes) {
+      for (auto &[name, plan] : c.plans)
+        std::erase_if(plan.models, [](auto &it) { return it.second.empty(); });
+      std::erase_if(c.plans, [](auto &it) { return it.second.models.empty(); });
+      if (c.plans.empty())
+        c.credit = 0;
+    }
+    std::erase_if(models, [](auto &it) { return it.second.waiting == 0; });
+  }
+};
+
+Admission::Admission(AcquireShare acquire, ModelReady ready, Guards guards)
+    : impl(std::make_unique<Impl>()) {
+  impl->acquire = std::move(acquire);
+  impl->ready = std::move(ready);
+  impl->guards = guards;
+}
+
+Admission::~Admission() = default;
+
+Admission::Ticket Admission::enqueue(const WaitingRequest &request, Instant now, Done done) {
+  auto ticket = ++impl->lastTicket;
+  auto priority = static_cast<std::size_t>(request.priority);
+  auto &list = impl->classes[priority].plans[request.plan].models[request.model];
+  list.push_back({ticket, request, std::move(done)});
+  impl->positions.emplace(ticket,
+                          Position{priority, request.plan, request.model, std::prev(list.end())});
+  ++impl->plans[request.plan].waiting;
+  auto &model = impl->models[request.model];
+  if (model.waiting++ == 0)
+    model.notReadySince = now;
+  impl->unjudged.push_back(ticket);
+  return ticket;
+}
+
+void Admission::cancel(Ticket ticket) {
+  if (impl->positions.contains(ticket))
+    impl->finish(ticket, {.outcome = AdmissionOutcome::Cancelled});
+}
+
+void Admission::setModelEstimate(const ModelName &model, Instant readyAt) {
+  auto it = impl->models.find(model);
+  if (it == impl->models.end())
+    return;
+  it->second.readyAt = readyAt;
+  impl->changedEstimates.insert(model);
+}
+
+void Admission::refuseModel(const ModelName &model, Duration retryAfter,
+                            const std::string &reason) {
+  for (auto it : impl->ticketsOf(model))
+    if (impl->positions.contains(it))
+      impl->finish(it, {AdmissionOutcome::Refused, retryAfter, reason});
+}
+
+void Admission::pump(Instant now) {
+  // A callback may pump again; that pass runs after the present one.
+  impl->pumpAgain = true;
+  if (impl->pumping)
+    return;
+  impl->pumping = true;
+  while (std::exchange(impl->pumpAgain, false))
+    impl->pumpOnce(now);
+  impl->pumping = false;
+}
+
+std::size_t Admission::waiting() const { return impl->positions.size(); }
+
+std::size_t Admission::waiting(const PlanName &plan) const {
+  auto it = impl->plans.find(plan);
+  return it == impl->plans.end() ? 0 : it->second.waiting;
+}
+
+std::size_t Admission::waiting(const ModelName &model) const {
+  auto it = impl->models.find(model);
+  return it == impl->models.end() ? 0 : it->second.waiting;
+}
+
+} // namespace catkin
--- a/src/attempt_p.h
+++ b/src/attempt_p.h
@@ -29,6 +29,8 @@
   unsigned attempts = 1;      ///< attempts made so far
   bool retryAllowed = false;  ///< the retry budget and the deadline allow another attempt
   bool headersSent = false;   ///< the caller has a status line
+  /// An earlier attempt may have run, so that a later refusal no longer proves "not run".
+  bool earlierMayHaveRun = false;
 };
 
 enum class NextStep { Retry, Resume, AnswerNotRun, AnswerMayHaveRun, CutStream, Stop, Count };
@@ -39,6 +41,10 @@
 
 /// Retry: the same request elsewhere. Resume: elsewhere from eventsRelayed on. CutStream: end the
 /// stream with an error event, since the status line is out. Stop: the caller is gone; cancel.
+/// A non-idempotent call that may have run is never sent again.
 NextStep nextStep(AttemptFailure failure, const AttemptState &state);
 
+/// True if a request whose attempt failed in this way may have run at the endpoint.
+bool mayHaveRun(AttemptFailure failure);
+
 } // namespace catkin
--- a/src/config.h
+++ b/src/config.h
@@ -50,6 +50,7 @@
 constexpr auto EjectionTime = 5s;
 constexpr double RetryRatio = 0.1; // retries allowed as a share of requests
 constexpr double RetryFloorPerSecond = 3.0;
+constexpr double RetryBurst = 30.0; // enough to resume the streams of one lost endpoint at once
 constexpr std::size_t MaxWaitingPerPlan = 1024;
 constexpr auto AddressesMaxAge = 5s;
 constexpr auto GracefulStopTimeout = 130s; // longer than the longest request
--- /dev/null
+++ b/src/router.cpp
@@ -0,0 +1,331 @@
+#include "router_p.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace catkin {
+
+namespace {
+
+// A request costs about one place in the queue; half a place outweighs the latency between data
+// centres but not a busy endpoint.
+constexpr double OtherDataCentreCost = 0.5;
+// A cached prefix saves the prefill, which is worth waiting behind about two requests.
+constexpr double PrefixGain = 2.0;
+constexpr auto PrefixLifetime = std::chrono::seconds(120);
+constexpr std::size_t PrefixSets = 2048;
+constexpr std::size_t PrefixWays = 4;
+
+struct EndpointState {
+  EndpointName name;
+  Address address;
+  DataCentreName dataCentre;
+  int generation = 1;
+  bool leavingInTable = false;
+  bool leavingInList = false;
+  int inFlight = 0;
+  int reported = 0;         ///< running and queued, lagged
+  int inFlightAtReport = 0; ///< own share of `reported`, as far as known
+  int failures = 0;         ///< consecutive
+  bool ejected = false;
+  bool probing = false; ///< a request tests the ejected endpoint
+  Instant ejectedUntil;
+  std::uint64_t seenInTable = 0;
+};
+
+struct Replica {
+  EndpointState *endpoint = nullptr;
+  bool missing = false; ///< the endpoint said that it does not hold the model
+};
+
+struct PrefixHint {
+  std::uint64_t hash = 0;
+  const EndpointState *endpoint = nullptr;
+  Instant at;
+};
+
+/// Load of an endpoint: own requests as they are now, those of other hosts as last reported.
+double loadOf(const EndpointState &e) {
+  int others = std::max(0, e.reported - e.inFlightAtReport);
+  return static_cast<double>(e.inFlight + others) / std::max(1, e.generation);
+}
+
+/// Set-associative table of fixed size: which endpoints cached a prefix.
+class PrefixTable {
+public:
+  void add(std::uint64_t hash, const EndpointState *endpoint, Instant now) {
+    auto &set = sets[hash % PrefixSets];
+    auto slot =
+        std::min_element(set.begin(), set.end(), [](auto &a, auto &b) { return a.at < b.at; });
+    for (auto it = set.begin(); it != set.end(); ++it)
+      if (it->hash == hash && it->endpoint == endpoint)
+        slot = it;
+    *slot = {hash, endpoint, now};
+  }
+
+  bool has(std::uint64_t hash, const EndpointState *endpoint, Instant now) const {
+    for (auto &it : sets[hash % PrefixSets])
+      if (it.hash == hash && it.endpoint == endpoint)
+        return now - it.at < PrefixLifetime;
+    return false;
+  }
+
+  void forget(const EndpointState *endpoint) {
+    for (auto &set : sets)
+      for (auto &it : set)
+        if (it.endpoint == endpoint)
+          it = {};
+  }
+
+private:
+  std::vector<std::array<PrefixHint, PrefixWays>> sets{PrefixSets};
+};
+
+class RetryBudget {
+public:
+  void onRequest(Instant now) {
+    refill(now);
+    tokens = std::min(config::RetryBurst, tokens + config::RetryRatio);
+  }
+
+  bool take(Instant now) {
+    refill(now);
+    if (tokens < 1.0)
+      return false;
+    tokens -= 1.0;
+    return true;
+  }
+
+private:
+  void refill(Instant now) {
+    if (now > refilled)
+      tokens = std::min(config::RetryBurst,
+                        tokens + toSeconds(now - refilled) * config::RetryFloorPerSecond);
+    refilled = std::max(refilled, now);
+  }
+
+  double tokens = config::RetryBurst;
+  Instant refilled;
+};
+
+} // namespace
+
+struct Router::Impl {
+  RouterOptions options;
+  std::unordered_map<EndpointName, std::unique_ptr<EndpointState>> endpoints;
+  std::unordered_map<ModelName, std::vector<Replica>> models;
+  std::unordered_set<EndpointName> listedAsLeaving;
+  PrefixTable prefixes;
+  RetryBudget retries;
+  std::uint64_t tableCount = 0;
+  std::size_t rotation = 0;
+
+  EndpointState *find(const EndpointName &name) {
+    auto it = endpoints.find(name);
+    return it == endpoints.end() ? nullptr : it->second.get();
+  }
+
+  EndpointState &state(const EndpointName &name) {
+    auto &slot = endpoints[name];
+    if (!slot) {
+      slot = std::make_unique<EndpointState>();
+      slot->name = name;
+      slot->leavingInList = listedAsLeaving.contains(name);
+    }
+    return *slot;
+  }
+
+  void addEntry(const RouteEntry &entry) {
+    auto &e = state(entry.endpoint);
+    e.address = entry.address;
+    e.dataCentre = entry.dataCentre;
+    e.generation = entry.generation;
+    e.leavingInTable = entry.leaving;
+    int reported = entry.running + entry.queued;
+    if (reported != e.reported || e.seenInTable == 0) {
+      e.reported = reported;
+      e.inFlightAtReport = std::min(e.inFlight, reported);
+    }
+    e.seenInTable = tableCount;
+    if (entry.state == ReplicaState::Loaded)
+      models[entry.model].push_back({&e, false});
+  }
+
+  void dropUnused() {
+    std::erase_if(models, [](auto &it) { return it.second.empty(); });
+    std::erase_if(endpoints, [this](auto &it) {
+      auto &e = *it.second;
+      if (e.seenInTable == tableCount || e.inFlight > 0)
+        return false;
+      prefixes.forget(&e);
+      return true;
+    });
+  }
+
+  bool takesWork(const Replica &replica) const {
+    auto &e = *replica.endpoint;
+    if (replica.missing)
+      return false;
+    return !options.guards.skipLeavingEndpoints || !(e.leavingInTable || e.leavingInList);
+  }
+
+  static bool healthy(const EndpointState &e) { return !e.ejected; }
+  static bool probeDue(const EndpointState &e, Instant now) {
+    return e.ejected && !e.probing && now >= e.ejectedUntil;
+  }
+  /// When nothing else is left, an ejected endpoint gets one request at a time.
+  static bool lastResort(const EndpointState &e) { return e.ejected && !e.probing; }
+
+  double cost(const EndpointState &e, std::uint64_t prefixHash, Instant now) const {
+    double c = loadOf(e);
+    if (e.dataCentre != options.dataCentre)
+      c += OtherDataCentreCost;
+    if (prefixHash != 0 && prefixes.has(prefixHash, &e, now))
+      c -= PrefixGain;
+    return c;
+  }
+
+  template <class Usable>
+  const EndpointState *best(const std::vector<Replica> &replicas, const RouteRequest &request,
+                            Instant now, Usable usable) {
+    const EndpointState *chosen = nullptr;
+    double lowest = std::numeric_limits<double>::infinity();
+    // Equal costs rotate, so that ties do not all go to the first entry.
+    std::size_t first = replicas.empty() ? 0 : rotation++ % replicas.size();
+    for (std::size_t i = 0; i < replicas.size(); ++i) {
+      auto &it = replicas[(first + i) % replicas.size()];
+      if (!takesWork(it) || !usable(*it.endpoint) || contains(request.exclude, it.endpoint->name))
+        continue;
+      double c = cost(*it.endpoint, request.prefixHash, now);
+      if (c >= lowest)
+        continue;
+      lowest = c;
+      chosen = it.endpoint;
+    }
+    return chosen;
+  }
+
+  static bool contains(const std::vector<EndpointName> &names, const EndpointName &name) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+  }
+
+  RouteChoice accept(const EndpointState &e, const RouteRequest &request, Instant now,
+                     const char *reason) {
+    bool cached = request.prefixHash != 0 && prefixes.has(request.prefixHash, &e, now);
+    // The engine will cache the prefix; its own event comes late.
+    if (request.prefixHash != 0)
+      prefixes.add(request.prefixHash, &e, now);
+    return {e.name, e.address, cached ? "prefix" : reason};
+  }
+};
+
+Router::Router(RouterOptions options) : impl(std::make_unique<Impl>()) {
+  impl->options = std::move(options);
+}
+
+Router::~Router() = default;
+
+void Router::setTable(const std::vector<RouteEntry> &entries) {
+  ++impl->tableCount;
+  for (auto &it : impl->models)
+    it.second.clear();
+  for (auto &it : entries)
+    impl->addEntry(it);
+  impl->dropUnused();
+}
+
+void Router::setLeaving(const std::vector<EndpointName> &leaving) {
+  impl->listedAsLeaving = {leaving.begin(), leaving.end()};
+  for (auto &[name, e] : impl->endpoints)
+    e->leavingInList = impl->listedAsLeaving.contains(name);
+}
+
+RouteChoice Router::choose(const RouteRequest &request, Instant now) {
+  auto it = impl->models.find(request.model);
+  if (it == impl->models.end())
+    return {{}, {}, "no_replica"};
+  auto probe = [now](auto &e) { return Impl::probeDue(e, now); };
+  if (auto *e = impl->best(it->second, request, now, probe))
+    return impl->accept(*e, request, now, "probe");
+  if (auto *e = impl->best(it->second, request, now, Impl::healthy))
+    return impl->accept(*e, request, now, "least_load");
+  if (auto *e = impl->best(it->second, request, now, Impl::lastResort))
+    return impl->accept(*e, request, now, "all_ejected");
+  return {{}, {}, "no_usable"};
+}
+
+bool Router::usable(const ModelName &model, Instant) const {
+  auto it = impl->models.find(model);
+  if (it == impl->models.end())
+    return false;
+  return std::any_of(it->second.begin(), it->second.end(), [this](auto &r) {
+    return impl->takesWork(r) && (Impl::healthy(*r.endpoint) || Impl::lastResort(*r.endpoint));
+  });
+}
+
+bool Router::listed(const ModelName &model) const { return impl->models.contains(model); }
+
+std::vector<EndpointName> Router::candidates(const ModelName &model, Instant now) const {
+  std::vector<EndpointName> names;
+  auto it = impl->models.find(model);
+  if (it == impl->models.end())
+    return names;
+  for (auto &r : it->second)
+    if (impl->takesWork(r) && (Impl::healthy(*r.endpoint) || Impl::probeDue(*r.endpoint, now)))
+      names.push_back(r.endpoint->name);
+  return names;
+}
+
+void Router::onStart(const EndpointName &endpoint, Instant) {
+  auto &e = impl->state(endpoint);
+  ++e.inFlight;
+  if (e.ejected)
+    e.probing = true;
+}
+
+void Router::onEnd(const EndpointName &endpoint, bool healthy, Instant now) {
+  auto *e = impl->find(endpoint);
+  if (!e)
+    return;
+  e->inFlight = std::max(0, e->inFlight - 1);
+  e->probing = false;
+  if (healthy) {
+    e->failures = 0;
+    e->ejected = false;
+    return;
+  }
+  if (++e->failures < config::EjectAfterFailures)
+    return;
+  e->ejected = true;
+  e->ejectedUntil = now + config::EjectionTime;
+}
+
+void Router::onMissing(const ModelName &model, const EndpointName &endpoint) {
+  auto it = impl->models.find(model);
+  if (it == impl->models.end())
+    return;
+  for (auto &r : it->second)
+    if (r.endpoint->name == endpoint)
+      r.missing = true;
+}
+
+void Router::onPrefixCached(const EndpointName &endpoint, std::uint64_t prefixHash, Instant now) {
+  if (auto *e = impl->find(endpoint))
+    impl->prefixes.add(prefixHash, e, now);
+}
+
+bool Router::takeRetry(Instant now) { return impl->retries.take(now); }
+
+void Router::onRequest(Instant now) { impl->retries.onRequest(now); }
+
+int Router::inFlight(const EndpointName &endpoint) const {
+  auto *e = impl->find(endpoint);
+  return e ? e->inFlight : 0;
+}
+
+} // namespace catkin
--- a/src/router_p.h
+++ b/src/router_p.h
@@ -40,6 +40,10 @@
   void setLeaving(const std::vector<EndpointName> &leaving);
 
   RouteChoice choose(const RouteRequest &request, Instant now);
+  /// True if choose() would find a replica. Does not allocate.
+  bool usable(const ModelName &model, Instant now) const;
+  /// True if the table has a loaded replica, even one that is ejected or missing.
+  bool listed(const ModelName &model) const;
   /// Endpoints that choose() could have taken, for the decision log.
   std::vector<EndpointName> candidates(const ModelName &model, Instant now) const;
 
