--- a/tests/attempt_test.cpp
+++ b/tests/attempt_test.cpp
@@ -19,6 +19,7 @@
 
 std::vector<AttemptFailure> allFailures() {
   std::vector<AttemptFailure> all;
+  all.reserve(static_cast<std::size_t>(AttemptFailure::Count));
   for (int i = 0; i < static_cast<int>(AttemptFailure::Count); ++i)
     all.push_back(static_cast<AttemptFailure>(i));
   return all;
