Add operators' views, drains and their calls to the planner

Cause: only the planner knows all hosts and endpoints, but operators may ask any host. Change: views built on the planner and fetched by any host; endpoint drains recorded in operator/drains, so that a new planner keeps them; host drains passed to the host itself.

--- a/src/config.h
+++ b/src/config.h
@@ -41,6 +41,7 @@
 constexpr auto RpcTimeout = 2000ms;
 constexpr auto OrderTimeout = 2000ms;
 constexpr auto PlatformTimeout = 2000ms;
+constexpr int OperatorWriteAttempts = 5;
 constexpr auto ConfigWatchWait = 30s;
 
 // Weight store: what it serves at full speed.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,13 +1,18 @@
 #include "control_p.h"
 
 #include "config.h"
+#include "json_p.h"
+#include "operator_state_p.h"
 
 #include <algorithm>
+#include <set>
 
 namespace catkin {
 
 namespace {
 
+constexpr auto DrainsKey = "operator/drains";
+
 std::vector<ListedNode> ofKind(const std::vector<ListedNode> &nodes, ListedKind kind) {
   std::vector<ListedNode> found;
   std::copy_if(nodes.begin(), nodes.end(), std::back_inserter(found),
@@ -61,6 +66,8 @@
   // As the planner.
   std::vector<Waiter> waiters;
   std::map<HostName, HostView> hostViews;
+  std::map<HostName, std::vector<PlanUse>> uses;
+  std::set<EndpointName> drained;
   std::vector<Member> publishedMembers;
   std::uint64_t membersVersion = 0;
   LeaseRecord formerHolder;
@@ -144,6 +151,66 @@
     planner.setOrderLimit(lease.validUntil());
     planner.lead(mine.term, formerEnded);
     shares.lead(mine.term);
+    readDrains();
+  }
+
+  void readDrains() {
+    env.platform().get(DrainsKey, [self = shared_from_this()](StoreStatus s, const auto &object) {
+      if (s == StoreStatus::Ok)
+        self->applyDrains(parseDrains(object.value));
+    });
+  }
+
+  void applyDrains(const std::set<EndpointName> &next) {
+    for (auto &it : drained)
+      if (!next.contains(it))
+        planner.drain(it, false);
+    for (auto &it : next)
+      planner.drain(it, true);
+    drained = next;
+  }
+
+  static std::set<EndpointName> parseDrains(const std::string &text) {
+    std::set<EndpointName> names;
+    json::object object;
+    if (!parseObject(text, object))
+      return names;
+    auto *list = object.if_contains("endpoints");
+    if (list && list->is_array())
+      for (auto &it : list->get_array())
+        if (it.is_string())
+          names.insert(EndpointName(std::string_view(it.get_string())));
+    return names;
+  }
+
+  /// Reads, changes and writes the record of drained endpoints; conflicts are tried again.
+  void recordDrain(const EndpointName &endpoint, bool on, int attempts,
+                   std::function<void(bool)> done) {
+    if (attempts == 0)
+      return done(false);
+    env.platform().get(DrainsKey, [self = shared_from_this(), endpoint, on, attempts,
+                                   done](StoreStatus s, const StoreObject &object) {
+      if (s != StoreStatus::Ok && s != StoreStatus::NotFound)
+        return done(false);
+      auto next = parseDrains(object.value);
+      if (on)
+        next.insert(endpoint);
+      else
+        next.erase(endpoint);
+      json::array names;
+      for (auto &it : next)
+        names.emplace_back(it.value);
+      auto text = json::serialize(json::object{{"endpoints", names}});
+      self->env.platform().put(
+          DrainsKey, text, object.version,
+          [self, endpoint, on, attempts, next, done](StoreStatus s, const auto &) {
+            // The change is idempotent, so an unknown fate is simply retried.
+            if (s != StoreStatus::Ok)
+              return self->recordDrain(endpoint, on, attempts - 1, done);
+            self->applyDrains(next);
+            done(true);
+          });
+    });
   }
 
   void onLeaseLost() {
@@ -176,6 +243,7 @@
     for (auto it = hostViews.begin(); it != hostViews.end();) {
       if (membership.ended(it->first, it->second.incarnation, now)) {
         shares.onEnded({it->first, it->second.incarnation});
+        uses.erase(it->first);
         it = hostViews.erase(it);
       } else {
         ++it;
@@ -231,6 +299,7 @@
       view.acknowledgedTable = std::max(view.acknowledgedTable, request.tableVersion);
     noteFormerHolder(request);
     planner.onModelLoads(request.self.host, request.models);
+    uses[request.self.host] = request.plans;
     shares.onSync({request.self.host, request.self.incarnation}, request.plans);
     config.onRevisionSeen(request.self.revision, request.self.peerAddress);
     waiters.push_back({request,
@@ -462,14 +531,63 @@
     done(config.document());
   }
 
+  /// Parameters {"on":bool}: this host leaves or comes back.
   void callDrain(const std::string &params, std::function<void(std::string)> done) {
-    // {"on":true} or {"on":false}; anything else is taken as malformed.
-    if (params.find("true") == std::string::npos && params.find("false") == std::string::npos)
+    json::object object;
+    if (!parseObject(params, object))
+      return done({});
+    JsonReader in(object);
+    auto on = in.flag("on");
+    if (!in.ok)
       return done({});
-    setLeaving(params.find("true") != std::string::npos);
+    setLeaving(on);
     done("{}");
   }
 
+  /// Parameters {"endpoint","on"}; answered by the planner only.
+  void callDrainEndpoint(const std::string &params, std::function<void(std::string)> done) {
+    json::object object;
+    if (!parseObject(params, object) || !planner.leading())
+      return done({});
+    JsonReader in(object);
+    auto endpoint = in.name<EndpointName>("endpoint");
+    auto on = in.flag("on");
+    if (!in.ok || endpoint.empty())
+      return done({});
+    recordDrain(endpoint, on, config::OperatorWriteAttempts,
+                [done](bool ok) { done(ok ? "{}" : ""); });
+  }
+
+  /// Parameters {"view"}; answered by the planner only.
+  void callView(const std::string &params, std::function<void(std::string)> done) {
+    json::object object;
+    if (!parseObject(params, object) || !planner.leading())
+      return done({});
+    JsonReader in(object);
+    auto lists = config.current();
+    done(catkin::operatorView(in.text("view"), {.planner = planner,
+                                                .shares = shares,
+                                                .membership = membership,
+                                                .uses = uses,
+                                                .lists = lists.get(),
+                                                .plannerHost = options.self.host,
+                                                .now = env.now()}));
+  }
+
+  /// Calls a method on the planner, wherever it is; empty text on failure.
+  void callPlanner(const std::string &method, const std::string &params,
+                   void (Impl::*local)(const std::string &, std::function<void(std::string)>),
+                   std::function<void(std::string)> done) {
+    if (planner.leading())
+      return (this->*local)(params, std::move(done));
+    if (lease.newest().address.empty())
+      return done({});
+    env.peers().call(lease.newest().address, method, params, config::RpcTimeout,
+                     [done](RpcStatus s, const std::string &text) {
+                       done(s == RpcStatus::Ok ? text : std::string());
+                     });
+  }
+
   void setLeaving(bool on) {
     options.self.liveness = on ? Liveness::Leaving : Liveness::Live;
     if (on)
@@ -507,9 +625,12 @@
     std::string_view name;
     void (Impl::*handle)(const std::string &, std::function<void(std::string)>);
   };
-  static constexpr std::array Methods{
-      Method{"sync", &Impl::callSync}, Method{"ensure", &Impl::callEnsure},
-      Method{"lists", &Impl::callLists}, Method{"drain", &Impl::callDrain}};
+  static constexpr std::array Methods{Method{"sync", &Impl::callSync},
+                                      Method{"ensure", &Impl::callEnsure},
+                                      Method{"lists", &Impl::callLists},
+                                      Method{"drain", &Impl::callDrain},
+                                      Method{"drain_endpoint", &Impl::callDrainEndpoint},
+                                      Method{"view", &Impl::callView}};
   for (auto &it : Methods)
     if (it.name == method)
       return ((*impl).*it.handle)(paramsJson, std::move(done));
@@ -528,6 +649,30 @@
   impl->sync(Duration(0), [](bool) {});
 }
 
+void Control::operatorView(const std::string &name, std::function<void(std::string)> done) {
+  impl->callPlanner("view", json::serialize(json::object{{"view", name}}), &Impl::callView,
+                    std::move(done));
+}
+
+void Control::drainEndpoint(const EndpointName &endpoint, bool on, std::function<void(bool)> done) {
+  impl->callPlanner(
+      "drain_endpoint", json::serialize(json::object{{"endpoint", endpoint.value}, {"on", on}}),
+      &Impl::callDrainEndpoint, [done](const std::string &result) { done(!result.empty()); });
+}
+
+void Control::drainHost(const HostName &host, bool on, std::function<void(bool)> done) {
+  if (host == impl->options.self.host) {
+    impl->setLeaving(on);
+    return done(true);
+  }
+  for (auto &it : impl->membership.all())
+    if (it.host == host)
+      return impl->env.peers().call(
+          it.peerAddress, "drain", json::serialize(json::object{{"on", on}}), config::RpcTimeout,
+          [done](RpcStatus s, const std::string &) { done(s == RpcStatus::Ok); });
+  done(false);
+}
+
 bool Control::ready() const { return impl->config.ready() && impl->everSynced; }
 
 bool Control::isPlanner() const { return impl->lease.held(); }
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -58,6 +58,14 @@
   /// Something in the host's report changed (first arrival, more waiting): sync soon.
   void poke();
 
+  /// A view of operator_state_p.h, from the planner. Empty if no planner answers or the name is
+  /// unknown.
+  void operatorView(const std::string &name, std::function<void(std::string)> done);
+  /// Keeps new work off an endpoint, or allows it again. Recorded, so that it outlives the planner.
+  void drainEndpoint(const EndpointName &endpoint, bool on, std::function<void(bool)> done);
+  /// Makes another host leave, or come back; true if it confirmed.
+  void drainHost(const HostName &host, bool on, std::function<void(bool)> done);
+
   bool ready() const; ///< lists and a routing table are known
   bool isPlanner() const;
   const LeaseRecord &planner() const;
