--- /dev/null
+++ b/tests/operator_client_test.cpp
@@ -0,0 +1,87 @@
+#include "operator_client_p.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace catkin {
+namespace {
+
+/// Answers requests in order and keeps what was asked.
+struct Script {
+  std::deque<OperatorResponse> answers;
+  std::vector<OperatorRequest> asked;
+
+  OperatorTransport transport() {
+    return [this](const OperatorRequest &request) {
+      asked.push_back(request);
+      if (answers.empty())
+        return OperatorResponse{};
+      auto it = answers.front();
+      answers.pop_front();
+      return it;
+    };
+  }
+};
+
+constexpr auto Mine = R"({"plans":[{"name":"a"}]})";
+constexpr auto Other = R"({"plans":[{"name":"b"}]})";
+const OperatorResponse LostReply{.reached = false, .sent = true};
+
+OperatorResponse ok(std::uint64_t revision, std::string body = {}) {
+  return {.reached = true, .sent = true, .status = 200, .revision = revision, .body = body};
+}
+
+OperatorResponse conflict(std::uint64_t revision) {
+  return {.reached = true, .sent = true, .status = 412, .revision = revision};
+}
+
+// Guards against telling an operator that an edit failed although it took effect.
+TEST(OperatorClient, LostReplyOfAnAcceptedEditIsFoundByReadingBack) {
+  Script s{{LostReply, conflict(8), ok(8, Mine)}, {}};
+  auto result = ctlApply(s.transport(), "plans", Mine, 7);
+  EXPECT_EQ(result.exit, CtlExit::Ok);
+  EXPECT_NE(result.output.find("revision 8"), std::string::npos);
+  EXPECT_EQ(s.asked[1].ifMatch, 7U) << "the repeated edit must keep its condition";
+}
+
+// Guards against claiming success when another operator's edit won.
+TEST(OperatorClient, LostReplyOfALosingEditIsAConflict) {
+  Script s{{LostReply, conflict(8), ok(8, Other)}, {}};
+  EXPECT_EQ(ctlApply(s.transport(), "plans", Mine, 7).exit, CtlExit::Conflict);
+}
+
+// Guards against guessing when later edits hide the outcome.
+TEST(OperatorClient, OutcomeHiddenByLaterEditsIsUnknown) {
+  Script s{{LostReply, conflict(9), ok(9, Other)}, {}};
+  EXPECT_EQ(ctlApply(s.transport(), "plans", Mine, 7).exit, CtlExit::Unknown);
+}
+
+TEST(OperatorClient, UnreachableHostAfterALostReplyIsUnknown) {
+  Script s{{LostReply, OperatorResponse{}}, {}};
+  EXPECT_EQ(ctlApply(s.transport(), "plans", Mine, 7).exit, CtlExit::Unknown);
+}
+
+TEST(OperatorClient, FirstConflictNamesTheCurrentRevision) {
+  Script s{{conflict(9)}, {}};
+  auto result = ctlApply(s.transport(), "plans", Mine, 7);
+  EXPECT_EQ(result.exit, CtlExit::Conflict);
+  EXPECT_NE(result.error.find('9'), std::string::npos);
+}
+
+// Guards against `wait` returning while a host still uses the old lists.
+TEST(OperatorClient, WaitNamesTheHostsThatAreBehind) {
+  auto config = [](int a, int b) {
+    return ok(0, R"({"revision":3,"hosts":[{"host":"a","revision":)" + std::to_string(a) +
+                     R"(},{"host":"b","revision":)" + std::to_string(b) + "}]}");
+  };
+  Script late{{config(3, 2), config(3, 2)}, {}};
+  auto result = ctlWait(late.transport(), 3, 2, [] {});
+  EXPECT_EQ(result.exit, CtlExit::Timeout);
+  EXPECT_NE(result.error.find(": b"), std::string::npos);
+  Script fine{{config(3, 2), config(3, 3)}, {}};
+  EXPECT_EQ(ctlWait(fine.transport(), 3, 2, [] {}).exit, CtlExit::Ok);
+}
+
+} // namespace
+} // namespace catkin
