--- a/src/http_p.h
+++ b/src/http_p.h
@@ -37,7 +37,8 @@
   virtual asio::awaitable<bool> startStream(HttpResponse head) = 0;
   virtual asio::awaitable<bool> writeChunk(std::string_view data) = 0;
   virtual asio::awaitable<bool> endStream() = 0;
-  /// True once the caller has closed the connection; noticed while a response is pending.
+  /// True once the caller has closed the connection or its sending side; noticed while a response
+  /// is pending, unless the caller has sent its next request ahead.
   virtual bool callerGone() const = 0;
   /// Closes the connection after this exchange, without ending the stream: the caller sees a cut.
   virtual void abort() = 0;
@@ -50,12 +51,26 @@
   std::size_t maxHeaderBytes = 16 * 1024;
   std::size_t maxBodyBytes = 1024 * 1024;
   std::size_t maxConnections = 4096;
-  Duration readTimeout = std::chrono::seconds(10); ///< for one whole request once it has begun
-  Duration idleTimeout = std::chrono::seconds(60); ///< between requests
+  Duration readTimeout = std::chrono::seconds(10);  ///< for one whole request once it has begun
+  Duration idleTimeout = std::chrono::seconds(60);  ///< between requests
+  Duration writeTimeout = std::chrono::seconds(30); ///< for one response or chunk to be taken
+  /// Memory for all request bodies together. A request that would exceed it gets 503.
+  std::size_t maxBufferedBytes = 32 * 1024 * 1024;
 };
 
+/// An application/problem+json response. `retryAfter` above zero adds Retry-After, rounded up to
+/// whole seconds.
+HttpResponse problemResponse(unsigned status, RunOutcome outcome, std::string_view detail,
+                             Duration retryAfter = Duration::zero());
+/// A 200 response with a JSON body.
+HttpResponse jsonResponse(std::string body);
+
 /// Malformed, oversized or slow requests are answered with 400, 413, 431 or 408 as problem+json
-/// with outcome not_run, and the connection is closed. A connection over the limit gets 503.
+/// with outcome not_run, and the connection is closed. A connection over the limit gets 503. Each
+/// connection runs on a strand of its own; a handler must use its exchange on that strand only. A
+/// handler that returns without a response or throws is answered with 500 and may_have_run. The
+/// server must be destroyed before the execution context, and the handler's captures must live as
+/// long as the context runs.
 class HttpServer {
 public:
   HttpServer(asio::any_io_executor executor, HttpServerOptions options, HttpHandler handler);
@@ -114,6 +129,8 @@
 
 /// Keeps idle connections per address. A kept connection that fails before any byte of the response
 /// has arrived is not retried here, except when the peer had closed it before the request was sent.
+/// Calls may come from several strands; the coroutine that makes one must itself run on a strand or
+/// a single-threaded executor. Responses of `request` are limited to 16 MB.
 class HttpClient {
 public:
   explicit HttpClient(asio::any_io_executor executor);
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,426 @@
+#include "http_p.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+namespace catkin {
+namespace {
+
+using asio::ip::tcp;
+using namespace std::chrono_literals;
+
+constexpr auto WatchdogTime = 60s; // only so that a hang ends the test
+constexpr std::string_view SmallResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+asio::awaitable<void> sleepFor(Duration d) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, d);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+HttpRequest makeRequest(std::string_view target, std::string body = {}) {
+  HttpRequest request(body.empty() ? http::verb::get : http::verb::post, target, 11);
+  request.body() = std::move(body);
+  return request;
+}
+
+/// Blocking peer that speaks raw bytes to the server under test.
+class RawPeer {
+public:
+  explicit RawPeer(const Address &to) : socket(context) {
+    socket.connect({asio::ip::make_address(to.ip), to.port});
+  }
+  void send(std::string_view text) { asio::write(socket, asio::buffer(text)); }
+  /// Everything until the server closes the connection.
+  std::string readAll() {
+    std::string text;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(text), ec);
+    return text;
+  }
+  std::string readUntil(std::string_view mark) {
+    std::string text;
+    boost::system::error_code ec;
+    asio::read_until(socket, asio::dynamic_buffer(text), mark, ec);
+    return text;
+  }
+  void close() { socket.close(); }
+
+private:
+  asio::io_context context;
+  tcp::socket socket;
+};
+
+/// Fake server: serves its connections one after the other with a script on a thread of its own.
+class RawServer {
+public:
+  using Script = std::function<void(tcp::socket &, int connection)>;
+  explicit RawServer(Script s)
+      : script(std::move(s)), acceptor(context, {asio::ip::address_v4::loopback(), 0}),
+        bound(acceptor.local_endpoint().port()), thread([this] { serve(); }) {}
+  ~RawServer() {
+    stopping = true;
+    asio::io_context wake;
+    tcp::socket socket(wake);
+    boost::system::error_code ec;
+    socket.connect({asio::ip::address_v4::loopback(), bound}, ec);
+    thread.join();
+  }
+  RawServer(const RawServer &) = delete;
+  RawServer &operator=(const RawServer &) = delete;
+  Address address() const { return {"127.0.0.1", bound}; }
+  /// Reads one request head; false at the end of the connection.
+  static bool readHead(tcp::socket &socket) {
+    std::string text;
+    boost::system::error_code ec;
+    asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", ec);
+    return !ec;
+  }
+  static void send(tcp::socket &socket, std::string_view text) {
+    boost::system::error_code ec;
+    asio::write(socket, asio::buffer(text), ec);
+  }
+
+private:
+  void serve() {
+    for (int n = 0;; ++n) {
+      tcp::socket socket = acceptor.accept();
+      if (stopping)
+        return;
+      script(socket, n);
+    }
+  }
+  Script script;
+  asio::io_context context;
+  tcp::acceptor acceptor;
+  std::uint16_t bound;
+  std::atomic<bool> stopping{false};
+  std::thread thread;
+};
+
+/// Two threads, so that missing strands show up under the thread sanitizer.
+class HttpTest : public testing::Test {
+protected:
+  ~HttpTest() override {
+    server.reset();
+    pool.stop();
+    pool.join();
+  }
+
+  void serve(HttpHandler handler, HttpServerOptions options = {}) {
+    options.listen = {"127.0.0.1", 0};
+    server = std::make_unique<HttpServer>(pool.get_executor(), options, std::move(handler));
+    ASSERT_EQ(server->start(), "");
+  }
+
+  template <class T> T run(asio::awaitable<T> task) {
+    auto future = asio::co_spawn(asio::make_strand(pool), std::move(task), asio::use_future);
+    if (future.wait_for(WatchdogTime) != std::future_status::ready) {
+      ADD_FAILURE() << "no result in time";
+      std::abort();
+    }
+    return future.get();
+  }
+
+  HttpResult request(const Address &to, HttpRequest r, HttpTimeouts timeouts = {}) {
+    return run(client.request(to, std::move(r), timeouts));
+  }
+
+  std::string refusal(std::string_view text) {
+    RawPeer peer(server->address());
+    peer.send(text);
+    return peer.readAll();
+  }
+
+  static asio::awaitable<void> echo(HttpExchange &exchange) {
+    co_await exchange.respond(jsonResponse(exchange.request().body()));
+  }
+
+  asio::thread_pool pool{2};
+  HttpClient client{pool.get_executor()};
+  std::unique_ptr<HttpServer> server;
+};
+
+void expectProblem(const std::string &text, int status, std::string_view outcome) {
+  EXPECT_EQ(text.rfind("HTTP/1.1 " + std::to_string(status) + " ", 0), 0U) << text;
+  EXPECT_NE(text.find("application/problem+json"), std::string::npos) << text;
+  EXPECT_NE(text.find("\"outcome\":\"" + std::string(outcome) + "\""), std::string::npos) << text;
+}
+
+// Guards against bad input reaching a handler, hanging a connection or being dropped unanswered.
+TEST_F(HttpTest, BadRequestsAreRefusedAsNotRun) {
+  std::atomic<int> handled{0};
+  serve(
+      [&](HttpExchange &exchange) -> asio::awaitable<void> {
+        ++handled;
+        co_await echo(exchange);
+      },
+      {.maxHeaderBytes = 1024, .maxBodyBytes = 2048, .readTimeout = 200ms});
+  expectProblem(refusal("nonsense\r\n\r\n"), 400, "not_run");
+  expectProblem(refusal("GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n"), 400, "not_run");
+  expectProblem(refusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"), 400,
+                "not_run");
+  expectProblem(refusal("GET / HTTP/1.1\r\nX: " + std::string(40000, 'a') + "\r\n\r\n"), 431,
+                "not_run");
+  expectProblem(refusal("POST / HTTP/1.1\r\nContent-Length: 2049\r\n\r\n" + std::string(2049, 'a')),
+                413, "not_run");
+  expectProblem(refusal("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n" +
+                        std::string(4096, 'a') + "\r\n0\r\n\r\n"),
+                413, "not_run");
+  expectProblem(refusal("GET / HTT"), 408, "not_run");
+  expectProblem(refusal("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"), 408, "not_run");
+  EXPECT_EQ(handled, 0);
+}
+
+// Guards against unbounded memory: many connections, or many bodies at once.
+TEST_F(HttpTest, LimitsOnConnectionsAndBodiesAnswer503) {
+  serve(echo, {.maxConnections = 2, .maxBufferedBytes = 100});
+  RawPeer first(server->address());
+  first.send("POST / HTTP/1.1\r\nContent-Length: 60\r\nExpect: 100-continue\r\n\r\n");
+  EXPECT_NE(first.readUntil("\r\n\r\n").find("100 Continue"), std::string::npos);
+  expectProblem(refusal("POST / HTTP/1.1\r\nContent-Length: 60\r\n\r\n"), 503, "not_run");
+  while (server->connections() > 1)
+    std::this_thread::yield();
+  RawPeer second(server->address());
+  second.send("GET / HTTP/1.1\r\n\r\n");
+  second.readUntil("\r\n\r\n");
+  expectProblem(refusal("GET / HTTP/1.1\r\n\r\n"), 503, "not_run");
+  first.send(std::string(60, 'a'));
+  EXPECT_NE(first.readUntil("aaaa").find("200 OK"), std::string::npos);
+}
+
+// Guards against an answer that reaches another request, over kept and concurrent connections.
+TEST_F(HttpTest, ConcurrentRequestsGetTheirOwnAnswers) {
+  serve([](HttpExchange &exchange) -> asio::awaitable<void> {
+    if (exchange.request().body().back() % 3 == 0)
+      co_await sleepFor(1ms);
+    co_await echo(exchange);
+  });
+  auto caller = [this](int id) -> asio::awaitable<int> {
+    int right = 0;
+    for (int i = 0; i < 50; ++i) {
+      const auto body = std::to_string(id) + "/" + std::to_string(i);
+      const auto result = co_await client.request(server->address(), makeRequest("/", body), {});
+      right += result.status == HttpStatus::Ok && result.response.body() == body ? 1 : 0;
+    }
+    co_return right;
+  };
+  std::array<std::future<int>, 8> callers;
+  for (std::size_t id = 0; id < callers.size(); ++id)
+    callers[id] =
+        asio::co_spawn(asio::make_strand(pool), caller(static_cast<int>(id)), asio::use_future);
+  for (auto &it : callers)
+    EXPECT_EQ(it.get(), 50);
+  EXPECT_LE(server->connections(), 8U); // kept connections were used again
+}
+
+// Guards against a false "not run": an unsent request must be told from one that may have run.
+TEST_F(HttpTest, ClientTellsFailuresApart) {
+  std::uint16_t closedPort = 0;
+  {
+    asio::io_context context;
+    closedPort =
+        tcp::acceptor(context, {asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
+  }
+  EXPECT_EQ(request({"127.0.0.1", closedPort}, makeRequest("/")).status, HttpStatus::NotConnected);
+
+  auto statusFor = [&](std::string_view answer, bool hold, HttpTimeouts timeouts) {
+    std::promise<void> finished;
+    RawServer raw([&](tcp::socket &socket, int) {
+      RawServer::readHead(socket);
+      RawServer::send(socket, answer);
+      if (hold)
+        finished.get_future().wait();
+    });
+    const auto status = request(raw.address(), makeRequest("/"), timeouts).status;
+    finished.set_value();
+    return status;
+  };
+  EXPECT_EQ(statusFor("", false, {}), HttpStatus::Broken);
+  EXPECT_EQ(statusFor("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", false, {}),
+            HttpStatus::Broken);
+  EXPECT_EQ(statusFor("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", true, {.silence = 50ms}),
+            HttpStatus::Silent);
+  EXPECT_EQ(statusFor("", true, {.silence = 50ms}), HttpStatus::Silent);
+  EXPECT_EQ(statusFor("", true, {.silence = 30s, .total = 50ms}), HttpStatus::Timeout);
+  EXPECT_EQ(statusFor("garbage\r\n\r\n", false, {}), HttpStatus::Malformed);
+  EXPECT_EQ(statusFor("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", true, {}),
+            HttpStatus::Malformed);
+  EXPECT_EQ(statusFor("HTTP/1.1 103 Early Hints\r\n\r\n", true, {}), HttpStatus::Malformed);
+}
+
+// Guards against sending a request on a kept connection that the peer has closed.
+TEST_F(HttpTest, ClosedKeptConnectionIsReplacedBeforeSending) {
+  std::promise<void> closed;
+  std::atomic<int> heads{0};
+  RawServer raw([&](tcp::socket &socket, int connection) {
+    heads += RawServer::readHead(socket) ? 1 : 0;
+    RawServer::send(socket, SmallResponse);
+    socket.close();
+    if (connection == 0)
+      closed.set_value();
+  });
+  EXPECT_EQ(request(raw.address(), makeRequest("/")).status, HttpStatus::Ok);
+  closed.get_future().wait();
+  EXPECT_EQ(request(raw.address(), makeRequest("/")).status, HttpStatus::Ok);
+  EXPECT_EQ(heads, 2);
+}
+
+// Guards against a hidden second run of a request whose kept connection broke after it was sent.
+TEST_F(HttpTest, NoHiddenRetryOnceSent) {
+  std::atomic<int> heads{0};
+  RawServer raw([&](tcp::socket &socket, int) {
+    while (RawServer::readHead(socket)) {
+      if (++heads == 2)
+        return;
+      RawServer::send(socket, SmallResponse);
+    }
+  });
+  EXPECT_EQ(request(raw.address(), makeRequest("/")).status, HttpStatus::Ok);
+  EXPECT_EQ(request(raw.address(), makeRequest("/")).status, HttpStatus::Broken);
+  EXPECT_EQ(heads, 2);
+}
+
+// Guards against surplus bytes after one response being read as the answer to the next request.
+TEST_F(HttpTest, SurplusResponseIsNotUsedForTheNextRequest) {
+  std::promise<void> sent;
+  RawServer raw([&](tcp::socket &socket, int connection) {
+    RawServer::readHead(socket);
+    RawServer::send(socket, SmallResponse);
+    if (connection == 0) {
+      RawServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+      sent.set_value();
+    }
+  });
+  EXPECT_EQ(request(raw.address(), makeRequest("/")).response.body(), "ok");
+  sent.get_future().wait();
+  EXPECT_EQ(request(raw.address(), makeRequest("/")).response.body(), "ok");
+}
+
+// Guards against work that goes on for a caller who has hung up.
+TEST_F(HttpTest, HandlerNoticesThatTheCallerHasGone) {
+  std::promise<bool> noticed;
+  std::promise<void> started;
+  serve([&](HttpExchange &exchange) -> asio::awaitable<void> {
+    started.set_value();
+    while (!exchange.callerGone())
+      co_await sleepFor(1ms);
+    noticed.set_value(!co_await exchange.respond(jsonResponse("{}")));
+  });
+  RawPeer peer(server->address());
+  peer.send("GET / HTTP/1.1\r\n\r\n");
+  started.get_future().wait();
+  peer.close();
+  auto future = noticed.get_future();
+  ASSERT_EQ(future.wait_for(WatchdogTime), std::future_status::ready);
+  EXPECT_TRUE(future.get());
+}
+
+asio::awaitable<std::pair<std::string, HttpStatus>> readStream(HttpClient &client, Address to,
+                                                               std::string_view target) {
+  auto stream = co_await client.open(to, makeRequest(target), {});
+  std::string text;
+  for (;;) {
+    const auto piece = co_await stream->read();
+    if (piece.empty())
+      break;
+    text += piece;
+  }
+  co_return std::pair(text, stream->status());
+}
+
+// Guards against a cut stream that looks complete, and against a reused connection after a cut.
+TEST_F(HttpTest, StreamsAreWholeOrReportedBroken) {
+  serve([](HttpExchange &exchange) -> asio::awaitable<void> {
+    co_await exchange.startStream(jsonResponse(""));
+    for (int i = 0; i < 100; ++i)
+      co_await exchange.writeChunk(std::to_string(i) + ",");
+    if (exchange.request().target() == "/cut")
+      exchange.abort();
+    else
+      co_await exchange.endStream();
+  });
+  std::string whole;
+  for (int i = 0; i < 100; ++i)
+    whole += std::to_string(i) + ",";
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(run(readStream(client, server->address(), "/")), std::pair(whole, HttpStatus::Ok));
+    EXPECT_EQ(run(readStream(client, server->address(), "/cut")),
+              std::pair(whole, HttpStatus::Broken));
+  }
+}
+
+// Guards against an endpoint that keeps generating after its stream was dropped.
+TEST_F(HttpTest, DroppedStreamEndsTheWriter) {
+  std::promise<void> ended;
+  serve([&](HttpExchange &exchange) -> asio::awaitable<void> {
+    co_await exchange.startStream(jsonResponse(""));
+    while (co_await exchange.writeChunk("x"))
+      co_await sleepFor(1ms);
+    ended.set_value();
+  });
+  run([](HttpClient &c, Address to) -> asio::awaitable<void> {
+    auto stream = co_await c.open(to, makeRequest("/"), {});
+    co_await stream->read();
+  }(client, server->address()));
+  EXPECT_EQ(ended.get_future().wait_for(WatchdogTime), std::future_status::ready);
+}
+
+// Guards against a truthful-looking "not run" for a request whose handler failed half way.
+TEST_F(HttpTest, FailedHandlerAnswersMayHaveRun) {
+  serve([](HttpExchange &exchange) -> asio::awaitable<void> {
+    if (exchange.request().target() == "/throw")
+      throw std::runtime_error("failure");
+    co_return;
+  });
+  for (auto it : {"/throw", "/silent"}) {
+    const auto result = request(server->address(), makeRequest(it));
+    EXPECT_EQ(result.response.result_int(), 500U);
+    EXPECT_NE(result.response.body().find("may_have_run"), std::string::npos);
+  }
+}
+
+// Guards against a planned stop that cuts a request off or leaves connections open.
+TEST_F(HttpTest, StopFinishesWhatRunsAndClosesTheRest) {
+  std::promise<void> started;
+  std::promise<void> release;
+  auto released = release.get_future().share();
+  serve([&](HttpExchange &exchange) -> asio::awaitable<void> {
+    if (exchange.request().target() == "/slow") {
+      started.set_value();
+      while (released.wait_for(0s) != std::future_status::ready)
+        co_await sleepFor(1ms);
+    }
+    co_await echo(exchange);
+  });
+  RawPeer idle(server->address());
+  idle.send("GET / HTTP/1.1\r\n\r\n");
+  idle.readUntil("\r\n\r\n");
+  RawPeer slow(server->address());
+  slow.send("POST /slow HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody");
+  started.get_future().wait();
+  server->stopAccepting();
+  EXPECT_EQ(idle.readAll(), "");
+  release.set_value();
+  const auto answer = slow.readAll();
+  EXPECT_NE(answer.find("200 OK"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  EXPECT_EQ(request(server->address(), makeRequest("/")).status, HttpStatus::NotConnected);
+}
+
+} // namespace
+} // namespace catkin
