--- a/src/config.h
+++ b/src/config.h
@@ -13,6 +13,11 @@
 constexpr std::size_t MaxHeaderBytes = 16 * 1024;
 constexpr std::size_t MaxBodyBytes = 1024 * 1024;
 constexpr std::size_t MaxListBytes = 1000 * 1000; // the platform holds values up to a megabyte
+constexpr std::size_t MaxListDepth = 8;
+constexpr std::uint64_t MaxGrantModels = 100'000;
+constexpr std::uint64_t MaxGrantConcurrency = 1'000'000;
+constexpr double MaxGrantTokensPerSecond = 1e9;
+constexpr std::uint64_t MaxBytesInLists = 1ULL << 50; // of a model or of a grant
 constexpr std::size_t MaxConnectionsPerHost = 4096;
 constexpr std::size_t MaxNameLength = 128;
 constexpr std::size_t MaxIdempotencyKeyLength = 256;
@@ -36,6 +41,17 @@
 constexpr auto PlatformTimeout = 2000ms;
 constexpr auto ConfigWatchWait = 30s;
 
+// Shares. The platform takes several hundred writes a second for everything; a transfer is one
+// write.
+constexpr double ShareWritesPerSecond = 20.0;
+constexpr auto SharePlanInterval = 500ms; // between two rebalancing writes of one plan
+constexpr auto ShareRetryInterval = 500ms;
+
+// Configuration.
+constexpr auto ConfigRetryInterval = 500ms;
+constexpr auto EditTimeout = 15s; // until an edit with lost replies is answered `unknown`
+constexpr std::size_t RememberedEdits = 64;
+
 // Weight store: what it serves at full speed.
 constexpr int WeightStoreConcurrentLoads = 4;
 constexpr double WeightStoreLoadsPerSecond = 2.0;
@@ -57,5 +73,10 @@
 // Non-idempotent calls.
 constexpr std::size_t MaxStoredAnswerBytes = 64 * 1024;
 constexpr auto CallRecordRetention = 24h;
+constexpr auto CallWatchWait = 1000ms; // a watch does not report that a claim was erased
+constexpr auto CallRetryMin = 100ms;
+constexpr auto CallRetryMax = 5000ms;
+constexpr auto CallRetryAfter = 2000ms; // told to callers while claims cannot be recorded
+constexpr std::size_t MaxExpiredPerRun = 200;
 
 } // namespace catkin::config
