--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -6,5 +6,6 @@
 for it in build/bin/*-bench; do
   [ -x "$it" ] || continue
   echo "== $(basename "$it")"
-  "$it"
+  # Google Benchmark programs write their figures there; others ignore the variable.
+  BENCHMARK_OUT="build/bench/$(basename "$it").json" "$it"
 done
