Add settings, JSON log and metrics

The daemon needs its settings checked before anything starts, a log that escapes what callers send, and metrics.

Settings are a table of member pointers over CLI11. CLI11 stops at the first fault, so values are read as text and checked by the table, and all faults are reported at once. Unknown arguments are named without their values, since one may be a secret given by mistake.

--- /dev/null
+++ b/src/log.cpp
@@ -0,0 +1,159 @@
+#include "log_p.h"
+
+#include <boost/json.hpp>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <atomic>
+#include <chrono>
+#include <ctime>
+#include <memory>
+
+namespace catkin {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t KeptDecisions = 1000;
+constexpr std::array<log4cplus::LogLevel, 4> Levels{
+    log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL, log4cplus::WARN_LOG_LEVEL,
+    log4cplus::ERROR_LOG_LEVEL};
+
+std::atomic<bool> running = false;
+
+std::int64_t unixMicrosNow() {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+/// RFC 3339 in UTC with milliseconds.
+std::string timeText(std::int64_t unixMicros) {
+  std::time_t seconds = unixMicros / 1000000;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 40> buf{};
+  auto n = std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  n += std::snprintf(buf.data() + n, buf.size() - n, ".%03dZ",
+                     static_cast<int>(unixMicros / 1000 % 1000));
+  return {buf.data(), n};
+}
+
+std::string_view levelName(log4cplus::LogLevel level) {
+  for (std::size_t i = Levels.size(); i-- > 0;)
+    if (level >= Levels[i])
+      return EnumNames<LogLevel>::Table[i];
+  return "debug";
+}
+
+class JsonLayout : public log4cplus::Layout {
+public:
+  explicit JsonLayout(std::string hostName) : host(std::move(hostName)) {}
+
+  void formatAndAppend(log4cplus::tostream &output,
+                       const log4cplus::spi::InternalLoggingEvent &event) override {
+    auto time = event.getTimestamp().time_since_epoch();
+    auto micros = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+    output << formatLogLine(micros, levelName(event.getLogLevel()), event.getLoggerName(), host,
+                            event.getMessage())
+           << '\n';
+  }
+
+private:
+  std::string host;
+};
+
+std::unique_ptr<log4cplus::Initializer> &initializer() {
+  static std::unique_ptr<log4cplus::Initializer> instance;
+  return instance;
+}
+
+void write(LogLevel level, const char *logger, const json::object &event) {
+  if (!running)
+    return;
+  auto target = log4cplus::Logger::getInstance(logger);
+  auto value = Levels[static_cast<std::size_t>(level)];
+  if (target.isEnabledFor(value))
+    target.forcedLog(value, json::serialize(event));
+}
+
+json::object describe(const Decision &d) {
+  json::object out;
+  out["message"] = "decision";
+  out["kind"] = toString(d.kind);
+  if (!d.requestId.empty())
+    out["request"] = d.requestId;
+  if (!d.plan.empty())
+    out["plan"] = d.plan.value;
+  if (!d.model.empty())
+    out["model"] = d.model.value;
+  out["chosen"] = d.chosen;
+  out["alternatives"] = json::array(d.alternatives.begin(), d.alternatives.end());
+  out["reason"] = d.reason;
+  return out;
+}
+
+} // namespace
+
+void startLog(LogLevel level, const std::string &host) {
+  initializer() = std::make_unique<log4cplus::Initializer>();
+  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+  appender->setLayout(std::make_unique<JsonLayout>(host));
+  auto root = log4cplus::Logger::getRoot();
+  root.addAppender(appender);
+  root.setLogLevel(Levels[static_cast<std::size_t>(level)]);
+  running = true;
+}
+
+void stopLog() {
+  running = false;
+  initializer().reset();
+}
+
+void logLine(LogLevel level, std::string_view message, LogFields fields) {
+  json::object event;
+  event["message"] = message;
+  for (auto &[name, value] : fields)
+    event[name] = value;
+  write(level, "catkin", event);
+}
+
+std::string formatLogLine(std::int64_t unixMicros, std::string_view level, std::string_view logger,
+                          std::string_view host, std::string_view event) {
+  json::object line;
+  line["time"] = timeText(unixMicros);
+  line["level"] = level;
+  line["logger"] = logger;
+  line["host"] = host;
+  json::error_code ec;
+  auto parsed = json::parse(event, ec);
+  if (!ec && parsed.is_object()) {
+    for (auto &it : parsed.get_object())
+      line[it.key()] = it.value();
+  } else {
+    line["message"] = event;
+  }
+  return json::serialize(line);
+}
+
+void DecisionLog::add(const Decision &decision) {
+  {
+    std::scoped_lock guard(lock);
+    entries.push_front({unixMicrosNow(), decision});
+    if (entries.size() > KeptDecisions)
+      entries.pop_back();
+  }
+  write(LogLevel::Info, "catkin.decision", describe(decision));
+}
+
+std::vector<DecisionLog::Entry> DecisionLog::recent(std::size_t n) const {
+  std::scoped_lock guard(lock);
+  return {entries.begin(),
+          entries.begin() + static_cast<std::ptrdiff_t>(std::min(n, entries.size()))};
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,120 @@
+#include "metrics_p.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <sstream>
+#include <utility>
+
+namespace catkin {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+
+// Buckets in seconds. The fine steps surround the targets: first token 0.49 s, gap 26 ms.
+const prometheus::Histogram::BucketBoundaries FirstEventBuckets{
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.49, 0.6, 0.8, 1, 2, 4, 8, 16, 32, 64, 128};
+const prometheus::Histogram::BucketBoundaries GapBuckets{0.002, 0.005, 0.01, 0.015, 0.02, 0.026,
+                                                         0.035, 0.05,  0.1,  0.25,  1,    2};
+
+constexpr std::array<std::pair<const char *, double MetricsGauges::*>, 6> Gauges{{
+    {"waiting", &MetricsGauges::waiting},
+    {"in_flight", &MetricsGauges::inFlight},
+    {"connections", &MetricsGauges::connections},
+    {"ready", &MetricsGauges::ready},
+    {"planner", &MetricsGauges::planner},
+    {"config_revision", &MetricsGauges::configRevision},
+}};
+
+} // namespace
+
+struct Metrics::Impl {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter> &requests = BuildCounter()
+                                                          .Name("catkin_requests_total")
+                                                          .Help("Requests by plan, kind and result")
+                                                          .Register(registry);
+  prometheus::Family<prometheus::Counter> &refusals = BuildCounter()
+                                                          .Name("catkin_refusals_total")
+                                                          .Help("Refused requests by reason")
+                                                          .Register(registry);
+  prometheus::Family<prometheus::Counter> &failures = BuildCounter()
+                                                          .Name("catkin_failed_attempts_total")
+                                                          .Help("Failed attempts by failure")
+                                                          .Register(registry);
+  prometheus::Family<prometheus::Counter> &tokens =
+      BuildCounter().Name("catkin_tokens_total").Help("Tokens relayed by plan").Register(registry);
+  prometheus::Counter &resumes = BuildCounter()
+                                     .Name("catkin_stream_resumes_total")
+                                     .Help("Streams resumed on another replica")
+                                     .Register(registry)
+                                     .Add({});
+  prometheus::Family<prometheus::Histogram> &firstEvent =
+      BuildHistogram()
+          .Name("catkin_first_event_seconds")
+          .Help("Time from a request to its first event")
+          .Register(registry);
+  prometheus::Histogram &warmFirstEvent = firstEvent.Add({{"cold", "no"}}, FirstEventBuckets);
+  prometheus::Histogram &coldFirstEvent = firstEvent.Add({{"cold", "yes"}}, FirstEventBuckets);
+  prometheus::Histogram &eventGap = BuildHistogram()
+                                        .Name("catkin_event_gap_seconds")
+                                        .Help("Time between two events of a stream")
+                                        .Register(registry)
+                                        .Add({}, GapBuckets);
+  std::array<prometheus::Gauge *, Gauges.size()> gauges{};
+
+  Impl() {
+    for (std::size_t i = 0; i < Gauges.size(); ++i)
+      gauges[i] = &BuildGauge()
+                       .Name(std::string("catkin_") + Gauges[i].first)
+                       .Help("State of this host")
+                       .Register(registry)
+                       .Add({});
+  }
+};
+
+Metrics::Metrics() : impl(std::make_unique<Impl>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::onRequest(const PlanName &plan, std::string_view kind, std::string_view result) {
+  impl->requests
+      .Add({{"plan", plan.value}, {"kind", std::string(kind)}, {"result", std::string(result)}})
+      .Increment();
+}
+
+void Metrics::onRefusal(std::string_view reason) {
+  impl->refusals.Add({{"reason", std::string(reason)}}).Increment();
+}
+
+void Metrics::onFailedAttempt(std::string_view failure) {
+  impl->failures.Add({{"failure", std::string(failure)}}).Increment();
+}
+
+void Metrics::onResume() { impl->resumes.Increment(); }
+
+void Metrics::onTokens(const PlanName &plan, unsigned tokens) {
+  impl->tokens.Add({{"plan", plan.value}}).Increment(tokens);
+}
+
+void Metrics::onFirstEvent(Duration d, bool cold) {
+  (cold ? impl->coldFirstEvent : impl->warmFirstEvent).Observe(toSeconds(d));
+}
+
+void Metrics::onEventGap(Duration d) { impl->eventGap.Observe(toSeconds(d)); }
+
+std::string Metrics::text(const MetricsGauges &gauges) {
+  for (std::size_t i = 0; i < Gauges.size(); ++i)
+    impl->gauges[i]->Set(gauges.*Gauges[i].second);
+  std::ostringstream out;
+  prometheus::TextSerializer().Serialize(out, impl->registry.Collect());
+  return out.str();
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,314 @@
+#include "settings_p.h"
+
+#include "policy_p.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <fstream>
+#include <set>
+#include <variant>
+
+namespace catkin {
+
+namespace {
+
+using Member =
+    std::variant<std::string Settings::*, Address Settings::*, std::vector<Address> Settings::*,
+                 int Settings::*, double Settings::*, Duration Settings::*>;
+
+/// One setting. A duration's flag ends in its unit, "-ms" or "-s"; bounds are in that unit.
+struct Spec {
+  const char *flag;
+  const char *help;
+  Member member;
+  bool required = false;
+  double min = 0;
+  double max = 0;
+};
+
+const std::vector<Spec> &specs() {
+  static const std::vector<Spec> table{
+      {"host", "name of this host", &Settings::host, true},
+      {"data-centre", "data centre of this host", &Settings::dataCentre, true},
+      {"listen", "ip:port of the callers' API", &Settings::listen, true},
+      {"advertise", "ip:port given to callers; default: listen", &Settings::advertise},
+      {"peer-listen", "ip:port for calls of other hosts", &Settings::peerListen, true},
+      {"peer-advertise", "ip:port given to other hosts; default: peer-listen",
+       &Settings::peerAdvertise},
+      {"operator-listen", "ip:port of the operators' API", &Settings::operatorListen, true},
+      {"platform", "ip:port of the platform's object API", &Settings::platform, true},
+      {"peers", "peer addresses of the other hosts, separated by commas", &Settings::peers},
+      {"operator-key-file", "file with the operators' key; or CATKIN_OPERATOR_KEY",
+       &Settings::operatorKeyFile},
+      {"threads", "worker threads", &Settings::threads, false, 1, 64},
+      {"log-level", "debug, info, warn or error", &Settings::logLevel},
+      {"retention", "retention policy", &Settings::retention},
+      {"placement", "placement policy", &Settings::placement},
+      {"cold-second-weight", "cost of a second that a request waits for a cold start",
+       &Settings::coldSecondWeight, false, 0, 1e6},
+      {"idle-second-weight", "cost of an accelerator second that a replica is idle",
+       &Settings::idleSecondWeight, false, 0, 1e6},
+      {"fixed-keep-alive-s", "keep-alive of the fixed retention policies",
+       &Settings::fixedKeepAlive, false, 1, 86400},
+      {"store-concurrent-loads", "model loads from the weight store at one time",
+       &Settings::storeConcurrentLoads, false, 1, 1000},
+      {"store-loads-per-second", "starts of model loads from the weight store",
+       &Settings::storeLoadsPerSecond, false, 0.01, 1000},
+      {"store-adapters-in-flight", "adapter loads from the weight store at one time",
+       &Settings::storeAdaptersInFlight, false, 1, 10000},
+      {"load-bytes-per-second", "first guess of the load rate", &Settings::loadBytesPerSecond,
+       false, 1, 1e13},
+      {"default-deadline-ms", "deadline of requests that state none", &Settings::defaultDeadline,
+       false, 1, 600000},
+      {"max-deadline-ms", "longest permitted deadline", &Settings::maxDeadline, false, 1, 600000},
+      {"silence-ms", "longest gap in an engine's answer", &Settings::silenceTimeout, false, 10,
+       600000},
+      {"service-silence-ms", "longest gap in a service's answer", &Settings::serviceSilenceTimeout,
+       false, 10, 600000},
+      {"connect-ms", "time to connect to an endpoint", &Settings::connectTimeout, false, 10, 60000},
+      {"stop-timeout-s", "bound of a graceful stop", &Settings::stopTimeout, false, 0, 3600},
+      {"max-connections", "callers' connections", &Settings::maxConnections, false, 1, 100000},
+      {"max-body-bytes", "longest request body", &Settings::maxBodyBytes, false, 1024, 1 << 28},
+  };
+  return table;
+}
+
+std::string environmentName(std::string_view flag) {
+  std::string name = "CATKIN_";
+  for (char c : flag)
+    name += c == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(c)));
+  return name;
+}
+
+std::optional<double> parseReal(const std::string &text) {
+  double value = 0;
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (ec != std::errc() || end != text.data() + text.size())
+    return std::nullopt;
+  return value;
+}
+
+std::string rangeText(const Spec &spec) {
+  std::ostringstream out;
+  out << "must be from " << spec.min << " to " << spec.max;
+  return out.str();
+}
+
+/// Each assigns a value and gives the fault, empty if none.
+std::string assign(Settings &s, const Spec &, std::string Settings::*member,
+                   const std::string &text) {
+  s.*member = text;
+  return text.empty() ? "must not be empty" : "";
+}
+
+std::string assign(Settings &s, const Spec &, Address Settings::*member, const std::string &text) {
+  auto address = parseAddress(text);
+  if (!address)
+    return "\"" + text + "\" is not an IPv4 address with a port, such as 10.0.0.1:8080";
+  s.*member = *address;
+  return {};
+}
+
+std::string assign(Settings &s, const Spec &spec, std::vector<Address> Settings::*member,
+                   const std::string &text) {
+  (s.*member).clear();
+  for (auto &part : CLI::detail::split(text, ',')) {
+    Settings one;
+    if (auto fault = assign(one, spec, &Settings::listen, part); !fault.empty())
+      return fault;
+    (s.*member).push_back(one.listen);
+  }
+  return {};
+}
+
+std::string assign(Settings &s, const Spec &spec, double Settings::*member,
+                   const std::string &text) {
+  auto value = parseReal(text);
+  if (!value || !(*value >= spec.min && *value <= spec.max))
+    return rangeText(spec);
+  s.*member = *value;
+  return {};
+}
+
+std::string assign(Settings &s, const Spec &spec, int Settings::*member, const std::string &text) {
+  auto value = parseReal(text);
+  if (!value || !(*value >= spec.min && *value <= spec.max) || std::floor(*value) != *value)
+    return "must be a whole number; " + rangeText(spec);
+  s.*member = static_cast<int>(*value);
+  return {};
+}
+
+std::string assign(Settings &s, const Spec &spec, Duration Settings::*member,
+                   const std::string &text) {
+  auto value = parseReal(text);
+  if (!value || !(*value >= spec.min && *value <= spec.max))
+    return rangeText(spec);
+  bool millis = std::string_view(spec.flag).ends_with("-ms");
+  s.*member = fromSeconds(millis ? *value / 1000 : *value);
+  return {};
+}
+
+using Faults = std::vector<std::string>;
+
+void addFault(Faults &faults, std::string_view flag, const std::string &message) {
+  faults.push_back("--" + std::string(flag) + ": " + message);
+}
+
+void readValue(const Spec &spec, const CLI::Option &option, SettingsResult &result) {
+  if (option.count() == 0) {
+    if (spec.required)
+      addFault(result.faults, spec.flag, "is required (or " + environmentName(spec.flag) + ")");
+    return;
+  }
+  auto values = option.results();
+  if (values.size() != 1) {
+    addFault(result.faults, spec.flag, values.empty() ? "needs a value" : "is given twice");
+    return;
+  }
+  auto fault =
+      std::visit([&](auto member) { return assign(result.settings, spec, member, values.front()); },
+                 spec.member);
+  if (!fault.empty())
+    addFault(result.faults, spec.flag, fault);
+}
+
+/// Names unknown arguments without their values, which may be secrets.
+void listUnknown(const std::vector<std::string> &extras, Faults &faults) {
+  for (auto &it : extras) {
+    if (it.starts_with("-"))
+      faults.push_back(it.substr(0, it.find('=')) + ": unknown flag");
+    else
+      faults.emplace_back("unexpected argument that belongs to no flag");
+  }
+}
+
+void readOperatorKey(SettingsResult &result) {
+  auto &s = result.settings;
+  const char *fromEnvironment = std::getenv("CATKIN_OPERATOR_KEY");
+  if (fromEnvironment)
+    s.operatorKey = fromEnvironment;
+  else if (!s.operatorKeyFile.empty()) {
+    std::ifstream file(s.operatorKeyFile);
+    std::getline(file, s.operatorKey);
+    if (!file && s.operatorKey.empty())
+      return addFault(result.faults, "operator-key-file", "cannot be read or is empty");
+  }
+  constexpr std::size_t MinKeyLength = 16;
+  if (s.operatorKey.size() < MinKeyLength)
+    result.faults.emplace_back("operators' key: needs at least 16 characters, from "
+                               "--operator-key-file or CATKIN_OPERATOR_KEY");
+}
+
+template <class Names> std::string joined(const Names &names) {
+  std::string text;
+  for (auto &it : names)
+    text += (text.empty() ? "" : ", ") + std::string(it);
+  return text;
+}
+
+void checkChoice(const char *flag, const std::string &value, const std::vector<std::string> &known,
+                 Faults &faults) {
+  if (std::find(known.begin(), known.end(), value) == known.end())
+    addFault(faults, flag, "\"" + value + "\" is not one of: " + joined(known));
+}
+
+void checkAddresses(Settings &s, Faults &faults) {
+  if (s.advertise.empty())
+    s.advertise = s.listen;
+  if (s.peerAdvertise.empty())
+    s.peerAdvertise = s.peerListen;
+  if (s.advertise.ip == "0.0.0.0")
+    addFault(faults, "advertise", "is required when --listen is 0.0.0.0");
+  if (s.peerAdvertise.ip == "0.0.0.0")
+    addFault(faults, "peer-advertise", "is required when --peer-listen is 0.0.0.0");
+  std::set<Address> own;
+  for (auto *it : {&s.listen, &s.peerListen, &s.operatorListen})
+    if (!it->empty() && !own.insert(*it).second)
+      faults.push_back("--listen, --peer-listen and --operator-listen must differ: " +
+                       it->toString() + " is given twice");
+  std::erase(s.peers, s.peerAdvertise);
+}
+
+void checkTogether(SettingsResult &result) {
+  auto &s = result.settings;
+  auto &faults = result.faults;
+  checkChoice("log-level", s.logLevel, {"debug", "info", "warn", "error"}, faults);
+  checkChoice("retention", s.retention, retentionPolicyNames(), faults);
+  checkChoice("placement", s.placement, placementPolicyNames(), faults);
+  checkAddresses(s, faults);
+  for (auto [flag, name] : {std::pair("host", &s.host), std::pair("data-centre", &s.dataCentre)})
+    if (name->size() > config::MaxNameLength)
+      addFault(faults, flag, "is too long");
+  if (s.defaultDeadline > s.maxDeadline)
+    addFault(faults, "default-deadline-ms", "must not exceed --max-deadline-ms");
+  if (s.stopTimeout < s.maxDeadline)
+    addFault(faults, "stop-timeout-s",
+             "must not be below --max-deadline-ms, or a planned stop would cut off requests");
+}
+
+boost::json::value describe(const Settings &s, std::string Settings::*member) {
+  return boost::json::string(s.*member);
+}
+boost::json::value describe(const Settings &s, Address Settings::*member) {
+  return boost::json::string((s.*member).empty() ? "" : (s.*member).toString());
+}
+boost::json::value describe(const Settings &s, std::vector<Address> Settings::*member) {
+  boost::json::array list;
+  for (auto &it : s.*member)
+    list.emplace_back(it.toString());
+  return list;
+}
+boost::json::value describe(const Settings &s, int Settings::*member) { return s.*member; }
+boost::json::value describe(const Settings &s, double Settings::*member) { return s.*member; }
+boost::json::value describe(const Settings &s, Duration Settings::*member) {
+  return toSeconds(s.*member);
+}
+
+} // namespace
+
+SettingsResult readSettings(int argc, const char *const *argv) {
+  SettingsResult result;
+  CLI::App app{"catkind, the host daemon of catkinthread"};
+  app.set_help_flag();
+  app.allow_extras();
+  app.add_flag("--help,-h", result.help, "print this text and exit");
+  app.add_flag("--version", result.version, "print the version and exit");
+  app.add_flag("--check", result.check, "check the settings and exit");
+  std::vector<std::string> unused;
+  std::vector<std::pair<const Spec *, CLI::Option *>> options;
+  for (auto &it : specs()) {
+    auto *option = app.add_option("--" + std::string(it.flag), unused, it.help);
+    // The checks below report a missing or repeated value together with all other faults.
+    option->expected(0, 1)->multi_option_policy(CLI::MultiOptionPolicy::TakeAll);
+    option->envname(environmentName(it.flag));
+    options.emplace_back(&it, option);
+  }
+  result.helpText = app.help();
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError &e) {
+    result.faults.emplace_back(e.what());
+    return result;
+  }
+  if (result.help || result.version)
+    return result;
+  for (auto &[spec, option] : options)
+    readValue(*spec, *option, result);
+  listUnknown(app.remaining(), result.faults);
+  readOperatorKey(result);
+  checkTogether(result);
+  return result;
+}
+
+std::string describeSettings(const Settings &settings) {
+  boost::json::object out;
+  for (auto &it : specs())
+    out[it.flag] = std::visit([&](auto member) { return describe(settings, member); }, it.member);
+  return boost::json::serialize(out);
+}
+
+} // namespace catkin
