--- a/src/config.h
+++ b/src/config.h
@@ -13,6 +13,11 @@
 constexpr std::size_t MaxHeaderBytes = 16 * 1024;
 constexpr std::size_t MaxBodyBytes = 1024 * 1024;
 constexpr std::size_t MaxListBytes = 1000 * 1000; // the platform holds values up to a megabyte
+constexpr std::size_t MaxListDepth = 8;
+constexpr std::uint64_t MaxGrantModels = 100'000;
+constexpr std::uint64_t MaxGrantConcurrency = 1'000'000;
+constexpr double MaxGrantTokensPerSecond = 1e9;
+constexpr std::uint64_t MaxBytesInLists = 1ULL << 50; // of a model or of a grant
 constexpr std::size_t MaxConnectionsPerHost = 4096;
 constexpr std::size_t MaxNameLength = 128;
 constexpr std::size_t MaxIdempotencyKeyLength = 256;
@@ -25,17 +30,36 @@
 constexpr auto LeaseHolderMargin = 500ms;
 constexpr auto LeaseCandidateMargin = 500ms;
 constexpr std::size_t LeaseCandidates = 3;
+constexpr int LeaseReleaseAttempts = 20;
+constexpr auto LeaseReleaseRetry = 50ms;
 
 // Control loop between hosts.
 constexpr auto SyncMaxWait = 1000ms;
+constexpr auto SyncRetry = 200ms;
+constexpr auto SyncPokeInterval = 50ms; // at most this often besides the long poll
+constexpr auto ControlTick = 50ms;
+constexpr auto PlannerLostAfter = 1500ms;      // then this host looks at the lease itself
+constexpr auto RefuseWithoutPlannerAfter = 8s; // longer than an ordinary failover
 constexpr auto MemberTimeout = 3000ms;
 constexpr auto HostListInterval = 2000ms;
 constexpr auto EndpointStatusInterval = 1000ms;
 constexpr auto RpcTimeout = 2000ms;
 constexpr auto OrderTimeout = 2000ms;
 constexpr auto PlatformTimeout = 2000ms;
+constexpr int OperatorWriteAttempts = 5;
 constexpr auto ConfigWatchWait = 30s;
 
+// Shares. The platform takes several hundred writes a second for everything; a transfer is one
+// write.
+constexpr double ShareWritesPerSecond = 20.0;
+constexpr auto SharePlanInterval = 500ms; // between two rebalancing writes of one plan
+constexpr auto ShareRetryInterval = 500ms;
+
+// Configuration.
+constexpr auto ConfigRetryInterval = 500ms;
+constexpr auto EditTimeout = 15s; // until an edit with lost replies is answered `unknown`
+constexpr std::size_t RememberedEdits = 64;
+
 // Weight store: what it serves at full speed.
 constexpr int WeightStoreConcurrentLoads = 4;
 constexpr double WeightStoreLoadsPerSecond = 2.0;
@@ -68,11 +92,18 @@
 constexpr auto DefaultDeadline = 30s;
 constexpr auto MaxDeadline = 120s;
 constexpr auto SilenceTimeout = 2000ms;
+constexpr auto ServiceSilenceTimeout = 10s; // a plain service sends nothing while it works
+constexpr auto CallerCheckInterval = 50ms;  // how often a waiting request looks for a caller gone
+constexpr auto AdmissionInterval = 10ms;
+constexpr auto EnsureInterval = 1s; // a waiting request asks again, in case the planner changed
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t PrefixHintBytes = 512; // of the prompt; shared beginnings are mostly longer
 constexpr auto ConnectTimeout = 500ms;
 constexpr int EjectAfterFailures = 3;
 constexpr auto EjectionTime = 5s;
 constexpr double RetryRatio = 0.1; // retries allowed as a share of requests
 constexpr double RetryFloorPerSecond = 3.0;
+constexpr double RetryBurst = 30.0; // enough to resume the streams of one lost endpoint at once
 constexpr std::size_t MaxWaitingPerPlan = 1024;
 constexpr auto AddressesMaxAge = 5s;
 constexpr auto GracefulStopTimeout = 130s; // longer than the longest request
@@ -80,5 +111,10 @@
 // Non-idempotent calls.
 constexpr std::size_t MaxStoredAnswerBytes = 64 * 1024;
 constexpr auto CallRecordRetention = 24h;
+constexpr auto CallWatchWait = 1000ms; // a watch does not report that a claim was erased
+constexpr auto CallRetryMin = 100ms;
+constexpr auto CallRetryMax = 5000ms;
+constexpr auto CallRetryAfter = 2000ms; // told to callers while claims cannot be recorded
+constexpr std::size_t MaxExpiredPerRun = 200;
 
 } // namespace catkin::config
