--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -260,7 +260,7 @@
   void advance(Endpoint &ep);
   void learnLoad(const Replica &r);
   void addReplica(Endpoint &ep, Replica r);
-  void dropReplica(Endpoint &ep, const ModelName &model, std::string_view reason, bool again);
+  void dropReplica(Endpoint &ep, const ModelName &dropped, std::string_view reason, bool again);
   void publish(Endpoint &ep, const Replica &r);
   void publishAll(Endpoint &ep);
   void classify(Endpoint &ep);
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -80,12 +80,14 @@
 }
 
 /// Ends a replica. With `again`, a model that is still needed is placed anew.
-void Planner::Impl::dropReplica(Endpoint &ep, const ModelName &model, std::string_view reason,
+void Planner::Impl::dropReplica(Endpoint &ep, const ModelName &dropped, std::string_view reason,
                                 bool again) {
-  auto it = ep.replicas.find(model);
+  auto it = ep.replicas.find(dropped);
   if (it == ep.replicas.end())
     return;
+  // `dropped` may be part of the replica that is erased.
   auto r = std::move(it->second);
+  const auto &model = r.model;
   ep.replicas.erase(it);
   models[model].endpoints.erase(ep.name);
   table.remove(model, ep.name);
