--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -275,6 +275,8 @@
   return found;
 }
 
+std::size_t Planner::ordersInFlight() const { return impl->ordersInFlight; }
+
 PlannerStats Planner::stats() const {
   auto s = impl->counters;
   s.replicas = s.loadsUnderWay = 0;
--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -172,6 +172,7 @@
   Instant lastPrewarm{};
   Instant lastTick{};
   std::size_t claimsInFlight = 0;
+  std::size_t ordersInFlight = 0; ///< of all sessions
   std::set<EndpointName> unclaimed;
   std::set<EndpointName> active;    ///< endpoints with a replica that is not simply loaded
   std::set<EndpointName> populated; ///< endpoints with replicas
@@ -240,6 +241,7 @@
 
   // planner_orders.cpp: orders, polls and the release protocol.
   bool mayOrder(const Endpoint &ep) const;
+  void send(const Endpoint &ep, const EngineOrder &order, OrderDone done);
   void beginLoad(Endpoint &ep, Replica &r);
   void onIntentRecorded(const EndpointName &name, const ModelName &model, const std::string &id,
                         bool ok);
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -108,6 +108,19 @@
   classify(ep);
 }
 
+// ---- Orders ------------------------------------------------------------------------------------
+
+void Planner::Impl::send(const Endpoint &ep, const EngineOrder &order, OrderDone done) {
+  ++ordersInFlight;
+  auto answered = [weak = weak_from_this(), done = std::move(done)](OrderStatus status,
+                                                                    const EndpointReport &report) {
+    if (auto self = weak.lock())
+      --self->ordersInFlight;
+    done(status, report);
+  };
+  env.engines().order(ep.address, order, answered);
+}
+
 // ---- Load --------------------------------------------------------------------------------------
 
 void Planner::Impl::beginLoad(Endpoint &ep, Replica &r) {
@@ -171,7 +184,7 @@
     else if (status == OrderStatus::StaleTerm)
       self.onStaleTerm();
   };
-  env.engines().order(ep.address, order, inSession(done));
+  send(ep, order, inSession(done));
 }
 
 void Planner::Impl::onLoadAnswer(Endpoint &ep, Replica &r, OrderStatus status,
@@ -316,7 +329,7 @@
     else if (status == OrderStatus::StaleTerm)
       self.onStaleTerm();
   };
-  env.engines().order(ep.address, order, inSession(done));
+  send(ep, order, inSession(done));
 }
 
 void Planner::Impl::onUnloadAnswer(Endpoint &ep, Replica &r, OrderStatus status,
--- a/src/planner_p.h
+++ b/src/planner_p.h
@@ -94,6 +94,9 @@
   std::map<EndpointName, std::vector<PlannedReplica>> replicas() const;
   std::vector<EndpointReport> endpointReports() const;
   PlannerStats stats() const;
+  /// Orders sent and not yet answered, of this and earlier terms. A former holder may acknowledge a
+  /// newer term only when there are none: the new planner then drops what it kept for them.
+  std::size_t ordersInFlight() const;
 
 private:
   struct Impl;
--- a/src/planner_recovery.cpp
+++ b/src/planner_recovery.cpp
@@ -180,7 +180,7 @@
       self.sendClaims();
       self.becomeReadyIfRecovered();
     };
-    env.engines().order(ep->address, order, inSession(done));
+    send(*ep, order, inSession(done));
   }
 }
 
--- /dev/null
+++ b/tests/checkers_helper.cpp
@@ -0,0 +1,233 @@
+#include "checkers_p.h"
+
+#include <boost/json.hpp>
+
+#include <optional>
+#include <set>
+
+namespace catkin::harness {
+
+namespace {
+
+// A planner notices within this time that the platform answers again, and then records what it
+// ordered meanwhile.
+constexpr Duration OutageGrace = std::chrono::seconds(5);
+
+std::string describe(const Event &e, const std::string &what) {
+  return std::to_string(toSeconds(e.time.time_since_epoch())) + "s " +
+         std::string(toString(e.kind)) + " model " + e.model + " on " + e.endpoint + " term " +
+         std::to_string(e.term) + " by " + e.host + ": " + what;
+}
+
+std::optional<std::string> recordedEndpoint(const Event &e) {
+  constexpr std::string_view prefix = "endpoints/";
+  if (e.kind != EventKind::Write || !e.endpoint.starts_with(prefix))
+    return std::nullopt;
+  return e.endpoint.substr(prefix.size());
+}
+
+std::set<std::string> recordedModels(const std::string &text) {
+  std::set<std::string> names;
+  auto value = boost::json::parse(text);
+  for (auto &it : value.at("replicas").as_array())
+    names.insert(std::string(it.at("model").as_string()));
+  return names;
+}
+
+/// Replays which models are on which engine.
+struct Holdings {
+  std::map<std::string, std::map<std::string, std::uint64_t>> models;
+
+  void apply(const Event &e) {
+    if (e.kind == EventKind::LoadStarted)
+      models[e.endpoint][e.model] = e.number;
+    else if (e.kind == EventKind::Unloaded)
+      models[e.endpoint].erase(e.model);
+    else if (e.kind == EventKind::EngineDied)
+      models.erase(e.endpoint);
+  }
+};
+
+/// Replays whether a host could reach the platform lately.
+class Outages {
+public:
+  void apply(const Event &e) {
+    if (e.kind != EventKind::Custom)
+      return;
+    if (e.detail == mark::PlatformDown)
+      ++down[e.host];
+    else if (e.detail == mark::PlatformUp) {
+      --down[e.host];
+      end[e.host] = e.time;
+    }
+  }
+  bool coversHost(const std::string &host, Instant now) {
+    return covers(host, now) || covers("", now);
+  }
+
+private:
+  bool covers(const std::string &host, Instant now) {
+    return down[host] > 0 || (end.contains(host) && now - end[host] <= OutageGrace);
+  }
+  std::map<std::string, int> down;
+  std::map<std::string, Instant> end;
+};
+
+/// Newest term by writes to planner/lease.
+std::optional<std::uint64_t> leaseTerm(const Event &e) {
+  if (e.kind != EventKind::Write || e.endpoint != "planner/lease")
+    return std::nullopt;
+  return boost::json::parse(e.detail).at("term").to_number<std::uint64_t>();
+}
+
+class DecidedChecker {
+public:
+  explicit DecidedChecker(const EngineFactsByName &facts) : engines(facts) {}
+
+  void apply(const Event &e) {
+    outages.apply(e);
+    if (auto term = leaseTerm(e); term && *term > newestTerm) {
+      newestTerm = *term;
+      readable = recorded;
+    }
+    if (auto name = recordedEndpoint(e))
+      onRecord(*name, e);
+    if (e.kind == EventKind::LoadStarted)
+      onLoad(e);
+    if (e.kind == EventKind::EngineDied) {
+      seenTerm.erase(e.endpoint);
+      excused.erase(e.endpoint);
+    }
+    if (e.kind == EventKind::OrderRefused || e.kind == EventKind::Unloaded)
+      seenTerm[e.endpoint] = std::max(seenTerm[e.endpoint], e.term);
+    holdings.apply(e);
+  }
+
+  std::vector<std::string> found;
+
+private:
+  void onRecord(const std::string &name, const Event &e) {
+    recorded[name] = recordedModels(e.detail);
+    for (auto &[model, bytes] : holdings.models[name]) {
+      if (recorded[name].contains(model))
+        excused[name].erase(model);
+      else if (!excused[name].contains(model))
+        found.push_back(describe(e, "the record no longer names " + model + ", which is loaded"));
+    }
+  }
+
+  void onLoad(const Event &e) {
+    auto &facts = engines.at(e.endpoint);
+    auto &seen = seenTerm[e.endpoint];
+    bool newest = e.term >= seen;
+    seen = std::max(seen, e.term);
+    if (!recorded[e.endpoint].contains(e.model)) {
+      if (facts.checksFencing && newest && outages.coversHost(e.host, e.time))
+        excused[e.endpoint].insert(e.model);
+      else
+        found.push_back(describe(e, "loaded without a recorded intent"));
+      return;
+    }
+    if (!facts.checksFencing && e.term < newestTerm && !readable[e.endpoint].contains(e.model))
+      found.push_back(describe(e, "ordered by an ended term, unknown to the newest"));
+  }
+
+  const EngineFactsByName &engines;
+  Holdings holdings;
+  Outages outages;
+  std::uint64_t newestTerm = 0;
+  std::map<std::string, std::set<std::string>> recorded;
+  std::map<std::string, std::set<std::string>> readable; ///< when the newest term began
+  std::map<std::string, std::set<std::string>> excused;  ///< ordered during an outage
+  std::map<std::string, std::uint64_t> seenTerm;
+};
+
+} // namespace
+
+EngineFactsByName factsOf(World &world) {
+  EngineFactsByName facts;
+  for (auto &[name, it] : world.engines())
+    facts[name.value] = {.memoryBytes = it.memoryBytes, .checksFencing = it.checksFencing};
+  return facts;
+}
+
+std::vector<std::string> checkDecided(const std::vector<Event> &history,
+                                      const EngineFactsByName &engines) {
+  DecidedChecker checker(engines);
+  for (auto &e : history)
+    checker.apply(e);
+  return checker.found;
+}
+
+std::vector<std::string> checkMemory(const std::vector<Event> &history,
+                                     const EngineFactsByName &engines) {
+  std::vector<std::string> found;
+  Holdings holdings;
+  for (auto &e : history) {
+    holdings.apply(e);
+    if (e.kind != EventKind::LoadStarted)
+      continue;
+    std::uint64_t sum = 0;
+    for (auto &[model, bytes] : holdings.models[e.endpoint])
+      sum += bytes;
+    if (sum > engines.at(e.endpoint).memoryBytes)
+      found.push_back(describe(e, std::to_string(sum) + " bytes are loaded"));
+  }
+  return found;
+}
+
+std::vector<std::string> checkOneLoad(const std::vector<Event> &history) {
+  std::vector<std::string> found;
+  std::map<std::string, std::set<std::string>> loading; // model -> engines
+  for (auto &e : history) {
+    if (e.kind == EventKind::LoadStarted) {
+      if (!loading[e.model].empty())
+        found.push_back(describe(e, "also being loaded on " + *loading[e.model].begin()));
+      loading[e.model].insert(e.endpoint);
+    }
+    if (e.kind == EventKind::LoadReady || e.kind == EventKind::Unloaded)
+      loading[e.model].erase(e.endpoint);
+    if (e.kind == EventKind::EngineDied)
+      for (auto &[model, names] : loading)
+        names.erase(e.endpoint);
+  }
+  return found;
+}
+
+std::vector<std::string> checkReleases(const std::vector<Event> &history) {
+  std::vector<std::string> found;
+  std::set<std::pair<std::string, std::string>> unloaded; // by order, not since loaded or died
+  for (auto &e : history) {
+    std::pair key{e.endpoint, e.model};
+    if (e.kind == EventKind::Unloaded)
+      unloaded.insert(key);
+    if (e.kind == EventKind::LoadStarted)
+      unloaded.erase(key);
+    if (e.kind == EventKind::EngineDied)
+      std::erase_if(unloaded, [&](auto &it) { return it.first == e.endpoint; });
+    if (e.kind == EventKind::Custom && e.detail == mark::RequestArrived && unloaded.contains(key))
+      found.push_back(describe(e, "a request arrived after the model was unloaded"));
+  }
+  return found;
+}
+
+std::vector<std::string> checkLeaving(const std::vector<Event> &history, Duration grace) {
+  std::vector<std::string> found;
+  std::map<std::string, Instant> since;
+  std::uint64_t newest = 0;
+  for (auto &e : history) {
+    if (auto term = leaseTerm(e))
+      newest = std::max(newest, *term);
+    if (e.kind == EventKind::Custom && e.detail == mark::Leaving)
+      since[e.endpoint] = e.time;
+    if (e.kind == EventKind::Custom && e.detail == mark::Returned)
+      since.erase(e.endpoint);
+    if (e.kind != EventKind::LoadStarted || e.term < newest || !since.contains(e.endpoint))
+      continue;
+    if (e.time - since[e.endpoint] > grace)
+      found.push_back(describe(e, "a load began on a leaving endpoint"));
+  }
+  return found;
+}
+
+} // namespace catkin::harness
--- /dev/null
+++ b/tests/checkers_p.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "harness_p.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+/// History checkers of the replica promises. They read only what engines and the platform saw:
+/// engine events, writes to endpoints/<name> and planner/lease, the platform's outages and its host
+/// list. Each gives one line per violation.
+namespace catkin::harness {
+
+/// Events of kind Custom that a scenario adds; the field `detail` is one of these.
+namespace mark {
+constexpr auto PlatformDown = "platform_down"; ///< for `host`; empty: for all
+constexpr auto PlatformUp = "platform_up";     ///< for `host`; empty: for all
+constexpr auto Leaving = "leaving";            ///< `endpoint` is listed as leaving
+constexpr auto Returned = "returned";          ///< `endpoint` is listed as live again
+constexpr auto RequestArrived = "request";     ///< `endpoint` got a request for `model`
+} // namespace mark
+
+/// What a checker knows about an engine besides its events.
+struct EngineFacts {
+  std::uint64_t memoryBytes = 0;
+  bool checksFencing = true;
+};
+using EngineFactsByName = std::map<std::string, EngineFacts>;
+EngineFactsByName factsOf(World &world);
+
+/// P1: each model on an engine was decided: its intent is recorded when the load begins and as long
+/// as it is there. On an engine that checks fencing, an order of the newest term that engine has
+/// seen counts as decided while its sender cannot reach the platform. On one that does not, an
+/// order of an ended term counts only if the planner of the newest term could read it when it
+/// began.
+std::vector<std::string> checkDecided(const std::vector<Event> &history,
+                                      const EngineFactsByName &engines);
+/// P2: the models on an engine never exceed its memory.
+std::vector<std::string> checkMemory(const std::vector<Event> &history,
+                                     const EngineFactsByName &engines);
+/// P1 in a burst: while a load of a model is under way, no other engine begins to load it.
+std::vector<std::string> checkOneLoad(const std::vector<Event> &history);
+/// Release protocol: no request arrives at an engine that has unloaded the model by order.
+std::vector<std::string> checkReleases(const std::vector<Event> &history);
+/// P7: an engine that has been listed as leaving for `grace` begins no load of the newest term.
+std::vector<std::string> checkLeaving(const std::vector<Event> &history, Duration grace);
+
+} // namespace catkin::harness
--- /dev/null
+++ b/tests/replica_scenario_helper.cpp
@@ -0,0 +1,458 @@
+#include "replica_scenario_p.h"
+
+#include "checkers_p.h"
+#include "planner_world_p.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace catkin::harness {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// As the real lease: the holder's limit ends 0.5 s before the TTL, a candidate waits 0.5 s longer.
+constexpr Duration OrderLimit = 2500ms;
+constexpr Duration TakeoverAfter = 3500ms;
+constexpr Duration RenewInterval = 1s;
+constexpr Duration Step = 50ms;
+constexpr Duration LeavingGrace = 4s; // the host list is read every 0.1 s here
+
+class Scenario {
+public:
+  explicit Scenario(const ReplicaScenarioOptions &o) : options(o), world(o.seed) {}
+
+  ReplicaScenarioResult run() {
+    addEngines();
+    for (int i = 0; i < 2; ++i)
+      hosts.push_back(makeHost(i));
+    clients.resize(3);
+    world.run(50ms);
+    takeOver(0);
+    for (auto end = world.now() + std::chrono::seconds(options.seconds); world.now() < end;) {
+      world.run(Step);
+      step();
+    }
+    return judge();
+  }
+
+private:
+  struct Client {
+    RouteTable table;
+    std::uint64_t term = 0;
+    std::shared_ptr<PlannerHost> planner; ///< as of the last sync
+    Instant nextSync{};
+    std::map<std::string, int> inFlight;
+  };
+  struct Pending {
+    Instant at;
+    Task task;
+  };
+
+  std::uint64_t pick(std::uint64_t n) { return world.random() % n; }
+  Duration between(Duration a, Duration b) {
+    return a + Duration(static_cast<std::int64_t>(
+                   pick(static_cast<std::uint64_t>((b - a).count()) + 1)));
+  }
+  void later(Duration d, Task task) { world.schedule(d, std::move(task)); }
+  void mark(const char *what, const std::string &host, const std::string &endpoint,
+            const std::string &model = {}) {
+    world.record({.kind = EventKind::Custom,
+                  .host = host,
+                  .endpoint = endpoint,
+                  .model = model,
+                  .detail = what});
+  }
+
+  void addEngines() {
+    for (int i = 0; i < 5; ++i) {
+      auto e = makeEngine(i, 20 * GB, pick(2) == 0);
+      e.refusesOvercommit = pick(4) == 0;
+      e.loadTime = between(500ms, 4s);
+      world.addEngine(e);
+    }
+    std::vector<Model> models;
+    for (int i = 0; i < 7; ++i)
+      models.push_back({.name = ModelName("m" + std::to_string(i)), .bytes = (5 + pick(5)) * GB});
+    for (int i = 0; i < 2; ++i)
+      models.push_back(
+          {.name = ModelName("a" + std::to_string(i)), .base = ModelName("m0"), .bytes = GB / 10});
+    for (auto &it : models)
+      names.push_back(it.name.value);
+    lists = makeLists(2, {.models = 8, .acceleratorBytes = 80 * GB}, models);
+  }
+
+  std::shared_ptr<PlannerHost> makeHost(int i) {
+    PlannerOptions o{.retention = "fixed",
+                     .placement = pick(2) == 0 ? "cost" : "first_fit",
+                     .guards = options.guards};
+    o.weights.fixedKeepAlive = between(2s, 8s);
+    auto h = std::make_shared<PlannerHost>(world, "h" + std::to_string(i), o);
+    h->acknowledgeAll = false;
+    h->start(lists);
+    return h;
+  }
+
+  // ---- Lease -----------------------------------------------------------------------------------
+
+  std::shared_ptr<PlannerHost> leader() { return hosts[leaderIndex]; }
+  bool running(const PlannerHost &h) { return h.process->alive() && !h.process->frozen(); }
+  bool reachesPlatform(const PlannerHost &h) {
+    return !world.faults().platformDown && !cutHosts.contains(h.process->name().value);
+  }
+
+  void takeOver(std::size_t index) {
+    leaderIndex = index;
+    ++term;
+    ++result.takeovers;
+    lastRenewal = world.now();
+    world.putObject("planner/lease", "{\"term\":" + std::to_string(term) + "}");
+    world.history().back().endpoint = "planner/lease";
+    leader()->lead(term, formerHolders.empty(), OrderLimit);
+    formerHolders.push_back(leader());
+  }
+
+  void renewOrTakeOver() {
+    auto now = world.now();
+    auto h = leader();
+    if (running(*h) && reachesPlatform(*h) && h->planner->leading() &&
+        now - lastRenewal < TakeoverAfter) {
+      if (now - lastRenewal < RenewInterval)
+        return;
+      lastRenewal = now;
+      h->planner->setOrderLimit(now + OrderLimit);
+      return;
+    }
+    auto other = hosts[1 - leaderIndex];
+    if (now - lastRenewal < TakeoverAfter)
+      return;
+    if (running(*other) && reachesPlatform(*other))
+      takeOver(1 - leaderIndex);
+    else if (running(*h) && reachesPlatform(*h))
+      takeOver(leaderIndex);
+  }
+
+  /// A former holder has ended when its host was replaced, or when it acknowledged the new term,
+  /// which it does only when its orders were answered.
+  void noteEndedHolders() {
+    bool changed = std::erase_if(formerHolders, [&](auto &h) {
+                     if (h == leader() && h->planner->leading() && h->planner->term() == term)
+                       return false;
+                     if (replaced(h))
+                       return true;
+                     if (!running(*h))
+                       return false;
+                     if (h->planner->leading() && h->planner->term() < term) {
+                       // Learns of the new term after a while.
+                       if (pick(10) == 0)
+                         h->planner->resign();
+                       return false;
+                     }
+                     return h->planner->ordersInFlight() == 0;
+                   }) > 0;
+    bool onlyLeader =
+        formerHolders.empty() || (formerHolders.size() == 1 && formerHolders[0] == leader());
+    if ((changed || onlyLeader) && onlyLeader && running(*leader()))
+      leader()->planner->formerHolderEnded();
+  }
+
+  bool replaced(const std::shared_ptr<PlannerHost> &h) {
+    return std::find(hosts.begin(), hosts.end(), h) == hosts.end();
+  }
+
+  // ---- Hosts that send requests ----------------------------------------------------------------
+
+  void sync(Client &c) {
+    if (world.now() < c.nextSync)
+      return;
+    c.nextSync = world.now() + between(50ms, 500ms);
+    auto h = leader();
+    if (!running(*h) || !h->planner->leading())
+      return;
+    c.planner = h;
+    SyncReply reply;
+    auto &table = h->planner->table();
+    table.fillDelta(c.term == h->planner->term() ? c.table.version() : 0, reply);
+    c.term = h->planner->term();
+    c.table.apply(reply);
+    std::vector<ModelLoad> loads;
+    for (auto &[model, n] : c.inFlight)
+      if (n > 0)
+        loads.push_back({.model = ModelName(model), .arrivals = 1, .inFlight = n});
+    h->planner->onModelLoads(HostName("c" + std::to_string(&c - clients.data())), loads);
+    std::uint64_t lowest = table.version();
+    for (auto &it : clients)
+      lowest = std::min(lowest, it.term == h->planner->term() ? it.table.version() : 0);
+    h->planner->setAcknowledgedVersion(lowest);
+  }
+
+  void request(Client &c) {
+    if (pick(10) != 0)
+      return;
+    auto model = names[pick(names.size())];
+    for (auto &it : c.table.entriesOf(ModelName(model)))
+      if (it.state == ReplicaState::Loaded && !it.leaving)
+        return arrive(c, it);
+    if (running(*leader()))
+      leader()->ensure(pick(2) == 0 ? "p0" : "p1", model, between(5s, 30s));
+  }
+
+  void arrive(Client &c, const RouteEntry &entry) {
+    auto &engine = world.engine(entry.endpoint);
+    if (!engine.alive)
+      return;
+    ++result.requests;
+    mark(mark::RequestArrived, "", entry.endpoint.value, entry.model.value);
+    auto it = engine.models.find(entry.model);
+    if (it == engine.models.end() || !it->second.ready)
+      return;
+    ++it->second.inFlight;
+    ++c.inFlight[entry.model.value];
+    later(between(50ms, 3s), [this, &c, entry, incarnation = engine.incarnation] {
+      --c.inFlight[entry.model.value];
+      auto &e = world.engine(entry.endpoint);
+      auto held = e.models.find(entry.model);
+      if (e.incarnation == incarnation && e.alive && held != e.models.end() &&
+          held->second.inFlight > 0)
+        --held->second.inFlight;
+    });
+  }
+
+  // ---- Faults ----------------------------------------------------------------------------------
+
+  void replaceHost(std::size_t i) {
+    world.kill(hosts[i]->process);
+    setCut(hosts[i]->process->name().value, false);
+    later(between(500ms, 8s), [this, i, old = hosts[i]] {
+      if (hosts[i] == old)
+        hosts[i] = makeHost(static_cast<int>(i));
+    });
+  }
+
+  void thawLater(const std::shared_ptr<PlannerHost> &h) {
+    later(between(1s, 15s), [this, h] {
+      if (h->process->frozen())
+        world.thaw(h->process);
+    });
+  }
+
+  void freezeAtOrder() {
+    auto h = leader();
+    world.freezeAtNextOrder(h->process);
+    waitingForFreeze.push_back(h);
+  }
+
+  void setDown(bool down) {
+    if (world.faults().platformDown == down)
+      return;
+    world.faults().platformDown = down;
+    mark(down ? mark::PlatformDown : mark::PlatformUp, "", "");
+  }
+
+  void setCut(const std::string &host, bool cut) {
+    if (cut == cutHosts.contains(host))
+      return;
+    if (cut) {
+      cutHosts.insert(host);
+      world.cut(host, "platform");
+    } else {
+      cutHosts.erase(host);
+      world.heal(host, "platform");
+    }
+    mark(cut ? mark::PlatformDown : mark::PlatformUp, host, "");
+  }
+
+  void killEngine() {
+    EndpointName name("e" + std::to_string(pick(5)));
+    if (!world.engine(name).alive)
+      return;
+    world.killEngine(name);
+    later(between(200ms, 5s), [this, name] { world.reviveEngine(name); });
+  }
+
+  void leave() {
+    EndpointName name("e" + std::to_string(pick(5)));
+    auto &e = world.engine(name);
+    ListedNode node{.kind = ListedKind::Engine,
+                    .name = name.value,
+                    .address = e.address,
+                    .dataCentre = e.dataCentre,
+                    .liveness = Liveness::Leaving};
+    if (!leaving.insert(name.value).second)
+      return;
+    world.setNode(node);
+    mark(mark::Leaving, "", name.value);
+    node.liveness = Liveness::Live;
+    later(between(5s, 20s), [this, node] {
+      world.setNode(node);
+      mark(mark::Returned, "", node.name);
+      leaving.erase(node.name);
+    });
+  }
+
+  void badNetwork() {
+    auto &f = world.faults();
+    f.dropMessage = static_cast<double>(pick(6)) / 100;
+    f.duplicateMessage = static_cast<double>(pick(30)) / 100;
+    f.messageJitter = between(0ms, 20ms);
+    f.loseWriteReply = static_cast<double>(pick(20)) / 100;
+    f.loseRequest = static_cast<double>(pick(10)) / 100;
+    f.platformDelay = between(1ms, 50ms);
+  }
+
+  void cutEngine() {
+    auto host = "h" + std::to_string(pick(2));
+    auto engine = "e" + std::to_string(pick(5));
+    world.cut(host, engine);
+    later(between(500ms, 6s), [this, host, engine] { world.heal(host, engine); });
+  }
+
+  void resignLeader() {
+    auto h = leader();
+    if (!running(*h) || !reachesPlatform(*h))
+      return;
+    h->planner->resign();
+    lastRenewal = world.now() - TakeoverAfter; // the lease was released
+  }
+
+  void injectFault() {
+    ++result.faults;
+    switch (pick(12)) {
+    case 0:
+      return replaceHost(leaderIndex);
+    case 1:
+    case 2:
+      return freezeAtOrder();
+    case 3: {
+      auto h = leader();
+      world.freeze(h->process);
+      return thawLater(h);
+    }
+    case 4:
+      setDown(true);
+      return later(between(500ms, 15s), [this] { setDown(false); });
+    case 5: {
+      auto name = leader()->process->name().value;
+      setCut(name, true);
+      return later(between(1s, 12s), [this, name] { setCut(name, false); });
+    }
+    case 6:
+    case 7:
+      return killEngine();
+    case 8:
+      return leave();
+    case 9:
+      return badNetwork();
+    case 10:
+      return cutEngine();
+    default:
+      return resignLeader();
+    }
+  }
+
+  void step() {
+    renewOrTakeOver();
+    noteEndedHolders();
+    std::erase_if(waitingForFreeze, [&](auto &h) {
+      if (!h->process->frozen())
+        return false;
+      thawLater(h);
+      return true;
+    });
+    for (auto &it : clients) {
+      sync(it);
+      request(it);
+    }
+    if (world.now() < nextFault)
+      return;
+    nextFault = world.now() + between(300ms, 5s);
+    injectFault();
+  }
+
+  ReplicaScenarioResult judge() {
+    auto facts = factsOf(world);
+    auto &history = world.history();
+    auto add = [&](const std::vector<std::string> &found) {
+      result.violations.insert(result.violations.end(), found.begin(), found.end());
+    };
+    add(checkDecided(history, facts));
+    add(checkMemory(history, facts));
+    add(checkReleases(history));
+    add(checkLeaving(history, LeavingGrace));
+    for (auto &e : history) {
+      result.loads += e.kind == EventKind::LoadStarted ? 1 : 0;
+      result.unloads += e.kind == EventKind::Unloaded ? 1 : 0;
+    }
+    return result;
+  }
+
+  ReplicaScenarioOptions options;
+  World world;
+  ListsPtr lists;
+  std::vector<std::string> names;
+  std::vector<std::shared_ptr<PlannerHost>> hosts;
+  std::vector<std::shared_ptr<PlannerHost>> formerHolders; ///< that may still order; newest last
+  std::vector<std::shared_ptr<PlannerHost>> waitingForFreeze;
+  std::vector<Client> clients;
+  std::set<std::string> cutHosts;
+  std::set<std::string> leaving;
+  std::size_t leaderIndex = 0;
+  std::uint64_t term = 0;
+  Instant lastRenewal{};
+  Instant nextFault{};
+  ReplicaScenarioResult result;
+};
+
+} // namespace
+
+ReplicaScenarioResult runReplicaScenario(const ReplicaScenarioOptions &options) {
+  return Scenario(options).run();
+}
+
+ReplicaScenarioResult runBurstScenario(const ReplicaScenarioOptions &options) {
+  World world(options.seed);
+  auto &f = world.faults();
+  f.duplicateMessage = 0.2;
+  f.loseWriteReply = 0.2;
+  f.messageJitter = 5ms;
+  std::vector<Model> models;
+  for (int i = 0; i < 4; ++i)
+    models.push_back({.name = ModelName("m" + std::to_string(i)), .bytes = 5 * GB});
+  for (int i = 0; i < 8; ++i)
+    world.addEngine(makeEngine(i, 20 * GB, i % 2 == 0));
+  world.run(10ms);
+  PlannerOptions o{.retention = "fixed", .placement = "cost", .guards = options.guards};
+  auto host = std::make_shared<PlannerHost>(world, "h0", o);
+  host->start(makeLists(2, {.models = 20, .acceleratorBytes = 200 * GB}, models));
+  world.run(10ms);
+  host->lead(1, true, std::chrono::hours(1));
+  ReplicaScenarioResult result;
+  for (int i = 0; i < 40; ++i) {
+    world.schedule(Duration(static_cast<std::int64_t>(world.random() % 3'000'000)), [&] {
+      ++result.requests;
+      host->ensure("p" + std::to_string(world.random() % 2),
+                   "m" + std::to_string(world.random() % 4));
+    });
+  }
+  world.run(20s);
+  result.violations = checkOneLoad(world.history());
+  for (auto &e : world.history())
+    result.loads += e.kind == EventKind::LoadStarted ? 1 : 0;
+  return result;
+}
+
+int soakReplicas(std::uint64_t first, std::uint64_t count, std::ostream &out) {
+  int failed = 0;
+  for (auto seed = first; seed < first + count; ++seed) {
+    auto found = runReplicaScenario({.seed = seed}).violations;
+    auto burst = runBurstScenario({.seed = seed}).violations;
+    found.insert(found.end(), burst.begin(), burst.end());
+    failed += found.empty() ? 0 : 1;
+    for (auto &it : found)
+      out << "replicas: seed " << seed << ": " << it << "\n";
+  }
+  return failed;
+}
+
+} // namespace catkin::harness
