Record rolled-forward orders in the new term and tell a full endpoint's former orders off

A former planner that wakes could overwrite a record that the new planner had not written yet. A former order that no longer fits is dropped on endpoints that check fencing.

--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -243,6 +243,7 @@
   bool mayOrder(const Endpoint &ep) const;
   void send(const Endpoint &ep, const EngineOrder &order, OrderDone done);
   void beginLoad(Endpoint &ep, Replica &r);
+  void recordIntent(Endpoint &ep, Replica &r);
   void onIntentRecorded(const EndpointName &name, const ModelName &model, const std::string &id,
                         bool ok);
   void sendLoad(Endpoint &ep, Replica &r);
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -125,6 +125,12 @@
 
 void Planner::Impl::beginLoad(Endpoint &ep, Replica &r) {
   ++counters.loadsDecided;
+  recordIntent(ep, r);
+}
+
+/// Also for a former planner's order that is rolled forward: the write makes that planner's own
+/// late writes to the record fail.
+void Planner::Impl::recordIntent(Endpoint &ep, Replica &r) {
   r.phase = Phase::Recording;
   r.term = currentTerm;
   r.orderId = std::to_string(currentTerm) + ":" + std::to_string(++sequence);
@@ -146,13 +152,19 @@
   if (!r || r->phase != Phase::Recording)
     return;
   auto &ep = *find(name);
-  if (!ok && !ep.fencing())
+  bool stays = r->unresolved; // a former planner may still order it
+  if (!ok && !ep.fencing() && !stays)
     return dropReplica(ep, model, "intent could not be recorded", true);
   // The record may have shown another planner's order, which takes the memory.
-  if (ep.committedBytes() > ep.report.memoryBytes)
+  if (ep.committedBytes() > ep.report.memoryBytes && !stays)
     return dropReplica(ep, model, "memory was taken by a former planner's order", true);
   r->phase = Phase::Ordering;
   r->nextTry = env.now();
+  if (!ok && !ep.fencing()) {
+    r->term = 0;
+    r->nextTry += config::OrderRetryInterval;
+    return;
+  }
   answerOwed(ep, *r);
   sendLoad(ep, *r);
 }
@@ -165,6 +177,12 @@
   }
   if (!mayOrder(ep))
     return;
+  // A former planner's order that gives way to what was loaded during an outage, without a record.
+  if (ep.committedBytes() > ep.report.memoryBytes) {
+    if (ep.fencing())
+      dropReplica(ep, r.model, "its memory is taken", true);
+    return;
+  }
   r.orderInFlight = r.everSent = true;
   r.sentAt = env.now();
   ++ep.orderEpoch;
@@ -474,6 +492,8 @@
     bool silent = ep.silentSince != Instant() && now - ep.silentSince > config::EndpointSilentAfter;
     if (silent && !r.everSent)
       dropReplica(ep, name, "endpoint does not answer", true);
+    else if (r.term != currentTerm && mayOrder(ep))
+      recordIntent(ep, r);
     else
       sendLoad(ep, r);
   }
--- a/src/planner_records.cpp
+++ b/src/planner_records.cpp
@@ -81,7 +81,10 @@
 
 void Planner::Impl::flushRecords() {
   auto names = dirtyRecords;
+  int left = config::RecordWritesPerSecond;
   for (auto &name : names) {
+    if (left-- == 0)
+      return;
     auto *ep = find(name);
     if (!ep || ep->recordMalformed) {
       dirtyRecords.erase(name);
--- a/tests/replica_scenario_p.h
+++ b/tests/replica_scenario_p.h
@@ -13,7 +13,8 @@
 struct ReplicaScenarioOptions {
   std::uint64_t seed = 1;
   Guards guards;
-  int seconds = 60; ///< virtual time
+  int seconds = 60;              ///< virtual time
+  std::ostream *trace = nullptr; ///< gets the history and the decisions
 };
 
 struct ReplicaScenarioResult {
