--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -233,6 +233,7 @@
   void markDirty(Endpoint &ep);
   void flushRecords();
   void startWrite(Endpoint &ep);
+  void encodeWrite(Endpoint &ep);
   void sendWrite(Endpoint &ep);
   void onWritten(Endpoint &ep, StoreStatus status, const StoreObject &object);
   void readBack(Endpoint &ep);
--- a/src/planner_records.cpp
+++ b/src/planner_records.cpp
@@ -104,6 +104,11 @@
   dirtyRecords.erase(ep.name);
   ep.refusedWrites = 0;
   ep.writeDone = std::exchange(ep.nextWriteDone, {});
+  encodeWrite(ep);
+  sendWrite(ep);
+}
+
+void Planner::Impl::encodeWrite(Endpoint &ep) {
   ep.writeId = options.host.value + ":" + std::to_string(currentTerm) + ":" +
                std::to_string(++sequence) + ":" + std::to_string(env.random());
   EndpointRecord content{.term = currentTerm, .writeId = ep.writeId};
@@ -115,7 +120,6 @@
     content.replicas.push_back(std::move(copy));
   }
   ep.writeValue = encodeEndpointRecord(content);
-  sendWrite(ep);
 }
 
 void Planner::Impl::sendWrite(Endpoint &ep) {
@@ -157,11 +161,13 @@
   env.platform().get(keyOf(ep), inSession(done));
 }
 
-/// Decides from the stored object whether the write took effect. A write that did not is repeated
-/// with the version that was read, so that the first copy cannot take effect as well.
+/// Decides from the stored object whether the write took effect. One that did not is repeated with
+/// the version that was read, so that the first copy cannot take effect as well, and with what was
+/// decided meanwhile.
 void Planner::Impl::onReadBack(Endpoint &ep, StoreStatus status, const StoreObject &object) {
   if (status == StoreStatus::NotFound) {
     ep.recordVersion = 0;
+    encodeWrite(ep);
     return sendWrite(ep);
   }
   if (status != StoreStatus::Ok)
@@ -174,21 +180,13 @@
   }
   if (stored->term > currentTerm)
     return onStaleTerm();
-  bool newer = object.version != ep.recordVersion;
   ep.recordVersion = object.version;
   if (stored->writeId == ep.writeId)
     return finishWrite(ep, true);
-  // A write of a former planner took effect after this one had read the record.
-  if (newer && stored->term < currentTerm) {
+  // A write of a former planner may have taken effect after this one had read the record.
+  if (stored->term < currentTerm)
     mergeRecord(ep, *stored);
-    EndpointRecord content = *decodeEndpointRecord(ep.writeValue);
-    for (auto &[model, r] : ep.replicas) {
-      auto same = [&](auto &it) { return it.model == model; };
-      if (r.recovered && std::none_of(content.replicas.begin(), content.replicas.end(), same))
-        content.replicas.push_back(r);
-    }
-    ep.writeValue = encodeEndpointRecord(content);
-  }
+  encodeWrite(ep);
   sendWrite(ep);
 }
 
--- a/src/planner_recovery.cpp
+++ b/src/planner_recovery.cpp
@@ -140,6 +140,7 @@
     if (r.phase == Phase::Ordering)
       r.expectedLoad = loadTime(CopySource::Remote, r.bytes, r.isAdapter());
     addReplica(ep, std::move(r));
+    ep.replicas.at(it.model).releaseVersion = table.version();
     markDirty(ep);
   }
 }
--- a/tests/checkers_p.h
+++ b/tests/checkers_p.h
@@ -41,10 +41,12 @@
 /// P1 in a burst: while a load of a model is under way, no other engine begins to load it.
 std::vector<std::string> checkOneLoad(const std::vector<Event> &history);
 /// Release protocol: no request arrives at an engine that has unloaded the model by order. Left out
-/// are unloads of an ended term during an outage: no record tells the next planner, which offers the
-/// replica until it has claimed the endpoint. Such a request is refused as not run and goes elsewhere.
+/// are unloads of an ended term during an outage: no record tells the next planner, which offers
+/// the replica until it has claimed the endpoint. Such a request is refused as not run and goes
+/// elsewhere.
 std::vector<std::string> checkReleases(const std::vector<Event> &history);
-/// P7: an engine that has been listed as leaving for `grace` begins no load of the newest term.
+/// P7: no load of the newest term is decided for an engine that has been leaving for `grace`. A
+/// load is decided when its intent is recorded, or else when it begins.
 std::vector<std::string> checkLeaving(const std::vector<Event> &history, Duration grace);
 
 } // namespace catkin::harness
