--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -128,7 +128,7 @@
       bool nearer = !ready || (ep.dataCentre == request.dataCentre &&
                                ready->dataCentre != request.dataCentre);
       ready = nearer ? &ep : ready;
-    } else if (r.phase == Phase::Releasing && !r.unresolved) {
+    } else if (r.phase == Phase::Releasing && !r.unresolved && !r.recovered) {
       releasing = &ep;
     } else if (r.underWay() && options.guards.joinLoadUnderWay) {
       if (r.phase == Phase::Ordering && !r.orderInFlight && !mayOrder(ep))
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -291,6 +291,9 @@
 }
 
 void Planner::Impl::continueRelease(Endpoint &ep, Replica &r) {
+  // Until the endpoint was claimed it is not known whether it still holds the model.
+  if (!ep.claimed || r.recovered)
+    return;
   if (ep.hasDependents(r.model))
     return cancelRelease(ep, r);
   auto now = env.now();
--- a/tests/checkers_p.h
+++ b/tests/checkers_p.h
@@ -15,6 +15,8 @@
 namespace mark {
 constexpr auto PlatformDown = "platform_down"; ///< for `host`; empty: for all
 constexpr auto PlatformUp = "platform_up";     ///< for `host`; empty: for all
+constexpr auto Paused = "paused";              ///< the process of `host` stands still
+constexpr auto Resumed = "resumed";            ///< it goes on, and first sends what it was sending
 constexpr auto Leaving = "leaving";            ///< `endpoint` is listed as leaving
 constexpr auto Returned = "returned";          ///< `endpoint` is listed as live again
 constexpr auto RequestArrived = "request";     ///< `endpoint` got a request for `model`
@@ -30,7 +32,8 @@
 
 /// P1: each model on an engine was decided: its intent is recorded when the load begins and as long
 /// as it is there. On an engine that checks fencing, an order of the newest term that engine has
-/// seen counts as decided while its sender cannot reach the platform. On one that does not, an
+/// seen counts as decided while its sender cannot reach the platform, also when the sender paused
+/// between that decision and the send. On one that does not, an
 /// order of an ended term counts only if the planner of the newest term could read it when it
 /// began.
 std::vector<std::string> checkDecided(const std::vector<Event> &history,
