--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -40,7 +40,7 @@
 struct Replica : PlannedReplica {
   Phase phase = Phase::Queued;
   CopySource source = CopySource::Remote;
-  bool recovered = false;     ///< taken from a former planner's record and not yet seen loaded
+  bool recovered = false;     ///< a former planner's, and not confirmed by the endpoint since
   bool prewarmed = false;     ///< loaded ahead of use
   bool orderInFlight = false; ///< sent, not answered
   bool everSent = false;      ///< an order may have reached the endpoint
@@ -51,6 +51,7 @@
   Instant acceptedAt{};
   Instant readyAt{};
   Instant nextTry{};
+  Instant reportsFrom{}; ///< reports asked for before are too old
   Duration expectedLoad{0};
   int inFlight = 0;                 ///< by the endpoint's report
   std::uint64_t releaseVersion = 0; ///< table version that marks it as releasing
--- a/src/planner_recovery.cpp
+++ b/src/planner_recovery.cpp
@@ -220,8 +220,13 @@
   std::vector<std::pair<EndpointName, ModelName>> held;
   for (auto &[name, ep] : endpoints)
     for (auto &[model, r] : ep.replicas) {
-      if (std::exchange(r.unresolved, false))
-        markDirty(ep);
+      if (!std::exchange(r.unresolved, false))
+        continue;
+      // The former planner's order may have arrived since the last report.
+      r.recovered = true;
+      r.reportsFrom = env.now();
+      markDirty(ep);
+      pollWithin(ep, Duration(0));
       if (r.phase == Phase::Held)
         held.emplace_back(name, model);
     }
@@ -268,7 +273,7 @@
     seen[it.model] = &it;
   std::vector<ModelName> names;
   for (auto &[model, r] : ep.replicas)
-    if (r.sentAt <= reportSentAt)
+    if (std::max(r.sentAt, r.reportsFrom) <= reportSentAt)
       names.push_back(model);
   for (auto &name : names) {
     auto it = ep.replicas.find(name);
--- a/tests/replica_scenario_helper.cpp
+++ b/tests/replica_scenario_helper.cpp
@@ -4,6 +4,7 @@
 #include "planner_world_p.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 
 namespace catkin::harness {
@@ -16,6 +17,7 @@
 constexpr Duration OrderLimit = 2500ms;
 constexpr Duration TakeoverAfter = 3500ms;
 constexpr Duration RenewInterval = 1s;
+constexpr int Engines = 4;
 constexpr Duration Step = 50ms;
 constexpr Duration LeavingGrace = 4s; // the host list is read every 0.1 s here
 
@@ -24,6 +26,8 @@
   explicit Scenario(const ReplicaScenarioOptions &o) : options(o), world(o.seed) {}
 
   ReplicaScenarioResult run() {
+    // Frequent faults overlap, rare ones let more loads and releases happen between them.
+    faultPace = std::array<Duration, 3>{3s, 6s, 15s}[pick(3)];
     addEngines();
     for (int i = 0; i < 2; ++i)
       hosts.push_back(makeHost(i));
@@ -65,28 +69,28 @@
   }
 
   void addEngines() {
-    for (int i = 0; i < 5; ++i) {
-      auto e = makeEngine(i, 20 * GB, pick(2) == 0);
+    for (int i = 0; i < Engines; ++i) {
+      auto e = makeEngine(i, 16 * GB, pick(2) == 0);
       e.refusesOvercommit = pick(4) == 0;
-      e.loadTime = between(500ms, 4s);
+      e.loadTime = between(300ms, 3s);
       world.addEngine(e);
     }
     std::vector<Model> models;
-    for (int i = 0; i < 7; ++i)
-      models.push_back({.name = ModelName("m" + std::to_string(i)), .bytes = (5 + pick(5)) * GB});
+    for (int i = 0; i < 9; ++i)
+      models.push_back({.name = ModelName("m" + std::to_string(i)), .bytes = (5 + pick(Engines)) * GB});
     for (int i = 0; i < 2; ++i)
       models.push_back(
           {.name = ModelName("a" + std::to_string(i)), .base = ModelName("m0"), .bytes = GB / 10});
     for (auto &it : models)
       names.push_back(it.name.value);
-    lists = makeLists(2, {.models = 8, .acceleratorBytes = 80 * GB}, models);
+    lists = makeLists(2, {.models = 7, .acceleratorBytes = 50 * GB}, models);
   }
 
   std::shared_ptr<PlannerHost> makeHost(int i) {
     PlannerOptions o{.retention = "fixed",
                      .placement = pick(2) == 0 ? "cost" : "first_fit",
                      .guards = options.guards};
-    o.weights.fixedKeepAlive = between(2s, 8s);
+    o.weights.fixedKeepAlive = between(1s, 6s);
     auto h = std::make_shared<PlannerHost>(world, "h" + std::to_string(i), o);
     h->acknowledgeAll = false;
     h->start(lists);
@@ -187,14 +191,16 @@
   }
 
   void request(Client &c) {
-    if (pick(10) != 0)
+    if (pick(8) != 0)
       return;
     auto model = names[pick(names.size())];
     for (auto &it : c.table.entriesOf(ModelName(model)))
       if (it.state == ReplicaState::Loaded && !it.leaving)
         return arrive(c, it);
-    if (running(*leader()))
-      leader()->ensure(pick(2) == 0 ? "p0" : "p1", model, between(5s, 30s));
+    // Some hosts still know the former planner.
+    auto h = pick(5) == 0 ? hosts[pick(2)] : leader();
+    if (running(*h))
+      h->ensure(pick(2) == 0 ? "p0" : "p1", model, between(5s, 30s));
   }
 
   void arrive(Client &c, const RouteEntry &entry) {
@@ -270,7 +276,7 @@
   }
 
   void killEngine() {
-    EndpointName name("e" + std::to_string(pick(5)));
+    EndpointName name("e" + std::to_string(pick(Engines)));
     if (!world.engine(name).alive)
       return;
     world.killEngine(name);
@@ -278,7 +284,7 @@
   }
 
   void leave() {
-    EndpointName name("e" + std::to_string(pick(5)));
+    EndpointName name("e" + std::to_string(pick(Engines)));
     auto &e = world.engine(name);
     ListedNode node{.kind = ListedKind::Engine,
                     .name = name.value,
@@ -311,7 +317,7 @@
 
   void cutEngine() {
     auto host = "h" + std::to_string(pick(2));
-    auto engine = "e" + std::to_string(pick(5));
+    auto engine = "e" + std::to_string(pick(Engines));
     world.cut(host, engine);
     later(between(500ms, 6s), [this, host, engine] { world.heal(host, engine); });
   }
@@ -376,7 +382,7 @@
     }
     if (world.now() < nextFault)
       return;
-    nextFault = world.now() + between(300ms, 5s);
+    nextFault = world.now() + between(300ms, faultPace);
     injectFault();
   }
 
@@ -426,6 +432,7 @@
   std::uint64_t term = 0;
   Instant lastRenewal{};
   Instant nextFault{};
+  Duration faultPace{};
   ReplicaScenarioResult result;
 };
 
