--- a/src/config.h
+++ b/src/config.h
@@ -71,6 +71,7 @@
 constexpr int EmptyEndpointPollsPerSecond = 10;
 constexpr std::size_t MaxClaimsInFlight = 64;
 constexpr int RecordWritesPerSecond = 100; // besides intents; the platform takes several hundred
+constexpr auto PauseNoticed = 3s; // between two ticks, which come every ControlTick
 constexpr auto OrderRetryInterval = 500ms;
 constexpr auto EndpointSilentAfter = 3s; // its replicas no longer count as available
 constexpr auto RefusedOrderGrace = 500ms; // a duplicate of a refused order arrives well before
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -67,6 +67,7 @@
   };
   if (!isLeading)
     return done({.outcome = EnsureOutcome::NotPlanner});
+  noticePause();
   if (!isReady) {
     heldEnsures.emplace_back(request, done);
     heldSince.push_back(env.now());
--- a/src/planner_housekeeping.cpp
+++ b/src/planner_housekeeping.cpp
@@ -15,6 +15,7 @@
 void Planner::Impl::tick() {
   if (!isLeading)
     return;
+  noticePause();
   auto now = env.now();
   auto elapsed = now - lastTick;
   lastTick = now;
@@ -35,6 +36,23 @@
   everySecond();
 }
 
+/// After a pause of the process everything known of the endpoints is old, and another planner may
+/// have begun: nothing is decided before they were claimed again.
+void Planner::Impl::noticePause() {
+  if (!isReady || env.now() - lastTick < config::PauseNoticed)
+    return;
+  lastTick = env.now();
+  isReady = false;
+  log(DecisionKind::Lease, {}, options.host.value, "claims all endpoints again after a pause");
+  for (auto &[name, ep] : endpoints) {
+    if (ep.liveness == Liveness::Gone)
+      continue;
+    ep.claimTried = false;
+    requireClaim(ep);
+  }
+  sendClaims();
+}
+
 void Planner::Impl::everySecond() {
   forgetSilentHosts();
   flushRecords();
--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -310,6 +310,7 @@
   void answerOwed(Endpoint &ep, Replica &r);
   void askAgain(std::vector<OwedAnswer> owed);
   void tick();
+  void noticePause();
   void everySecond();
   void decideWanted();
   void scale();
