--- a/src/planner_records.cpp
+++ b/src/planner_records.cpp
@@ -182,11 +182,12 @@
   }
   if (stored->term > currentTerm)
     return onStaleTerm();
+  bool changed = object.version != ep.recordVersion;
   ep.recordVersion = object.version;
   if (stored->writeId == ep.writeId)
     return finishWrite(ep, true);
-  // A write of a former planner may have taken effect after this one had read the record.
-  if (stored->term < currentTerm)
+  // A write of a former planner took effect after this one had read the record.
+  if (changed && stored->term < currentTerm)
     mergeRecord(ep, *stored);
   encodeWrite(ep);
   sendWrite(ep);
--- a/tests/replica_scenario_helper.cpp
+++ b/tests/replica_scenario_helper.cpp
@@ -77,7 +77,8 @@
     }
     std::vector<Model> models;
     for (int i = 0; i < 9; ++i)
-      models.push_back({.name = ModelName("m" + std::to_string(i)), .bytes = (5 + pick(Engines)) * GB});
+      models.push_back(
+          {.name = ModelName("m" + std::to_string(i)), .bytes = (5 + pick(Engines)) * GB});
     for (int i = 0; i < 2; ++i)
       models.push_back(
           {.name = ModelName("a" + std::to_string(i)), .base = ModelName("m0"), .bytes = GB / 10});
@@ -474,12 +475,71 @@
   return result;
 }
 
+ReplicaScenarioResult runPauseScenario(const ReplicaScenarioOptions &options) {
+  World world(options.seed);
+  auto pick = [&](std::uint64_t n) { return world.random() % n; };
+  std::vector<Model> models;
+  for (int i = 0; i < 12; ++i)
+    models.push_back({.name = ModelName("m" + std::to_string(i)), .bytes = 7 * GB});
+  for (int i = 0; i < 4; ++i)
+    world.addEngine(makeEngine(i, 16 * GB, false));
+  world.run(10ms);
+  auto lists = makeLists(2, {.models = 20, .acceleratorBytes = 200 * GB}, models);
+  std::vector<std::shared_ptr<PlannerHost>> hosts;
+  for (int i = 0; i < 2; ++i) {
+    PlannerOptions o{.retention = "fixed", .placement = "first_fit", .guards = options.guards};
+    hosts.push_back(std::make_shared<PlannerHost>(world, "h" + std::to_string(i), o));
+    hosts.back()->start(lists);
+  }
+  auto lead = [&](std::size_t i) {
+    world.putObject("planner/lease", "{\"term\":" + std::to_string(i + 1) + "}");
+    world.history().back().endpoint = "planner/lease";
+    hosts[i]->lead(i + 1, i == 0, OrderLimit);
+  };
+  ReplicaScenarioResult result;
+  auto ask = [&](PlannerHost &host) {
+    ++result.requests;
+    host.ensure("p0", "m" + std::to_string(pick(models.size())));
+  };
+  world.run(10ms);
+  lead(0);
+  world.run(50ms);
+  for (int i = 0; i < 8; ++i)
+    ask(*hosts[0]);
+  world.run(Duration(static_cast<std::int64_t>(pick(2'000'000))));
+  if (pick(2) == 0)
+    world.freezeAtNextOrder(hosts[0]->process);
+  else
+    world.freeze(hosts[0]->process);
+  world.run(TakeoverAfter);
+  lead(1);
+  for (int i = 0; i < 20; ++i) {
+    world.run(Duration(static_cast<std::int64_t>(pick(300'000))));
+    ask(*hosts[1]);
+    if (i == 10)
+      world.thaw(hosts[0]->process);
+  }
+  world.run(1s);
+  hosts[0]->planner->resign();
+  world.run(1s);
+  hosts[1]->planner->formerHolderEnded();
+  world.run(5s);
+  result.violations = checkDecided(world.history(), factsOf(world));
+  auto memory = checkMemory(world.history(), factsOf(world));
+  result.violations.insert(result.violations.end(), memory.begin(), memory.end());
+  for (auto &e : world.history())
+    result.loads += e.kind == EventKind::LoadStarted ? 1 : 0;
+  return result;
+}
+
 int soakReplicas(std::uint64_t first, std::uint64_t count, std::ostream &out) {
   int failed = 0;
   for (auto seed = first; seed < first + count; ++seed) {
-    auto found = runReplicaScenario({.seed = seed}).violations;
-    auto burst = runBurstScenario({.seed = seed}).violations;
-    found.insert(found.end(), burst.begin(), burst.end());
+    std::vector<std::string> found;
+    for (auto run : {runReplicaScenario, runBurstScenario, runPauseScenario}) {
+      auto result = run({.seed = seed});
+      found.insert(found.end(), result.violations.begin(), result.violations.end());
+    }
     failed += found.empty() ? 0 : 1;
     for (auto &it : found)
       out << "replicas: seed " << seed << ": " << it << "\n";
--- a/tests/replica_scenario_p.h
+++ b/tests/replica_scenario_p.h
@@ -37,7 +37,11 @@
 /// replies but no failure that would justify a second load.
 ReplicaScenarioResult runBurstScenario(const ReplicaScenarioOptions &options);
 
-/// Runs both scenarios for `count` seeds from `first`, with all guards. Prints each violation with
+/// A planner with queued loads for endpoints that ignore fencing pauses beyond its lease, another
+/// takes over, and the first resumes before it has heard of that.
+ReplicaScenarioResult runPauseScenario(const ReplicaScenarioOptions &options);
+
+/// Runs all scenarios for `count` seeds from `first`, with all guards. Prints each violation with
 /// its seed; returns the number of seeds with one.
 int soakReplicas(std::uint64_t first, std::uint64_t count, std::ostream &out);
 
