--- a/src/operator_client.cpp
+++ b/src/operator_client.cpp
@@ -136,8 +136,8 @@
 }
 
 CtlResult ctlApply(const OperatorTransport &send, const std::string &list,
-                   const std::string &document, std::uint64_t revision) {
-  if (revision == 0) {
+                   const std::string &document, std::optional<std::uint64_t> revision) {
+  if (!revision) {
     auto current = send({.target = listTarget(list)});
     if (!current.reached || current.status != 200)
       return unexpected(current);
@@ -150,7 +150,7 @@
     if (response.reached && response.status == 200)
       return {CtlExit::Ok, "accepted as revision " + std::to_string(response.revision) + "\n", {}};
     if (response.reached && response.status == 412 && replyLost)
-      return resolveLostReply(send, list, document, revision);
+      return resolveLostReply(send, list, document, *revision);
     // 504: the host itself could not find out whether the platform took the edit.
     bool unknown = (!response.reached && response.sent) || response.status == 504;
     if (!unknown)
--- a/src/operator_client_p.h
+++ b/src/operator_client_p.h
@@ -3,6 +3,7 @@
 #include "types_p.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,7 +37,7 @@
   std::string method = "GET";
   std::string target;
   std::string body;
-  std::uint64_t ifMatch = 0; ///< 0: no condition
+  std::optional<std::uint64_t> ifMatch;
 };
 
 using OperatorTransport = std::function<OperatorResponse(const OperatorRequest &)>;
@@ -57,10 +58,11 @@
                   const std::string &document);
 CtlResult ctlValidate(const OperatorTransport &send, const std::string &list,
                       const std::string &document);
-/// Applies a list on top of `revision` (0: the one now in force). A lost reply is resolved by
-/// sending the same conditional edit again, of which only one can succeed, and by reading back.
+/// Applies a list on top of `revision` (default: the one now in force; 0 before the first edit). A
+/// lost reply is resolved by sending the same conditional edit again, of which only one can
+/// succeed, and by reading back.
 CtlResult ctlApply(const OperatorTransport &send, const std::string &list,
-                   const std::string &document, std::uint64_t revision);
+                   const std::string &document, std::optional<std::uint64_t> revision);
 /// `asJson` false prints a table.
 CtlResult ctlShow(const OperatorTransport &send, const std::string &view, bool asJson);
 CtlResult ctlDrain(const OperatorTransport &send, const std::string &kind, const std::string &name,
--- a/src/operator_http.cpp
+++ b/src/operator_http.cpp
@@ -29,8 +29,8 @@
   out.method_string(in.method);
   out.target(in.target);
   out.set(http::field::authorization, "Bearer " + key);
-  if (in.ifMatch != 0)
-    out.set(http::field::if_match, "\"" + std::to_string(in.ifMatch) + "\"");
+  if (in.ifMatch)
+    out.set(http::field::if_match, "\"" + std::to_string(*in.ifMatch) + "\"");
   if (!in.body.empty())
     out.set(http::field::content_type, "application/json");
   out.body() = in.body;
--- a/tools/catkinctl.cpp
+++ b/tools/catkinctl.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <optional>
 #include <sstream>
 #include <thread>
 
@@ -55,7 +56,7 @@
   std::string view;
   std::string kind;
   std::string name;
-  std::uint64_t revision = 0;
+  std::optional<std::uint64_t> revision;
   int timeoutSeconds = 30;
   bool wait = false;
   bool undo = false;
@@ -197,5 +198,5 @@
     return finish(ctlShow(send, options.view, options.output == "json"));
   if (drain->parsed())
     return finish(ctlDrain(send, options.kind, options.name, options.undo));
-  return finish(waitFor(send, options, options.revision));
+  return finish(waitFor(send, options, options.revision.value_or(0)));
 }
