--- /dev/null
+++ b/src/ledger.cpp
@@ -0,0 +1,501 @@
+#include "ledger_p.h"
+
+#include "config.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <openssl/evp.h>
+
+#include <algorithm>
+#include <map>
+
+namespace catkin {
+
+namespace json = boost::json;
+
+namespace {
+
+enum class RecordState { Started, Done, Lost, Count };
+
+} // namespace
+
+template <> struct EnumNames<RecordState> {
+  static constexpr std::array<std::string_view, 3> Table{"started", "done", "lost"};
+};
+
+namespace {
+
+constexpr std::string_view CallsPrefix = "calls/";
+
+/// The stored form of a call.
+struct Record {
+  std::string attempt;
+  HostName host;
+  std::uint64_t incarnation = 0;
+  RecordState state = RecordState::Started;
+  std::string requestHash;
+  std::int64_t created = 0; ///< wall-clock seconds
+  StoredAnswer answer;      ///< for RecordState::Done
+};
+
+std::string toHex(const unsigned char *data, std::size_t n) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string s;
+  for (std::size_t i = 0; i < n; ++i) {
+    s += Digits[data[i] >> 4];
+    s += Digits[data[i] & 15];
+  }
+  return s;
+}
+
+std::string sha256Hex(std::string_view text) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned n = 0;
+  EVP_Digest(text.data(), text.size(), digest.data(), &n, EVP_sha256(), nullptr);
+  return toHex(digest.data(), n);
+}
+
+// Answer bodies may hold any bytes, JSON strings may not.
+std::string toBase64(std::string_view bytes) {
+  std::string out((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  auto n = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                           reinterpret_cast<const unsigned char *>(bytes.data()),
+                           static_cast<int>(bytes.size()));
+  out.resize(n);
+  return out;
+}
+
+std::optional<std::string> fromBase64(std::string_view text) {
+  std::string out(text.size() / 4 * 3 + 3, '\0');
+  auto n = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(out.data()),
+                           reinterpret_cast<const unsigned char *>(text.data()),
+                           static_cast<int>(text.size()));
+  if (n < 0)
+    return std::nullopt;
+  // The decoder counts padding as bytes.
+  auto padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1 : 0;
+  out.resize(n - padding);
+  return out;
+}
+
+std::string objectKeyOf(const CallKey &key) {
+  return std::string(CallsPrefix) + key.service.value + "/" +
+         sha256Hex(key.plan.value + '\0' + key.idempotencyKey);
+}
+
+std::string encode(const Record &r) {
+  json::object o{{"attempt", r.attempt},         {"host", r.host.value},
+                 {"incarnation", r.incarnation}, {"state", std::string(toString(r.state))},
+                 {"request", r.requestHash},     {"created", r.created}};
+  if (r.state == RecordState::Done)
+    o["answer"] = json::object{{"status", r.answer.status},
+                               {"content_type", toBase64(r.answer.contentType)},
+                               {"body", toBase64(r.answer.body)},
+                               {"truncated", r.answer.truncated}};
+  return json::serialize(o);
+}
+
+std::string textOf(const json::object &o, std::string_view field) {
+  auto &s = o.at(field).as_string();
+  return {s.data(), s.size()};
+}
+
+StoredAnswer decodeAnswer(const json::object &o) {
+  return {.status = o.at("status").to_number<int>(),
+          .contentType = fromBase64(textOf(o, "content_type")).value(),
+          .body = fromBase64(textOf(o, "body")).value(),
+          .truncated = o.at("truncated").as_bool()};
+}
+
+/// Nothing for text that is not a record.
+std::optional<Record> decode(const std::string &text) {
+  json::error_code ec;
+  auto v = json::parse(text, ec);
+  if (ec || !v.is_object())
+    return std::nullopt;
+  try {
+    auto &o = v.get_object();
+    Record r{.attempt = textOf(o, "attempt"),
+             .host = HostName(textOf(o, "host")),
+             .incarnation = o.at("incarnation").to_number<std::uint64_t>(),
+             .state = parseEnum<RecordState>(textOf(o, "state")).value(),
+             .requestHash = textOf(o, "request"),
+             .created = o.at("created").to_number<std::int64_t>()};
+    if (r.state == RecordState::Done)
+      r.answer = decodeAnswer(o.at("answer").as_object());
+    return r;
+  } catch (const std::exception &) {
+    return std::nullopt; // a field is missing or of another type
+  }
+}
+
+} // namespace
+
+struct Ledger::Impl : std::enable_shared_from_this<Ledger::Impl> {
+  /// What is still to be done for an attempt of this process.
+  enum class Phase {
+    Claiming,   ///< the record is being created
+    Running,    ///< granted
+    Storing,    ///< the call ended; record.state is being written
+    Abandoning, ///< the record is being erased
+  };
+
+  struct Attempt {
+    std::string objectKey;
+    Record record;
+    std::uint64_t version = 0; ///< of the stored record
+    Phase phase = Phase::Claiming;
+    Duration backoff = config::CallRetryMin;
+    Instant since;
+  };
+
+  /// A claim that has not been answered, or whose create is of unknown fate.
+  struct Claim {
+    std::string objectKey;
+    std::string attempt;
+    std::string requestHash;
+    Instant deadline;
+    ClaimDone done;
+    bool settled = false;
+    bool uncertain = false; ///< a create was sent and its reply lost
+    bool sawOther = false;  ///< another attempt's record exists
+  };
+  using ClaimPtr = std::shared_ptr<Claim>;
+
+  Impl(Env &env, LedgerOptions options, AliveCheck alive)
+      : env(env), options(std::move(options)), alive(std::move(alive)) {}
+
+  Env &env;
+  LedgerOptions options;
+  AliveCheck alive;
+  bool stopped = false;
+  std::map<std::string, Attempt> attempts; ///< by attempt id
+
+  // ---- Claim -----------------------------------------------------------------------------------
+
+  void claim(const CallKey &key, Instant deadline, ClaimDone done) {
+    auto c = std::make_shared<Claim>();
+    c->objectKey = objectKeyOf(key);
+    c->attempt = newAttemptId();
+    c->requestHash = key.requestHash;
+    c->deadline = deadline;
+    c->done = std::move(done);
+    env.after(deadline - env.now(), [self = shared_from_this(), c] { self->onDeadline(c); });
+    if (!options.guards.claimBeforeCall)
+      return env.after(Duration(0), [self = shared_from_this(), c] { self->grantUnrecorded(c); });
+    // An answer that could not be stored yet is known here even during an outage.
+    for (auto &[id, it] : attempts)
+      if (it.objectKey == c->objectKey && it.phase == Phase::Storing)
+        return env.after(Duration(0), [self = shared_from_this(), c, record = it.record] {
+          self->judge(c, record, 0);
+        });
+    create(c);
+  }
+
+  std::string newAttemptId() {
+    auto n = env.random();
+    return options.host.value + "-" + std::to_string(options.incarnation) + "-" +
+           toHex(reinterpret_cast<const unsigned char *>(&n), sizeof(n));
+  }
+
+  Record newRecord(const ClaimPtr &c) {
+    return {.attempt = c->attempt,
+            .host = options.host,
+            .incarnation = options.incarnation,
+            .requestHash = c->requestHash,
+            .created = env.wallSeconds()};
+  }
+
+  void create(const ClaimPtr &c) {
+    auto [it, added] = attempts.try_emplace(c->attempt);
+    if (added)
+      it->second = {.objectKey = c->objectKey, .record = newRecord(c), .since = env.now()};
+    env.platform().put(c->objectKey, encode(it->second.record), 0,
+                       [self = shared_from_this(), c](StoreStatus status, const StoreObject &o) {
+                         if (!self->stopped)
+                           self->onCreate(c, status, o.version);
+                       });
+  }
+
+  void onCreate(const ClaimPtr &c, StoreStatus status, std::uint64_t version) {
+    if (status == StoreStatus::Ok)
+      return onCreated(c, version);
+    if (status == StoreStatus::Unknown) {
+      if (!options.guards.recogniseOwnWrite)
+        return onCreated(c, 0);
+      c->uncertain = true;
+      return inspect(c);
+    }
+    if (status == StoreStatus::Conflict) {
+      c->sawOther = !c->uncertain;
+      return inspect(c);
+    }
+    if (c->uncertain)
+      return inspectLater(c);
+    attempts.erase(c->attempt);
+    settle(c, {.outcome = ClaimOutcome::Unavailable, .retryAfter = config::CallRetryAfter});
+  }
+
+  /// Reads the record: it may be this attempt's own, another's, or gone.
+  void inspect(const ClaimPtr &c) {
+    if (c->settled && !c->uncertain)
+      return forget(c);
+    env.platform().get(c->objectKey,
+                       [self = shared_from_this(), c](StoreStatus status, const StoreObject &o) {
+                         if (!self->stopped)
+                           self->onInspected(c, status, o);
+                       });
+  }
+
+  void inspectLater(const ClaimPtr &c) {
+    env.after(config::CallRetryMin, [self = shared_from_this(), c] {
+      if (!self->stopped)
+        self->inspect(c);
+    });
+  }
+
+  void onInspected(const ClaimPtr &c, StoreStatus status, const StoreObject &o) {
+    if (status == StoreStatus::Ok)
+      return onRecord(c, o);
+    if (status == StoreStatus::NotFound) {
+      c->sawOther = false;
+      return c->settled ? forget(c) : create(c);
+    }
+    if (c->uncertain || c->sawOther)
+      return inspectLater(c);
+    forget(c);
+    settle(c, {.outcome = ClaimOutcome::Unavailable, .retryAfter = config::CallRetryAfter});
+  }
+
+  void onRecord(const ClaimPtr &c, const StoreObject &o) {
+    auto record = decode(o.value);
+    if (record && record->attempt == c->attempt)
+      return onCreated(c, o.version);
+    c->uncertain = false;
+    c->sawOther = true;
+    forget(c);
+    if (c->settled)
+      return;
+    if (!record) // damaged: whether the call ran cannot be known
+      return settle(c, {.outcome = ClaimOutcome::MayHaveRun});
+    judge(c, *record, o.version);
+  }
+
+  /// Answers a claim from the record of another attempt, or waits for that attempt.
+  void judge(const ClaimPtr &c, Record record, std::uint64_t version) {
+    if (record.requestHash != c->requestHash)
+      return settle(c, {.outcome = ClaimOutcome::KeyReused});
+    auto local = attempts.find(record.attempt);
+    if (local != attempts.end() && local->second.phase == Phase::Storing)
+      record = local->second.record;
+    if (record.state == RecordState::Done)
+      return settle(c, {.outcome = ClaimOutcome::Replay, .answer = record.answer});
+    if (record.state == RecordState::Lost || !mayBeRunning(record))
+      return settle(c, {.outcome = ClaimOutcome::MayHaveRun});
+    waitForChange(c, version);
+  }
+
+  bool mayBeRunning(const Record &record) const {
+    if (record.host != options.host)
+      return alive(record.host, record.incarnation);
+    return record.incarnation == options.incarnation && attempts.contains(record.attempt);
+  }
+
+  void waitForChange(const ClaimPtr &c, std::uint64_t version) {
+    auto wait = std::min<Duration>(config::CallWatchWait, c->deadline - env.now());
+    if (wait <= Duration(0))
+      return onDeadline(c);
+    env.platform().watch(c->objectKey, version, wait,
+                         [self = shared_from_this(), c](StoreStatus status, const StoreObject &o) {
+                           if (self->stopped || c->settled)
+                             return;
+                           if (status == StoreStatus::Ok)
+                             self->onRecord(c, o);
+                           else if (status == StoreStatus::NotFound)
+                             self->inspect(c);
+                           else
+                             self->inspectLater(c);
+                         });
+  }
+
+  void onCreated(const ClaimPtr &c, std::uint64_t version) {
+    auto it = attempts.find(c->attempt);
+    if (it == attempts.end())
+      return;
+    it->second.version = version;
+    // A process that was paused may see the reply long after the caller was answered.
+    if (!c->settled && env.now() < c->deadline) {
+      it->second.phase = Phase::Running;
+      return settle(c, {.outcome = ClaimOutcome::Granted, .attemptId = c->attempt});
+    }
+    onDeadline(c);
+    it->second.phase = Phase::Abandoning;
+    work(c->attempt);
+  }
+
+  void grantUnrecorded(const ClaimPtr &c) {
+    attempts[c->attempt] = {.objectKey = c->objectKey,
+                            .record = newRecord(c),
+                            .phase = Phase::Running,
+                            .since = env.now()};
+    settle(c, {.outcome = ClaimOutcome::Granted, .attemptId = c->attempt});
+  }
+
+  void onDeadline(const ClaimPtr &c) {
+    if (stopped)
+      return;
+    auto outcome = c->sawOther ? ClaimOutcome::InProgress : ClaimOutcome::Unavailable;
+    settle(c, {.outcome = outcome, .retryAfter = config::CallRetryAfter});
+  }
+
+  void settle(const ClaimPtr &c, const ClaimResult &result) {
+    if (std::exchange(c->settled, true))
+      return;
+    env.decision({.kind = DecisionKind::Call,
+                  .requestId = c->attempt,
+                  .chosen = c->objectKey,
+                  .reason = std::string(toString(result.outcome))});
+    c->done(result);
+  }
+
+  void forget(const ClaimPtr &c) { attempts.erase(c->attempt); }
+
+  // ---- After the call --------------------------------------------------------------------------
+
+  Attempt *running(const std::string &attemptId) {
+    auto it = attempts.find(attemptId);
+    return it == attempts.end() || it->second.phase != Phase::Running ? nullptr : &it->second;
+  }
+
+  void store(const std::string &attemptId, RecordState state, const StoredAnswer &answer) {
+    auto *a = running(attemptId);
+    if (!a)
+      return;
+    a->record.state = state;
+    a->record.answer = answer;
+    if (answer.body.size() > config::MaxStoredAnswerBytes) {
+      a->record.answer.body.resize(config::MaxStoredAnswerBytes);
+      a->record.answer.truncated = true;
+    }
+    a->phase = Phase::Storing;
+    a->since = env.now();
+    work(attemptId);
+  }
+
+  void abandon(const std::string &attemptId) {
+    auto *a = running(attemptId);
+    if (!a)
+      return;
+    a->phase = Phase::Abandoning;
+    a->since = env.now();
+    work(attemptId);
+  }
+
+  /// Writes or erases the record of an attempt that has ended; repeated until it has taken effect.
+  void work(const std::string &id) {
+    auto it = attempts.find(id);
+    if (stopped || it == attempts.end())
+      return;
+    auto &a = it->second;
+    if (env.now() - a.since > config::CallRecordRetention) {
+      attempts.erase(it);
+      return;
+    }
+    auto done = [self = shared_from_this(), id](StoreStatus status, const StoreObject &) {
+      if (!self->stopped)
+        self->onWorked(id, status);
+    };
+    if (a.phase == Phase::Abandoning)
+      env.platform().erase(a.objectKey, a.version, done);
+    else
+      env.platform().put(a.objectKey, encode(a.record), a.version, done);
+  }
+
+  void workLater(const std::string &id) {
+    auto &a = attempts.at(id);
+    env.after(a.backoff, [self = shared_from_this(), id] { self->work(id); });
+    a.backoff = std::min<Duration>(a.backoff * 2, config::CallRetryMax);
+  }
+
+  void onWorked(const std::string &id, StoreStatus status) {
+    bool nothingSent = status == StoreStatus::Refused || status == StoreStatus::Unreachable;
+    bool assumeDone = status == StoreStatus::Unknown && !options.guards.recogniseOwnWrite;
+    if (status == StoreStatus::Ok || assumeDone)
+      attempts.erase(id);
+    else if (nothingSent)
+      workLater(id);
+    else
+      env.platform().get(attempts.at(id).objectKey,
+                         [self = shared_from_this(), id](StoreStatus s, const StoreObject &o) {
+                           if (!self->stopped)
+                             self->onReadBack(id, s, o);
+                         });
+  }
+
+  void onReadBack(const std::string &id, StoreStatus status, const StoreObject &o) {
+    if (status != StoreStatus::Ok && status != StoreStatus::NotFound)
+      return workLater(id);
+    auto &a = attempts.at(id);
+    auto record = status == StoreStatus::Ok ? decode(o.value) : std::nullopt;
+    bool isOwn = record && record->attempt == id;
+    bool isStored = isOwn && a.phase == Phase::Storing && record->state == a.record.state;
+    if (!isOwn || isStored) {
+      attempts.erase(id);
+      return;
+    }
+    a.version = o.version;
+    workLater(id);
+  }
+
+  // ---- Expiry ----------------------------------------------------------------------------------
+
+  void expire() {
+    env.platform().list(
+        std::string(CallsPrefix),
+        [self = shared_from_this()](StoreStatus status, const std::vector<StoreObject> &objects) {
+          if (!self->stopped && status == StoreStatus::Ok)
+            self->eraseOld(objects);
+        });
+  }
+
+  void eraseOld(const std::vector<StoreObject> &objects) {
+    auto oldest =
+        env.wallSeconds() -
+        std::chrono::duration_cast<std::chrono::seconds>(config::CallRecordRetention).count();
+    std::size_t n = 0;
+    for (auto &it : objects) {
+      auto record = decode(it.value);
+      if (!record || record->created >= oldest || attempts.contains(record->attempt))
+        continue;
+      env.platform().erase(it.key, it.version, [](StoreStatus, const StoreObject &) {});
+      if (++n == config::MaxExpiredPerRun)
+        return;
+    }
+  }
+};
+
+Ledger::Ledger(Env &env, LedgerOptions options, AliveCheck alive)
+    : impl(std::make_shared<Impl>(env, std::move(options), std::move(alive))) {}
+
+Ledger::~Ledger() { impl->stopped = true; }
+
+void Ledger::claim(const CallKey &key, Instant deadline, ClaimDone done) {
+  impl->claim(key, deadline, std::move(done));
+}
+
+void Ledger::finish(const CallKey &, const std::string &attemptId, const StoredAnswer &answer) {
+  impl->store(attemptId, RecordState::Done, answer);
+}
+
+void Ledger::abandon(const CallKey &, const std::string &attemptId) { impl->abandon(attemptId); }
+
+void Ledger::lose(const CallKey &, const std::string &attemptId) {
+  impl->store(attemptId, RecordState::Lost, {});
+}
+
+void Ledger::expire() { impl->expire(); }
+
+std::size_t Ledger::open() const { return impl->attempts.size(); }
+
+} // namespace catkin
--- a/src/lists.cpp
+++ b/src/lists.cpp
@@ -159,14 +159,14 @@
   }
 
   const json::array &array(const json::object &o, const std::string &path, std::string_view field) {
-    static const json::array empty;
+    static const json::array Empty;
     auto *v = o.if_contains(field);
     if (!v)
-      return empty;
+      return Empty;
     if (auto *a = v->if_array())
       return *a;
     fault(join(path, field), "must be an array");
-    return empty;
+    return Empty;
   }
 
   std::string text(const json::value &v, const std::string &path, std::size_t maxLength) {
@@ -647,11 +647,11 @@
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned n = 0;
   EVP_Digest(bearerKey.data(), bearerKey.size(), digest.data(), &n, EVP_sha256(), nullptr);
-  constexpr std::string_view hexDigits = "0123456789abcdef";
+  constexpr std::string_view HexDigits = "0123456789abcdef";
   std::string text(KeyPrefix);
   for (unsigned i = 0; i < n; ++i) {
-    text += hexDigits[digest[i] >> 4];
-    text += hexDigits[digest[i] & 15];
+    text += HexDigits[digest[i] >> 4];
+    text += HexDigits[digest[i] & 15];
   }
   return text;
 }
--- a/tests/lists_test.cpp
+++ b/tests/lists_test.cpp
@@ -199,7 +199,7 @@
 
 /// Mutates bytes, numbers and whole tokens of a document.
 std::string mutate(std::string text, std::mt19937_64 &random) {
-  static const std::vector<std::string> tokens{"0",    "-1",   "1e999", "18446744073709551616",
+  static const std::vector<std::string> Tokens{"0",    "-1",   "1e999", "18446744073709551616",
                                                "null", "\"\"", "{}",    "[]",
                                                "true", "1.25", "\"a\"", "\"m\"",
                                                ",",    ":",    "\xff",  "1500.125"};
@@ -221,7 +221,7 @@
       auto begin = text.find(':', i);
       auto end = text.find_first_of(",}]", begin);
       if (end != std::string::npos)
-        text.replace(begin + 1, end - begin - 1, tokens[random() % tokens.size()]);
+        text.replace(begin + 1, end - begin - 1, Tokens[random() % Tokens.size()]);
     }
   }
   return text;
