Space out last-resort probes; refuse by plan in admission

A dead endpoint whose replica is the only one was tried again as soon as the previous try had failed, which used up the retry budget while the planner was still placing the model elsewhere. Admission can refuse the requests of one plan and list what is waited for, because a refusal by the planner concerns one plan's grant.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -438,6 +438,36 @@
       impl->finish(it, {AdmissionOutcome::Refused, retryAfter, reason});
 }
 
+void Admission::refuse(const ModelName &model, const PlanName &plan, Instant deadline,
+                       Duration retryAfter, const std::string &reason) {
+  for (auto it : impl->ticketsOf(model)) {
+    auto at = impl->positions.find(it);
+    if (at == impl->positions.end() || at->second.plan != plan)
+      continue;
+    if (at->second.it->request.deadline <= deadline)
+      impl->finish(it, {AdmissionOutcome::Refused, retryAfter, reason});
+  }
+}
+
+std::vector<WaitingModel> Admission::waitingModels() const {
+  std::map<std::pair<ModelName, PlanName>, WaitingModel> found;
+  for (auto &[ticket, p] : impl->positions) {
+    auto &row = found[{p.model, p.plan}];
+    ++row.count;
+    if (row.count > 1 && p.it->request.deadline <= row.deadline)
+      continue;
+    row.model = p.model;
+    row.plan = p.plan;
+    row.requestId = p.it->request.requestId;
+    row.deadline = p.it->request.deadline;
+  }
+  std::vector<WaitingModel> rows;
+  rows.reserve(found.size());
+  for (auto &it : found)
+    rows.push_back(std::move(it.second));
+  return rows;
+}
+
 void Admission::pump(Instant now) {
   // A callback may pump again; that pass runs after the present one.
   impl->pumpAgain = true;
--- a/src/admission_p.h
+++ b/src/admission_p.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 /// Requests waiting on one host for a replica or for their plan's share.
 namespace catkin {
@@ -36,6 +37,15 @@
 /// True if a replica of the model can take a request now.
 using ModelReady = std::function<bool(const ModelName &)>;
 
+/// Requests of one plan that wait for one model.
+struct WaitingModel {
+  ModelName model;
+  PlanName plan;
+  std::string requestId; ///< of the request with the latest deadline
+  Instant deadline;      ///< the latest
+  std::size_t count = 0;
+};
+
 class Admission {
 public:
   using Done = std::function<void(const AdmissionResult &)>;
@@ -51,12 +61,17 @@
   void setModelEstimate(const ModelName &model, Instant readyAt);
   /// Refuses all requests waiting for the model, at once.
   void refuseModel(const ModelName &model, Duration retryAfter, const std::string &reason);
+  /// Refuses the requests of one plan that wait for the model and have no later deadline.
+  void refuse(const ModelName &model, const PlanName &plan, Instant deadline, Duration retryAfter,
+              const std::string &reason);
   /// Starts what can start (priority, then deficit round robin between plans) and refuses what
   /// cannot be served by its deadline. Call after each change and about every 10 ms.
   void pump(Instant now);
   std::size_t waiting() const;
   std::size_t waiting(const PlanName &plan) const;
   std::size_t waiting(const ModelName &model) const;
+  /// What is waited for, whether or not the model is ready.
+  std::vector<WaitingModel> waitingModels() const;
 
 private:
   struct Impl;
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -18,6 +18,7 @@
 // A cached prefix saves the prefill, which is worth waiting behind about two requests.
 constexpr double PrefixGain = 2.0;
 constexpr auto PrefixLifetime = std::chrono::seconds(120);
+constexpr auto LastResortInterval = std::chrono::milliseconds(500);
 constexpr std::size_t PrefixSets = 2048;
 constexpr std::size_t PrefixWays = 4;
 
@@ -35,6 +36,7 @@
   bool ejected = false;
   bool probing = false; ///< a request tests the ejected endpoint
   Instant ejectedUntil;
+  Instant lastProbe;
   std::uint64_t seenInTable = 0;
 };
 
@@ -178,8 +180,11 @@
   static bool probeDue(const EndpointState &e, Instant now) {
     return e.ejected && !e.probing && now >= e.ejectedUntil;
   }
-  /// When nothing else is left, an ejected endpoint gets one request at a time.
-  static bool lastResort(const EndpointState &e) { return e.ejected && !e.probing; }
+  /// When nothing else is left, an ejected endpoint gets one request at a time, well spaced: the
+  /// others wait for the planner to place the model elsewhere.
+  static bool lastResort(const EndpointState &e, Instant now) {
+    return e.ejected && !e.probing && now - e.lastProbe >= LastResortInterval;
+  }
 
   double cost(const EndpointState &e, std::uint64_t prefixHash, Instant now) const {
     double c = loadOf(e);
@@ -254,17 +259,20 @@
     return impl->accept(*e, request, now, "probe");
   if (auto *e = impl->best(it->second, request, now, Impl::healthy))
     return impl->accept(*e, request, now, "least_load");
-  if (auto *e = impl->best(it->second, request, now, Impl::lastResort))
+  auto lastResort = [now](auto &e) { return Impl::lastResort(e, now); };
+  if (auto *e = impl->best(it->second, request, now, lastResort))
     return impl->accept(*e, request, now, "all_ejected");
   return {{}, {}, "no_usable"};
 }
 
-bool Router::usable(const ModelName &model, Instant) const {
+bool Router::usable(const ModelName &model, Instant now) const {
   auto it = impl->models.find(model);
   if (it == impl->models.end())
     return false;
-  return std::any_of(it->second.begin(), it->second.end(), [this](auto &r) {
-    return impl->takesWork(r) && (Impl::healthy(*r.endpoint) || Impl::lastResort(*r.endpoint));
+  return std::any_of(it->second.begin(), it->second.end(), [this, now](auto &r) {
+    auto &e = *r.endpoint;
+    return impl->takesWork(r) &&
+           (Impl::healthy(e) || Impl::probeDue(e, now) || Impl::lastResort(e, now));
   });
 }
 
@@ -281,11 +289,13 @@
   return names;
 }
 
-void Router::onStart(const EndpointName &endpoint, Instant) {
+void Router::onStart(const EndpointName &endpoint, Instant now) {
   auto &e = impl->state(endpoint);
   ++e.inFlight;
-  if (e.ejected)
-    e.probing = true;
+  if (!e.ejected)
+    return;
+  e.probing = true;
+  e.lastProbe = now;
 }
 
 void Router::onEnd(const EndpointName &endpoint, bool healthy, Instant now) {
@@ -301,6 +311,8 @@
   }
   if (++e->failures < config::EjectAfterFailures)
     return;
+  if (!e->ejected)
+    e->lastProbe = now;
   e->ejected = true;
   e->ejectedUntil = now + config::EjectionTime;
 }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -104,6 +104,8 @@
 TEST_F(RouterTest, LastReplicaIsTriedOneRequestAtATime) {
   router.setTable({entry("a")});
   fail("a", config::EjectAfterFailures);
+  EXPECT_FALSE(router.usable(Rounds, now));
+  now += 1s;
   EXPECT_TRUE(router.usable(Rounds, now));
   EXPECT_EQ(choose(), "a");
   router.onStart(EndpointName("a"), now);
