--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -172,6 +172,7 @@
   Instant lastPrewarm{};
   Instant lastTick{};
   std::size_t claimsInFlight = 0;
+  std::size_t ordersInFlight = 0; ///< of all sessions
   std::set<EndpointName> unclaimed;
   std::set<EndpointName> active;    ///< endpoints with a replica that is not simply loaded
   std::set<EndpointName> populated; ///< endpoints with replicas
@@ -240,6 +241,7 @@
 
   // planner_orders.cpp: orders, polls and the release protocol.
   bool mayOrder(const Endpoint &ep) const;
+  void send(const Endpoint &ep, const EngineOrder &order, OrderDone done);
   void beginLoad(Endpoint &ep, Replica &r);
   void onIntentRecorded(const EndpointName &name, const ModelName &model, const std::string &id,
                         bool ok);
@@ -260,7 +262,7 @@
   void advance(Endpoint &ep);
   void learnLoad(const Replica &r);
   void addReplica(Endpoint &ep, Replica r);
-  void dropReplica(Endpoint &ep, const ModelName &model, std::string_view reason, bool again);
+  void dropReplica(Endpoint &ep, const ModelName &dropped, std::string_view reason, bool again);
   void publish(Endpoint &ep, const Replica &r);
   void publishAll(Endpoint &ep);
   void classify(Endpoint &ep);
