Add the dispatcher and server-sent event parsing

Requests on a host share the plan's shares, the waiting queue and the router. The dispatcher keeps the three under their stated lock order, so that a start takes the share and the place at an endpoint in one step. Whole answers are asked from the engine as a stream and merged: a whole answer has no byte until it is complete, so silence could not be told from work.

--- /dev/null
+++ b/src/dispatcher.cpp
@@ -0,0 +1,235 @@
+#include "dispatcher_p.h"
+
+#include <algorithm>
+
+namespace catkin {
+
+namespace {
+
+constexpr std::string_view ServicePrefix = "service ";
+constexpr double FirstByteSmoothing = 0.05;
+
+bool isService(const ModelName &model) { return model.value.starts_with(ServicePrefix); }
+
+RouteEntry instanceEntry(const ListedNode &node) {
+  return {.model = serviceKey(node.service),
+          .endpoint = EndpointName(node.name),
+          .address = node.address,
+          .dataCentre = node.dataCentre,
+          .state = ReplicaState::Loaded,
+          .leaving = node.liveness != Liveness::Live};
+}
+
+} // namespace
+
+ModelName serviceKey(const ServiceName &service) {
+  return ModelName(std::string(ServicePrefix) + service.value);
+}
+
+Dispatcher::Dispatcher(DataCentreName dataCentre, Guards guards, Clock clock)
+    : clock(clock), shares(guards),
+      admission([this](const PlanName &plan) { return shares.tryAcquire(plan, pumpTime); },
+                [this](const ModelName &model) { return router.usable(model, pumpTime); }, guards),
+      router({.dataCentre = std::move(dataCentre), .guards = guards}) {}
+
+// ---- Requests
+// ------------------------------------------------------------------------------------
+
+Dispatched Dispatcher::onAdmitted(const DispatchRequest &request, const AdmissionResult &result,
+                                  Instant now) {
+  Dispatched out{.result = result};
+  auto &waiting = request.waiting;
+  if (result.outcome != AdmissionOutcome::Start)
+    return out;
+  out.alternatives = router.candidates(waiting.model, now);
+  auto choice = router.choose({waiting.model, request.prefixHash, request.tried}, now);
+  if (choice.endpoint.empty() && !request.tried.empty())
+    choice = router.choose({waiting.model, request.prefixHash, {}}, now);
+  ++running;
+  out.endpoint = choice.endpoint;
+  out.address = choice.address;
+  out.reason = choice.reason;
+  if (choice.endpoint.empty())
+    return out;
+  router.onStart(choice.endpoint, now);
+  std::scoped_lock guard(statsLock);
+  ++stats[waiting.model].inFlight;
+  return out;
+}
+
+Dispatcher::Ticket Dispatcher::start(const DispatchRequest &request, Done done) {
+  auto now = clock();
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  auto ticket = admission.enqueue(
+      request.waiting, now, [this, request, done = std::move(done)](const AdmissionResult &r) {
+        done(onAdmitted(request, r, pumpTime));
+      });
+  pumpLocked(now);
+  return ticket;
+}
+
+void Dispatcher::cancel(Ticket ticket) {
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  admission.cancel(ticket);
+}
+
+void Dispatcher::end(const DispatchEnd &e) {
+  auto now = clock();
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  --running;
+  shares.release(e.plan, e.tokens, now);
+  if (!e.endpoint.empty()) {
+    router.onEnd(e.endpoint, e.healthy, now);
+    std::scoped_lock statsGuard(statsLock);
+    --stats[e.model].inFlight;
+  }
+  if (e.missing)
+    router.onMissing(e.model, e.endpoint);
+  pumpLocked(now);
+}
+
+void Dispatcher::onTokens(const PlanName &plan, unsigned tokens) {
+  std::scoped_lock guard(sharesLock);
+  shares.onTokens(plan, tokens, clock());
+}
+
+void Dispatcher::onRequest(const ModelName &model) {
+  {
+    std::scoped_lock guard(routerLock);
+    router.onRequest(clock());
+  }
+  std::scoped_lock guard(statsLock);
+  ++stats[model].arrivals;
+}
+
+bool Dispatcher::takeRetry() {
+  std::scoped_lock guard(routerLock);
+  return router.takeRetry(clock());
+}
+
+void Dispatcher::onFirstByte(const ModelName &model, Duration d) {
+  std::scoped_lock guard(statsLock);
+  auto &known = stats[model].firstByte;
+  if (known == Duration{0} || d < known)
+    known = d;
+  else
+    known += fromSeconds(toSeconds(d - known) * FirstByteSmoothing);
+}
+
+Duration Dispatcher::serviceTime(const ModelName &model) {
+  std::scoped_lock guard(statsLock);
+  auto it = stats.find(model);
+  return it == stats.end() ? Duration{0} : it->second.firstByte / 2;
+}
+
+// ---- News
+// ----------------------------------------------------------------------------------------
+
+void Dispatcher::applyTable() {
+  auto all = models;
+  all.insert(all.end(), services.begin(), services.end());
+  router.setTable(all);
+}
+
+void Dispatcher::setTable(std::vector<RouteEntry> entries) {
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  models = std::move(entries);
+  applyTable();
+  pumpLocked(clock());
+}
+
+void Dispatcher::setNodes(const std::vector<ListedNode> &nodes) {
+  std::vector<RouteEntry> instances;
+  std::vector<EndpointName> leaving;
+  for (auto &it : nodes) {
+    if (it.kind == ListedKind::Service && it.liveness != Liveness::Gone)
+      instances.push_back(instanceEntry(it));
+    if (it.kind != ListedKind::Host && it.liveness != Liveness::Live)
+      leaving.emplace_back(it.name);
+  }
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  services = std::move(instances);
+  router.setLeaving(leaving);
+  applyTable();
+  pumpLocked(clock());
+}
+
+void Dispatcher::setShares(const std::vector<HostShare> &newShares) {
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  auto now = clock();
+  shares.apply(newShares, now);
+  pumpLocked(now);
+}
+
+void Dispatcher::setModelEstimate(const ModelName &model, Instant readyAt) {
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  admission.setModelEstimate(model, readyAt);
+  pumpLocked(clock());
+}
+
+void Dispatcher::refuse(const WaitingModel &group, Duration retryAfter, const std::string &reason) {
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  pumpTime = clock();
+  admission.refuse(group.model, group.plan, group.deadline, retryAfter, reason);
+}
+
+void Dispatcher::pump() {
+  std::scoped_lock guard(sharesLock, admissionLock, routerLock);
+  pumpLocked(clock());
+}
+
+void Dispatcher::pumpLocked(Instant now) {
+  pumpTime = now;
+  admission.pump(now);
+}
+
+// ---- Reports
+// -------------------------------------------------------------------------------------
+
+bool Dispatcher::usable(const ModelName &model) const {
+  std::scoped_lock guard(routerLock);
+  return router.usable(model, clock());
+}
+
+std::size_t Dispatcher::waiting() const {
+  std::scoped_lock guard(admissionLock);
+  return admission.waiting();
+}
+
+std::vector<WaitingModel> Dispatcher::coldModels() const {
+  std::scoped_lock guard(admissionLock, routerLock);
+  auto groups = admission.waitingModels();
+  auto now = clock();
+  std::erase_if(groups,
+                [&](auto &it) { return isService(it.model) || router.usable(it.model, now); });
+  return groups;
+}
+
+bool Dispatcher::lacksShare(const PlanName &plan) const {
+  std::scoped_lock guard(sharesLock, admissionLock);
+  return admission.waiting(plan) > 0 && shares.concurrency(plan) == 0;
+}
+
+void Dispatcher::fillReport(SyncRequest &report) {
+  std::scoped_lock guard(sharesLock, admissionLock, statsLock);
+  std::unordered_map<PlanName, int> plansWaiting;
+  std::unordered_map<ModelName, int> modelsWaiting;
+  for (auto &it : admission.waitingModels()) {
+    plansWaiting[it.plan] += static_cast<int>(it.count);
+    modelsWaiting[it.model] += static_cast<int>(it.count);
+  }
+  report.plans = shares.uses(clock());
+  for (auto &it : report.plans)
+    if (auto node = plansWaiting.extract(it.plan))
+      it.waiting = node.mapped();
+  for (auto &[plan, n] : plansWaiting)
+    report.plans.push_back({.plan = plan, .waiting = n});
+  for (auto &[model, it] : stats) {
+    int n = modelsWaiting[model];
+    if (!isService(model) && (it.arrivals > 0 || it.inFlight > 0 || n > 0))
+      report.models.push_back({model, it.arrivals, it.inFlight, n});
+    it.arrivals = 0;
+  }
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/sse.cpp
@@ -0,0 +1,143 @@
+#include "sse_p.h"
+
+#include <algorithm>
+#include <array>
+
+namespace catkin {
+
+namespace {
+
+// Fields of OpenAI-style chunks whose pieces are to be joined.
+constexpr std::array<std::string_view, 5> JoinedText{"text", "content", "arguments", "refusal",
+                                                     "reasoning_content"};
+
+bool isJoined(std::string_view key) {
+  return std::find(JoinedText.begin(), JoinedText.end(), key) != JoinedText.end();
+}
+
+void mergeObject(json::object &into, const json::object &from);
+
+json::object *withIndex(json::array &list, const json::value &index) {
+  for (auto &it : list) {
+    auto *object = it.if_object();
+    auto *known = object ? object->if_contains("index") : nullptr;
+    if (known && *known == index)
+      return object;
+  }
+  return nullptr;
+}
+
+void mergeArray(json::array &into, const json::array &from) {
+  for (auto &it : from) {
+    auto *object = it.if_object();
+    auto *index = object ? object->if_contains("index") : nullptr;
+    auto *known = index ? withIndex(into, *index) : nullptr;
+    if (known)
+      mergeObject(*known, *object);
+    else
+      into.push_back(it);
+  }
+}
+
+void mergeObject(json::object &into, const json::object &from) {
+  for (auto &it : from) {
+    auto *known = into.if_contains(it.key());
+    if (!known)
+      into[it.key()] = it.value();
+    else if (known->is_object() && it.value().is_object())
+      mergeObject(known->get_object(), it.value().get_object());
+    else if (known->is_array() && it.value().is_array())
+      mergeArray(known->get_array(), it.value().get_array());
+    else if (known->is_string() && it.value().is_string() && isJoined(it.key()))
+      known->get_string().append(it.value().get_string());
+    else if (!it.value().is_null())
+      *known = it.value();
+  }
+}
+
+/// A whole chat answer has messages where its chunks have deltas.
+void renameDeltas(json::object &answer) {
+  auto *choices = answer.if_contains("choices");
+  if (!choices || !choices->is_array())
+    return;
+  for (auto &it : choices->get_array()) {
+    auto *choice = it.if_object();
+    auto *delta = choice ? choice->if_contains("delta") : nullptr;
+    if (!delta)
+      continue;
+    json::value message = std::move(*delta);
+    choice->erase("delta");
+    (*choice)["message"] = std::move(message);
+  }
+}
+
+std::string joinData(std::string_view event) {
+  std::string data;
+  bool first = true;
+  while (!event.empty()) {
+    auto end = event.find('\n');
+    auto line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    if (!line.starts_with("data:"))
+      continue;
+    line.remove_prefix(5);
+    if (line.starts_with(' '))
+      line.remove_prefix(1);
+    data += first ? "" : "\n";
+    data += line;
+    first = false;
+  }
+  return data;
+}
+
+} // namespace
+
+void SseSplitter::feed(std::string_view bytes) {
+  buffer.erase(0, consumed);
+  consumed = 0;
+  buffer += bytes;
+}
+
+std::optional<SseEvent> SseSplitter::cut() {
+  auto rest = std::string_view(buffer).substr(consumed);
+  // The blank line that ends an event may be written with either line end.
+  auto unix = rest.find("\n\n");
+  auto dos = rest.find("\r\n\r\n");
+  if (unix == std::string_view::npos && dos == std::string_view::npos)
+    return std::nullopt;
+  auto length = unix < dos ? unix + 2 : dos + 4;
+  consumed += length;
+  return SseEvent{std::string(rest.substr(0, length)), joinData(rest.substr(0, length))};
+}
+
+std::optional<SseEvent> SseSplitter::next() {
+  auto event = cut();
+  while (event && event->data.empty())
+    event = cut();
+  return event;
+}
+
+bool AnswerMerger::add(std::string_view data) {
+  json::object event;
+  if (!parseObject(data, event))
+    return false;
+  size += data.size();
+  mergeObject(merged, event);
+  return true;
+}
+
+std::string AnswerMerger::answer() const {
+  auto answer = merged;
+  renameDeltas(answer);
+  if (auto *object = answer.if_contains("object"); object && object->is_string()) {
+    auto &name = object->get_string();
+    constexpr std::string_view Chunk = ".chunk";
+    if (std::string_view(name).ends_with(Chunk))
+      name.resize(name.size() - Chunk.size());
+  }
+  return json::serialize(answer);
+}
+
+} // namespace catkin
