Add the callers' API

One request runs through as many attempts as it takes: each attempt waits for a share and a replica in admission, so a retry whose model has gone cold is subject to the same estimates and refusals as a new one.

--- a/src/dispatcher.cpp
+++ b/src/dispatcher.cpp
@@ -205,9 +205,11 @@
   return groups;
 }
 
-bool Dispatcher::lacksShare(const PlanName &plan) const {
+bool Dispatcher::lacksShare() const {
   std::scoped_lock guard(sharesLock, admissionLock);
-  return admission.waiting(plan) > 0 && shares.concurrency(plan) == 0;
+  auto groups = admission.waitingModels();
+  return std::any_of(groups.begin(), groups.end(),
+                     [this](auto &it) { return shares.concurrency(it.plan) == 0; });
 }
 
 void Dispatcher::fillReport(SyncRequest &report) {
--- a/src/dispatcher_p.h
+++ b/src/dispatcher_p.h
@@ -96,8 +96,8 @@
   int inFlight() const { return running; }
   /// Models, not services, that requests wait for and that no replica can serve.
   std::vector<WaitingModel> coldModels() const;
-  /// True if requests of the plan wait although it has no share on this host.
-  bool lacksShare(const PlanName &plan) const;
+  /// True if requests of a plan wait that has no share on this host.
+  bool lacksShare() const;
   /// Fills models and plans. Arrivals count since the last call.
   void fillReport(SyncRequest &report);
 
--- /dev/null
+++ b/src/gateway_completions.cpp
@@ -0,0 +1,419 @@
+#include "async_p.h"
+#include "attempt_p.h"
+#include "gateway_core_p.h"
+#include "json_p.h"
+#include "real_env_p.h"
+#include "sse_p.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <xxhash.h>
+
+#include <optional>
+#include <variant>
+
+namespace catkin {
+
+namespace {
+
+constexpr std::string_view Kind = "completion";
+constexpr unsigned MaxAttempts = 8;
+constexpr std::size_t MaxEventBytes = 1024 * 1024;
+constexpr std::size_t MaxErrorBytes = 64 * 1024;
+// An attempt at an endpoint that has just failed waits this long, doubled each time.
+constexpr Duration RepeatDelay = std::chrono::milliseconds(25);
+
+struct Completion {
+  ModelName model;
+  bool chat = false;
+  bool stream = false;          ///< the caller wants events
+  std::string body;             ///< as sent to engines, with "stream": true
+  std::uint64_t prefixHash = 0; ///< of the beginning of the prompt
+};
+
+/// Text of the prompt's beginning; messages are told apart by their role.
+std::string promptStart(const json::object &body, bool chat) {
+  if (!chat)
+    return json::serialize(body.at("prompt")).substr(0, config::PrefixHintBytes);
+  std::string text;
+  for (auto &it : body.at("messages").get_array()) {
+    text += json::serialize(it);
+    if (text.size() >= config::PrefixHintBytes)
+      break;
+  }
+  return text.substr(0, config::PrefixHintBytes);
+}
+
+/// Fault of a completion's fields, empty if none.
+std::string checkFields(const json::object &body, bool chat) {
+  auto *model = body.if_contains("model");
+  if (!model || !model->is_string() || model->get_string().empty())
+    return "\"model\" must be the name of a model";
+  auto *stream = body.if_contains("stream");
+  if (stream && !stream->is_bool() && !stream->is_null())
+    return "\"stream\" must be true or false";
+  if (!chat) {
+    auto *prompt = body.if_contains("prompt");
+    bool ok = prompt && (prompt->is_string() || prompt->is_array());
+    return ok ? "" : "\"prompt\" must be a string or an array";
+  }
+  auto *messages = body.if_contains("messages");
+  if (!messages || !messages->is_array() || messages->get_array().empty())
+    return "\"messages\" must be an array with at least one message";
+  for (auto &it : messages->get_array())
+    if (!it.is_object())
+      return "each of \"messages\" must be an object";
+  return {};
+}
+
+std::variant<Completion, std::string> parseCompletion(const std::string &text, bool chat) {
+  json::object body;
+  if (!parseObject(text, body))
+    return "the body must be a JSON object";
+  if (auto fault = checkFields(body, chat); !fault.empty())
+    return fault;
+  Completion out;
+  out.chat = chat;
+  out.model = ModelName(std::string_view(body.at("model").get_string()));
+  auto *stream = body.if_contains("stream");
+  out.stream = stream && stream->is_bool() && stream->get_bool();
+  auto start = promptStart(body, chat);
+  out.prefixHash = XXH64(start.data(), start.size(), 0);
+  // A whole answer is put together from a stream: it would show no byte until it is complete, so
+  // that a dead connection could not be told from work.
+  body["stream"] = true;
+  out.body = json::serialize(body);
+  return out;
+}
+
+/// How one attempt ended.
+struct AttemptEnd {
+  std::optional<AttemptFailure> failure; ///< none: the answer is complete or passed on
+  bool healthy = true;
+  bool missing = false;
+};
+
+AttemptEnd failed(AttemptFailure f) {
+  return {.failure = f,
+          .healthy = f == AttemptFailure::CallerGone || f == AttemptFailure::DeadlinePassed ||
+                     f == AttemptFailure::Refused};
+}
+
+AttemptEnd failedBy(HttpStatus status) {
+  switch (status) {
+  case HttpStatus::NotConnected:
+    return failed(AttemptFailure::NotConnected);
+  case HttpStatus::Silent:
+    return failed(AttemptFailure::Silent);
+  case HttpStatus::Timeout:
+    return failed(AttemptFailure::DeadlinePassed);
+  default:
+    return failed(AttemptFailure::Broken);
+  }
+}
+
+/// One completion, through as many attempts as it takes.
+class CompletionCall {
+public:
+  CompletionCall(CallerRequest &request, const Completion &completion)
+      : request(request), core(*request.core), completion(completion) {}
+
+  asio::awaitable<void> run();
+
+private:
+  asio::awaitable<AttemptEnd> attempt(const Dispatched &place);
+  asio::awaitable<AttemptEnd> relay(HttpStream &stream, const Address &from);
+  asio::awaitable<AttemptEnd> passError(HttpStream &stream);
+  asio::awaitable<bool> onEvent(const SseEvent &event);
+  asio::awaitable<bool> finish();
+  asio::awaitable<void> answerFailure(NextStep step, AttemptFailure failure);
+  asio::awaitable<void> cutStream(std::string_view detail);
+  asio::awaitable<void> backOff(const Dispatched &place);
+  HttpRequest message() const;
+  NextStep decide(AttemptFailure failure);
+  void noteEvent();
+
+  CallerRequest &request;
+  GatewayCore &core;
+  const Completion &completion;
+  AnswerMerger merger;
+  std::vector<EndpointName> tried;
+  std::string attemptId;
+  unsigned attempts = 0;
+  unsigned relayed = 0; ///< events sent to the caller or merged
+  bool headersSent = false;
+  bool earlierMayHaveRun = false;
+  bool cold = false;
+  Instant attemptStarted;
+  Instant lastEvent;
+};
+
+asio::awaitable<void> CompletionCall::run() {
+  cold = !core.dispatcher.usable(completion.model);
+  for (;;) {
+    DispatchRequest wanted{
+        .waiting = {.requestId = request.id,
+                    .plan = request.plan.name,
+                    .model = completion.model,
+                    // A broken stream goes before requests that have not begun.
+                    .priority = relayed > 0 ? Priority::High : request.plan.priority,
+                    .deadline = request.deadline,
+                    .serviceTime = core.dispatcher.serviceTime(completion.model)},
+        .prefixHash = completion.prefixHash,
+        .tried = tried};
+    auto place = co_await dispatch(request, wanted);
+    if (place.result.outcome == AdmissionOutcome::Cancelled)
+      co_return request.exchange.abort();
+    if (place.result.outcome == AdmissionOutcome::Refused) {
+      if (headersSent)
+        co_return co_await cutStream(place.result.reason);
+      co_return co_await answerRefusal(request, Kind, place.result, earlierMayHaveRun);
+    }
+    co_await backOff(place);
+    auto end = co_await attempt(place);
+    core.dispatcher.end({.model = completion.model,
+                         .plan = request.plan.name,
+                         .endpoint = place.endpoint,
+                         .healthy = end.healthy,
+                         .missing = end.missing});
+    if (!end.failure)
+      co_return;
+    core.metrics.onFailedAttempt(toString(*end.failure));
+    tried.push_back(place.endpoint);
+    auto step = decide(*end.failure);
+    earlierMayHaveRun = earlierMayHaveRun || mayHaveRun(*end.failure);
+    if (step == NextStep::Resume)
+      core.metrics.onResume();
+    if (step != NextStep::Retry && step != NextStep::Resume)
+      co_return co_await answerFailure(step, *end.failure);
+  }
+}
+
+NextStep CompletionCall::decide(AttemptFailure failure) {
+  AttemptState state{.idempotent = true,
+                     .streaming = true,
+                     .eventsRelayed = relayed,
+                     .attempts = attempts,
+                     .retryAllowed = true,
+                     .headersSent = headersSent,
+                     .earlierMayHaveRun = earlierMayHaveRun};
+  auto step = nextStep(failure, state);
+  if (step != NextStep::Retry && step != NextStep::Resume)
+    return step;
+  state.retryAllowed =
+      attempts < MaxAttempts && steadyNow() < request.deadline && core.dispatcher.takeRetry();
+  return nextStep(failure, state);
+}
+
+/// Waits before an endpoint is tried again, doubling the time with each attempt.
+asio::awaitable<void> CompletionCall::backOff(const Dispatched &place) {
+  if (std::find(tried.begin(), tried.end(), place.endpoint) == tried.end())
+    co_return;
+  asio::steady_timer timer(co_await asio::this_coro::executor, RepeatDelay * (1U << attempts));
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+HttpRequest CompletionCall::message() const {
+  auto out =
+      makeRequest(http::verb::post, completion.chat ? "/v1/chat/completions" : "/v1/completions",
+                  completion.body);
+  out.set("X-Attempt-Id", attemptId);
+  out.set("X-Request-Id", request.id);
+  auto priority = toString(request.plan.priority);
+  out.set("X-Priority", boost::beast::string_view(priority.data(), priority.size()));
+  if (relayed > 0)
+    out.set("X-Resume-From", std::to_string(relayed));
+  return out;
+}
+
+asio::awaitable<AttemptEnd> CompletionCall::attempt(const Dispatched &place) {
+  ++attempts;
+  // The endpoint was lost between admission and choice; nothing was sent.
+  if (place.endpoint.empty())
+    co_return failed(AttemptFailure::NotConnected);
+  attemptId = request.id + "-" + std::to_string(attempts);
+  attemptStarted = steadyNow();
+  auto remaining = request.deadline - attemptStarted;
+  if (remaining <= Duration{0})
+    co_return failed(attempts == 1 ? AttemptFailure::NotConnected : AttemptFailure::DeadlinePassed);
+  HttpTimeouts timeouts{.connect = std::min(core.options.connectTimeout, remaining),
+                        .silence = core.options.silenceTimeout,
+                        .total = remaining};
+  auto stream = co_await openUnlessGone(request, place.address, message(), timeouts);
+  if (!stream)
+    co_return failed(AttemptFailure::CallerGone);
+  if (stream->status() == HttpStatus::Silent)
+    core.client.dropIdle(place.address);
+  if (stream->status() != HttpStatus::Ok)
+    co_return failedBy(stream->status());
+  if (core.options.guards.matchAnswerId && attemptIdOf(stream->head()) != attemptId) {
+    stream->cancel();
+    co_return failed(AttemptFailure::WrongAnswer);
+  }
+  if (stream->head().result() != http::status::ok)
+    co_return co_await passError(*stream);
+  request.watch.setAction([&stream] { stream->cancel(); });
+  auto end = co_await relay(*stream, place.address);
+  request.watch.setAction(nullptr);
+  co_return end;
+}
+
+asio::awaitable<AttemptEnd> CompletionCall::relay(HttpStream &stream, const Address &from) {
+  SseSplitter splitter(MaxEventBytes);
+  for (auto piece = co_await stream.read(); !piece.empty(); piece = co_await stream.read()) {
+    splitter.feed(piece);
+    unsigned events = 0;
+    while (auto event = splitter.next()) {
+      if (event->isDone()) {
+        core.dispatcher.onTokens(request.plan.name, events);
+        bool delivered = co_await finish();
+        co_await stream.read(); // its end, so that the connection can be kept
+        co_return delivered ? AttemptEnd{} : failed(AttemptFailure::CallerGone);
+      }
+      if (!co_await onEvent(*event))
+        co_return failed(request.watch.gone() ? AttemptFailure::CallerGone
+                                              : AttemptFailure::Broken);
+      ++events;
+    }
+    core.dispatcher.onTokens(request.plan.name, events);
+    if (splitter.overflow() || merger.bytes() > config::MaxAnswerBytes)
+      co_return failed(AttemptFailure::Broken);
+  }
+  if (request.watch.gone())
+    co_return failed(AttemptFailure::CallerGone);
+  if (stream.status() == HttpStatus::Silent)
+    core.client.dropIdle(from);
+  // A body that ends without [DONE] has lost its last events.
+  co_return failedBy(stream.status());
+}
+
+void CompletionCall::noteEvent() {
+  auto now = steadyNow();
+  if (relayed == 0) {
+    core.metrics.onFirstEvent(now - request.arrived, cold);
+    core.dispatcher.onFirstByte(completion.model, now - attemptStarted);
+  } else {
+    core.metrics.onEventGap(now - lastEvent);
+  }
+  lastEvent = now;
+  core.metrics.onTokens(request.plan.name, 1);
+}
+
+/// Relays or merges one event. False if the caller has gone or the event cannot be read.
+asio::awaitable<bool> CompletionCall::onEvent(const SseEvent &event) {
+  noteEvent();
+  if (!completion.stream) {
+    if (!merger.add(event.data))
+      co_return false;
+    ++relayed;
+    co_return !request.watch.gone();
+  }
+  if (!headersSent) {
+    HttpResponse head{http::status::ok, 11};
+    head.set(http::field::content_type, "text/event-stream");
+    head.set(http::field::cache_control, "no-cache");
+    head.set("X-Request-Id", request.id);
+    headersSent = true;
+    if (!co_await request.exchange.startStream(std::move(head)))
+      co_return false;
+  }
+  if (!co_await request.exchange.writeChunk(event.raw))
+    co_return false;
+  ++relayed;
+  co_return true;
+}
+
+/// Ends the answer. False if the caller has gone.
+asio::awaitable<bool> CompletionCall::finish() {
+  core.metrics.onRequest(request.plan.name, Kind, toString(RunOutcome::Ran));
+  if (completion.stream && headersSent) {
+    bool ok = co_await request.exchange.writeChunk("data: [DONE]\n\n");
+    co_return ok &&co_await request.exchange.endStream();
+  }
+  HttpResponse response{http::status::ok, 11};
+  response.set("X-Request-Id", request.id);
+  if (completion.stream) {
+    response.set(http::field::content_type, "text/event-stream");
+    response.body() = "data: [DONE]\n\n";
+  } else {
+    response.set(http::field::content_type, "application/json");
+    response.body() = merger.answer();
+  }
+  co_return co_await request.exchange.respond(std::move(response));
+}
+
+/// Handles an answer other than 200: a refusal, an error of the endpoint, or a fault of the
+/// request, which is passed on.
+asio::awaitable<AttemptEnd> CompletionCall::passError(HttpStream &stream) {
+  auto status = stream.head().result_int();
+  auto type = std::string(stream.head()[http::field::content_type]);
+  auto body = co_await readBody(stream, MaxErrorBytes);
+  if (stream.status() != HttpStatus::Ok)
+    co_return failedBy(stream.status());
+  auto outcome = outcomeOf(body);
+  bool notRun = outcome == RunOutcome::NotRun;
+  bool requestFault = status / 100 == 4 && status != 404 && status != 408 && status != 429;
+  if (requestFault && !headersSent) {
+    auto known = outcome == RunOutcome::Count ? RunOutcome::MayHaveRun : outcome;
+    co_await answerProblem(request, Kind, status,
+                           earlierMayHaveRun ? RunOutcome::MayHaveRun : known,
+                           "the engine rejected the request: " + body);
+    co_return AttemptEnd{};
+  }
+  if (notRun) {
+    auto end = failed(AttemptFailure::Refused);
+    end.missing = status == 404;
+    co_return end;
+  }
+  co_return failed(AttemptFailure::Broken);
+}
+
+asio::awaitable<void> CompletionCall::answerFailure(NextStep step, AttemptFailure failure) {
+  auto detail = "the endpoint failed: " + std::string(toString(failure));
+  switch (step) {
+  case NextStep::Stop:
+    request.exchange.abort();
+    co_return;
+  case NextStep::CutStream:
+    co_return co_await cutStream(detail);
+  case NextStep::AnswerNotRun:
+    co_return co_await answerProblem(request, Kind, 503, RunOutcome::NotRun, detail,
+                                     std::chrono::seconds(1));
+  default:
+    co_return co_await answerProblem(request, Kind,
+                                     failure == AttemptFailure::DeadlinePassed ? 504 : 502,
+                                     RunOutcome::MayHaveRun, detail, std::chrono::seconds(1));
+  }
+}
+
+/// Ends a stream whose status line is out: an error event and no [DONE].
+asio::awaitable<void> CompletionCall::cutStream(std::string_view detail) {
+  core.metrics.onRequest(request.plan.name, Kind, toString(RunOutcome::MayHaveRun));
+  json::object error{{"error",
+                      {{"message", json::string_view(detail.data(), detail.size())},
+                       {"outcome", toString(RunOutcome::MayHaveRun)},
+                       {"events", relayed}}}};
+  co_await request.exchange.writeChunk("event: error\ndata: " + json::serialize(error) + "\n\n");
+  co_await request.exchange.endStream();
+}
+
+} // namespace
+
+asio::awaitable<void> handleCompletion(CallerRequest &request, bool chat) {
+  auto parsed = parseCompletion(request.exchange.request().body(), chat);
+  if (auto *fault = std::get_if<std::string>(&parsed))
+    co_return co_await answerProblem(request, Kind, 400, RunOutcome::NotRun, *fault);
+  auto &completion = std::get<Completion>(parsed);
+  if (!request.lists->model(completion.model))
+    co_return co_await answerProblem(request, Kind, 404, RunOutcome::NotRun,
+                                     "no such model: " + completion.model.value);
+  if (!request.lists->mayUse(request.plan.name, completion.model))
+    co_return co_await answerProblem(request, Kind, 403, RunOutcome::NotRun,
+                                     "the plan may not use " + completion.model.value);
+  request.core->dispatcher.onRequest(completion.model);
+  CompletionCall call(request, completion);
+  co_await call.run();
+}
+
+} // namespace catkin
