--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,232 @@
+#include "daemon_p.h"
+
+#include "control_p.h"
+#include "gateway_p.h"
+#include "json_p.h"
+#include "log_p.h"
+#include "operator_api_p.h"
+#include "real_env_p.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+namespace catkin {
+
+namespace {
+
+constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
+// Giving up shares and the lease needs the platform and the planner, which may not answer.
+constexpr auto ControlStopTimeout = std::chrono::seconds(5);
+constexpr auto ExpireInterval = std::chrono::minutes(1);
+constexpr std::size_t OperatorConnections = 64;
+constexpr std::size_t PeerBodyBytes = 8 * 1024 * 1024; // a whole routing table fits
+
+/// Grows with each start of a host, so that a newer process is recognised.
+std::uint64_t newIncarnation() {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+Member makeSelf(const Settings &s, std::uint64_t incarnation) {
+  return {.host = HostName(s.host),
+          .incarnation = incarnation,
+          .callerAddress = s.advertise,
+          .peerAddress = s.peerAdvertise,
+          .dataCentre = DataCentreName(s.dataCentre)};
+}
+
+ControlOptions controlOptions(const Settings &s, std::uint64_t incarnation) {
+  return {.self = makeSelf(s, incarnation),
+          .peers = s.peers,
+          .planner = {.host = HostName(s.host),
+                      .retention = s.retention,
+                      .placement = s.placement,
+                      .weights = {.coldSecond = s.coldSecondWeight,
+                                  .idleSecond = s.idleSecondWeight,
+                                  .fixedKeepAlive = s.fixedKeepAlive},
+                      .storeConcurrentLoads = s.storeConcurrentLoads,
+                      .storeLoadsPerSecond = s.storeLoadsPerSecond,
+                      .storeAdaptersInFlight = s.storeAdaptersInFlight,
+                      .loadBytesPerSecond = s.loadBytesPerSecond}};
+}
+
+GatewayOptions gatewayOptions(const Settings &s) {
+  return {.host = HostName(s.host),
+          .dataCentre = DataCentreName(s.dataCentre),
+          .advertise = s.advertise,
+          .defaultDeadline = s.defaultDeadline,
+          .maxDeadline = s.maxDeadline,
+          .silenceTimeout = s.silenceTimeout,
+          .serviceSilenceTimeout = s.serviceSilenceTimeout,
+          .connectTimeout = s.connectTimeout,
+          .maxConnections = static_cast<std::size_t>(s.maxConnections)};
+}
+
+HttpServerOptions callerServerOptions(const Settings &s) {
+  return {.listen = s.listen,
+          .maxHeaderBytes = config::MaxHeaderBytes,
+          .maxBodyBytes = static_cast<std::size_t>(s.maxBodyBytes),
+          .maxConnections = static_cast<std::size_t>(s.maxConnections),
+          .readTimeout = config::RequestReadTimeout};
+}
+
+class Daemon {
+public:
+  explicit Daemon(const Settings &settings)
+      : settings(settings), io(settings.threads), strand(asio::make_strand(io)),
+        incarnation(newIncarnation()),
+        env(strand, {.platform = settings.platform, .connectTimeout = settings.connectTimeout},
+            decisions),
+        gateway(strand, io.get_executor(), gatewayOptions(settings), decisions),
+        control(env, controlOptions(settings, incarnation), gateway.hooks()),
+        ledger(env, {.host = HostName(settings.host), .incarnation = incarnation},
+               [this](const HostName &host, std::uint64_t other) {
+                 return !control.membership().ended(host, other, env.now());
+               }),
+        callers(io.get_executor(), callerServerOptions(settings), gateway.handler()),
+        peers(io.get_executor(), {.listen = settings.peerListen, .maxBodyBytes = PeerBodyBytes},
+              makePeerHandler(strand,
+                              [this](auto &method, auto &params, auto done) {
+                                control.onCall(method, params, std::move(done));
+                              })),
+        operators(io.get_executor(),
+                  {.listen = settings.operatorListen, .maxConnections = OperatorConnections},
+                  makeOperatorHandler({.strand = strand,
+                                       .control = control,
+                                       .decisions = decisions,
+                                       .key = settings.operatorKey})),
+        signals(io, SIGTERM, SIGINT) {
+    connectGateway();
+  }
+
+  std::string run();
+
+private:
+  void connectGateway();
+  void awaitSignal();
+  void beginStop();
+  void awaitDrain(Instant limit);
+  void stopControl();
+  void expireCalls();
+
+  const Settings &settings;
+  asio::io_context io;
+  asio::any_io_executor strand;
+  std::uint64_t incarnation;
+  DecisionLog decisions;
+  RealEnv env;
+  Gateway gateway;
+  Control control;
+  Ledger ledger;
+  HttpServer callers;
+  HttpServer peers;
+  HttpServer operators;
+  asio::signal_set signals;
+  bool stopping = false;
+};
+
+void Daemon::connectGateway() {
+  gateway.connect(
+      {.ensure = [this](auto &request, auto done) { control.ensure(request, std::move(done)); },
+       .poke = [this] { control.poke(); },
+       .ready = [this] { return control.ready(); },
+       .isPlanner = [this] { return control.isPlanner(); },
+       .addresses =
+           [this](std::uint64_t seed) {
+             return control.membership().callerAddresses(env.now(), seed,
+                                                         DataCentreName(settings.dataCentre));
+           },
+       .ledger = &ledger});
+  gateway.setConnectionCount([this] { return callers.connections(); });
+}
+
+std::string Daemon::run() {
+  for (auto *server : {&callers, &peers, &operators})
+    if (auto fault = server->start(); !fault.empty())
+      return fault;
+  logLine(LogLevel::Info, "started",
+          {{"version", CATKIN_VERSION},
+           {"incarnation", incarnation},
+           {"settings", json::parse(describeSettings(settings))}});
+  awaitSignal();
+  asio::post(strand, [this] {
+    control.start();
+    expireCalls();
+  });
+  std::vector<std::thread> threads;
+  for (int i = 1; i < settings.threads; ++i)
+    threads.emplace_back([this] { io.run(); });
+  io.run();
+  for (auto &it : threads)
+    it.join();
+  logLine(LogLevel::Info, "stopped");
+  return {};
+}
+
+void Daemon::awaitSignal() {
+  signals.async_wait([this](boost::system::error_code ec, int) {
+    if (ec)
+      return;
+    asio::post(strand, [this] { beginStop(); });
+    awaitSignal();
+  });
+}
+
+/// First signal: refuse new requests, tell the other hosts, finish what runs. Second: end at once.
+void Daemon::beginStop() {
+  if (std::exchange(stopping, true)) {
+    logLine(LogLevel::Warn, "second signal, ending at once");
+    return io.stop();
+  }
+  logLine(LogLevel::Info, "stopping", {{"active", gateway.active()}});
+  gateway.beginStop();
+  control.setLeaving(true);
+  awaitDrain(env.now() + settings.stopTimeout);
+}
+
+/// Waits for requests and for answers of non-idempotent calls that are still to be stored.
+void Daemon::awaitDrain(Instant limit) {
+  bool idle = gateway.active() == 0 && ledger.open() == 0;
+  if (!idle && env.now() < limit)
+    return env.after(DrainCheckInterval, [this, limit] { awaitDrain(limit); });
+  if (!idle)
+    logLine(LogLevel::Warn, "stop timeout passed",
+            {{"active", gateway.active()}, {"open_calls", ledger.open()}});
+  callers.stopAccepting();
+  stopControl();
+}
+
+void Daemon::stopControl() {
+  env.after(ControlStopTimeout, [this] {
+    logLine(LogLevel::Warn, "lease and shares could not be given back in time");
+    io.stop();
+  });
+  control.stop([this] { io.stop(); });
+}
+
+/// The planner erases old call records, so that one host does it.
+void Daemon::expireCalls() {
+  if (control.isPlanner())
+    ledger.expire();
+  env.after(ExpireInterval, [this] { expireCalls(); });
+}
+
+} // namespace
+
+std::string runDaemon(const Settings &settings) {
+  // A caller that closes its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+  Daemon daemon(settings);
+  return daemon.run();
+}
+
+} // namespace catkin
--- a/src/gateway_core.cpp
+++ b/src/gateway_core.cpp
@@ -128,7 +128,12 @@
                         .remaining = std::max(Duration{0}, group.deadline - now)};
   links.poke();
   links.ensure(request, [self = shared_from_this(), group](const EnsureReply &reply) {
-    self->asked[{group.model, group.plan}].underWay = false;
+    // After a refusal a new request asks again soon; while a load is under way once a second is
+    // enough.
+    auto now = steadyNow();
+    bool refused = reply.outcome == EnsureOutcome::Refused;
+    self->asked[{group.model, group.plan}] = {
+        false, refused ? now - config::EnsureInterval + AskInterval : now};
     self->onEnsureReply(group, reply);
   });
 }
--- a/src/gateway_services.cpp
+++ b/src/gateway_services.cpp
@@ -97,7 +97,7 @@
   void release(const Dispatched &place, bool healthy);
   template <class Use> void onLedger(Use use);
   void abandon();
-  void note(const char *reason);
+  void note(std::string_view reason);
 
   CallerRequest &request;
   GatewayCore &core;
@@ -189,7 +189,7 @@
     });
   };
   auto result = co_await waitForCallback<ClaimResult>(start);
-  note(toString(result.outcome).data());
+  note(toString(result.outcome));
   if (result.outcome != ClaimOutcome::Granted) {
     co_await answerClaim(result);
     co_return false;
@@ -199,12 +199,12 @@
   co_return true;
 }
 
-void ServiceCall::note(const char *reason) {
+void ServiceCall::note(std::string_view reason) {
   core.decisions.add({.kind = DecisionKind::Call,
                       .requestId = request.id,
                       .plan = request.plan.name,
                       .model = ModelName(target.service.value),
-                      .reason = reason});
+                      .reason = std::string(reason)});
 }
 
 asio::awaitable<void> ServiceCall::answerClaim(const ClaimResult &result) {
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -165,8 +165,8 @@
     return;
   }
   auto values = option.results();
-  if (values.size() != 1) {
-    addFault(result.faults, spec.flag, values.empty() ? "needs a value" : "is given twice");
+  if (values.size() != 1 || values.front().empty()) {
+    addFault(result.faults, spec.flag, values.size() > 1 ? "is given twice" : "needs a value");
     return;
   }
   auto fault =
