--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -80,12 +80,14 @@
 }
 
 /// Ends a replica. With `again`, a model that is still needed is placed anew.
-void Planner::Impl::dropReplica(Endpoint &ep, const ModelName &model, std::string_view reason,
+void Planner::Impl::dropReplica(Endpoint &ep, const ModelName &dropped, std::string_view reason,
                                 bool again) {
-  auto it = ep.replicas.find(model);
+  auto it = ep.replicas.find(dropped);
   if (it == ep.replicas.end())
     return;
+  // `dropped` may be part of the replica that is erased.
   auto r = std::move(it->second);
+  const auto &model = r.model;
   ep.replicas.erase(it);
   models[model].endpoints.erase(ep.name);
   table.remove(model, ep.name);
@@ -106,6 +108,19 @@
   classify(ep);
 }
 
+// ---- Orders ------------------------------------------------------------------------------------
+
+void Planner::Impl::send(const Endpoint &ep, const EngineOrder &order, OrderDone done) {
+  ++ordersInFlight;
+  auto answered = [weak = weak_from_this(), done = std::move(done)](OrderStatus status,
+                                                                    const EndpointReport &report) {
+    if (auto self = weak.lock())
+      --self->ordersInFlight;
+    done(status, report);
+  };
+  env.engines().order(ep.address, order, answered);
+}
+
 // ---- Load --------------------------------------------------------------------------------------
 
 void Planner::Impl::beginLoad(Endpoint &ep, Replica &r) {
@@ -169,7 +184,7 @@
     else if (status == OrderStatus::StaleTerm)
       self.onStaleTerm();
   };
-  env.engines().order(ep.address, order, inSession(done));
+  send(ep, order, inSession(done));
 }
 
 void Planner::Impl::onLoadAnswer(Endpoint &ep, Replica &r, OrderStatus status,
@@ -314,7 +329,7 @@
     else if (status == OrderStatus::StaleTerm)
       self.onStaleTerm();
   };
-  env.engines().order(ep.address, order, inSession(done));
+  send(ep, order, inSession(done));
 }
 
 void Planner::Impl::onUnloadAnswer(Endpoint &ep, Replica &r, OrderStatus status,
