Add fault tests of the control loop over several hosts

Cause: failover, planned hand-over, long outages, drains and recovery concern the parts together. Change: Cluster runs the control loops of several hosts over one World; tests guard one load per burst, failover time in virtual time, an outage of five minutes, a start during an outage, drains and mixed random faults.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -677,6 +677,8 @@
 
 bool Control::isPlanner() const { return impl->lease.held(); }
 
+Instant Control::orderLimit() const { return impl->lease.validUntil(); }
+
 const LeaseRecord &Control::planner() const { return impl->lease.newest(); }
 
 ConfigSync &Control::config() { return impl->config; }
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -68,6 +68,8 @@
 
   bool ready() const; ///< lists and a routing table are known
   bool isPlanner() const;
+  /// Until when this host may order endpoints that ignore fencing; planner only.
+  Instant orderLimit() const;
   const LeaseRecord &planner() const;
   ConfigSync &config();
   Membership &membership();
--- /dev/null
+++ b/tests/promise_control_test.cpp
@@ -0,0 +1,228 @@
+#include "cluster_p.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace catkin::harness {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration LongDeadline = 60s;
+
+bool waitLoaded(Cluster &c, std::size_t host, const ModelName &model, Duration limit) {
+  return c.world.runUntil([&] { return c.loaded(host, model); }, limit);
+}
+
+bool waitPlanner(Cluster &c, Duration limit) {
+  return c.world.runUntil([&] { return c.plannerIndex() >= 0; }, limit);
+}
+
+std::size_t copies(Cluster &c, const ModelName &model) {
+  std::size_t n = 0;
+  for (auto &[name, it] : c.world.engines())
+    n += it.models.contains(model) ? 1 : 0;
+  return n;
+}
+
+// Guards against one load per host when a burst of first requests reaches every host at once.
+TEST(PromiseControl, BurstAtEveryHostMakesOneLoad) {
+  Cluster c({});
+  ASSERT_TRUE(c.startAll());
+  for (std::size_t i = 0; i < c.hosts.size(); ++i)
+    for (int n = 0; n < 5; ++n)
+      c.ensure(i, Cluster::model(0), LongDeadline);
+  for (std::size_t i = 0; i < c.hosts.size(); ++i)
+    EXPECT_TRUE(waitLoaded(c, i, Cluster::model(0), 20s));
+  EXPECT_EQ(copies(c, Cluster::model(0)), 1U);
+}
+
+// Guards against cold starts that stop for good when the planner dies: the next one must take over
+// within the lease's time and know the replicas that exist.
+TEST(PromiseControl, PlannerDeathDelaysColdStartsOnlyForAFailover) {
+  Cluster c({});
+  ASSERT_TRUE(c.startAll());
+  c.ensure(0, Cluster::model(0), LongDeadline);
+  ASSERT_TRUE(waitLoaded(c, 0, Cluster::model(0), 20s));
+  auto first = c.plannerIndex();
+  ASSERT_GE(first, 0);
+  c.kill(static_cast<std::size_t>(first));
+  auto killed = c.world.now();
+  auto other = (static_cast<std::size_t>(first) + 1) % c.hosts.size();
+  ASSERT_TRUE(
+      c.world.runUntil([&] { return c.plannerIndex() >= 0 && c.plannerIndex() != first; }, 10s));
+  // TTL + candidate margin + two polling intervals of a second.
+  EXPECT_LE(c.world.now() - killed, Duration(5500ms));
+  EXPECT_TRUE(c.loaded(other, Cluster::model(0))) << "the old table must keep routing";
+  c.ensure(other, Cluster::model(1), LongDeadline);
+  EXPECT_TRUE(waitLoaded(c, other, Cluster::model(1), 30s));
+  EXPECT_EQ(copies(c, Cluster::model(0)), 1U);
+}
+
+// Guards against a delay of a whole lease when a planner stops as planned.
+TEST(PromiseControl, PlannedStopHandsTheLeaseOver) {
+  Cluster c({});
+  ASSERT_TRUE(c.startAll());
+  auto first = c.plannerIndex();
+  ASSERT_GE(first, 0);
+  c.hosts[static_cast<std::size_t>(first)].control->setLeaving(true);
+  auto start = c.world.now();
+  ASSERT_TRUE(
+      c.world.runUntil([&] { return c.plannerIndex() >= 0 && c.plannerIndex() != first; }, 10s));
+  EXPECT_LE(c.world.now() - start, Duration(2100ms)) << "one polling interval and the writes";
+}
+
+// Guards against callers being sent to a host that is leaving.
+TEST(PromiseControl, LeavingHostIsLeftOutOfAddresses) {
+  Cluster c({});
+  ASSERT_TRUE(c.startAll());
+  c.hosts[1].control->setLeaving(true);
+  c.world.run(3s);
+  auto addresses = c.hosts[2].control->membership().callerAddresses(c.world.now(), 0, {});
+  EXPECT_EQ(addresses.size(), c.hosts.size() - 1);
+  EXPECT_EQ(std::count(addresses.begin(), addresses.end(), c.hosts[1].self.callerAddress), 0);
+}
+
+// Guards against an outage of the platform stopping service: loaded models stay routed, and the
+// last planner still loads on endpoints that check fencing.
+TEST(PromiseControl, LongOutageKeepsServingAndLoadsOnFencingEndpoints) {
+  Cluster c({});
+  ASSERT_TRUE(c.startAll());
+  c.ensure(0, Cluster::model(0), LongDeadline);
+  ASSERT_TRUE(waitLoaded(c, 0, Cluster::model(0), 20s));
+  c.world.faults().platformDown = true;
+  c.world.run(5min);
+  for (std::size_t i = 0; i < c.hosts.size(); ++i)
+    EXPECT_TRUE(c.loaded(i, Cluster::model(0)));
+  auto before = c.world.history().size();
+  c.ensure(2, Cluster::model(1), LongDeadline);
+  EXPECT_TRUE(waitLoaded(c, 2, Cluster::model(1), 30s));
+  for (auto i = before; i < c.world.history().size(); ++i) {
+    auto &it = c.world.history()[i];
+    if (it.kind == EventKind::LoadStarted) {
+      EXPECT_TRUE(c.world.engine(EndpointName(it.endpoint)).checksFencing)
+          << "load on " << it.endpoint << " long after the lease ran out";
+    }
+  }
+  c.world.faults().platformDown = false;
+  ASSERT_TRUE(waitPlanner(c, 30s));
+  c.world.run(10s);
+  EXPECT_EQ(copies(c, Cluster::model(1)), 1U);
+}
+
+// Guards against a host that restarts in an outage serving without lists, or with older ones.
+TEST(PromiseControl, HostStartedInAnOutageTakesTheListsFromItsPeers) {
+  Cluster c({});
+  ASSERT_TRUE(c.startAll());
+  c.putLists(2, "second");
+  c.world.run(5s);
+  c.world.faults().platformDown = true;
+  c.world.run(10s);
+  auto planner = static_cast<std::size_t>(c.plannerIndex() >= 0 ? c.plannerIndex() : 0);
+  auto other = (planner + 1) % c.hosts.size();
+  c.restart(other);
+  ASSERT_TRUE(c.world.runUntil([&] { return c.hosts[other].control->ready(); }, 30s));
+  EXPECT_EQ(c.hosts[other].revisions.back(), 2U);
+}
+
+// Guards against a new planner forgetting that an endpoint is being drained.
+TEST(PromiseControl, DrainOutlivesThePlanner) {
+  Cluster c({.engines = 2, .mixedFencing = false});
+  ASSERT_TRUE(c.startAll());
+  bool confirmed = false;
+  c.hosts[0].control->drainEndpoint(Cluster::engineName(0), true, [&](bool ok) { confirmed = ok; });
+  c.world.run(1s);
+  ASSERT_TRUE(confirmed);
+  auto first = c.plannerIndex();
+  c.kill(static_cast<std::size_t>(first));
+  ASSERT_TRUE(
+      c.world.runUntil([&] { return c.plannerIndex() >= 0 && c.plannerIndex() != first; }, 10s));
+  c.world.run(2s);
+  auto host = (static_cast<std::size_t>(first) + 1) % c.hosts.size();
+  for (int i = 0; i < 3; ++i)
+    c.ensure(host, Cluster::model(i), LongDeadline);
+  c.world.run(20s);
+  EXPECT_TRUE(c.world.engine(Cluster::engineName(0)).models.empty());
+  EXPECT_EQ(c.world.engine(Cluster::engineName(1)).models.size(), 3U);
+}
+
+/// One run of random faults. Returns what was violated, empty if nothing was.
+std::string runFaults(std::uint64_t seed, const Guards &guards) {
+  Cluster c({.seed = seed, .guards = guards});
+  if (!c.startAll())
+    return "hosts did not become ready";
+  auto &w = c.world;
+  w.faults().loseWriteReply = 0.05;
+  w.faults().dropMessage = 0.02;
+  w.faults().duplicateMessage = 0.02;
+  auto pick = [&](std::size_t n) { return static_cast<std::size_t>(w.random() % n); };
+  for (int step = 0; step < 60; ++step) {
+    auto i = pick(c.hosts.size());
+    auto &host = c.hosts[i];
+    switch (pick(9)) {
+    case 0:
+      if (host.running)
+        c.kill(i);
+      break;
+    case 1:
+      if (!host.running)
+        c.start(i);
+      break;
+    case 2:
+      if (host.running)
+        w.freeze(host.process);
+      break;
+    case 3:
+      if (host.running)
+        w.thaw(host.process);
+      break;
+    case 4:
+      w.faults().platformDown = !w.faults().platformDown;
+      break;
+    case 5:
+      w.cut(host.self.host.value, pick(2) == 0 ? "platform" : c.hosts[0].self.host.value);
+      break;
+    case 6:
+      w.healAll();
+      w.faults().platformDown = false;
+      break;
+    default:
+      if (host.running && !host.process->frozen())
+        c.ensure(i, Cluster::model(static_cast<int>(pick(6))), LongDeadline);
+    }
+    for (int n = 0; n < 40; ++n) {
+      w.run(50ms);
+      if (c.activePlanners() > 1)
+        return "two planners may order endpoints that ignore fencing";
+    }
+    for (auto &it : c.hosts)
+      if (!std::is_sorted(it.revisions.begin(), it.revisions.end()))
+        return "configuration went back on " + it.self.host.value;
+  }
+  w.healAll();
+  w.faults() = {};
+  for (std::size_t i = 0; i < c.hosts.size(); ++i) {
+    if (c.hosts[i].running)
+      w.thaw(c.hosts[i].process);
+    else
+      c.start(i);
+  }
+  w.run(30s);
+  if (c.activePlanners() != 1)
+    return "no planner after all faults ended";
+  c.ensure(0, Cluster::model(5), LongDeadline);
+  if (!waitLoaded(c, 0, Cluster::model(5), 60s))
+    return "a cold model could not be loaded after all faults ended";
+  return {};
+}
+
+// Guards against two planners at once, configuration that goes back, and a system that does not
+// recover, under mixed faults.
+TEST(PromiseControl, MixedFaults) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed)
+    ASSERT_EQ(runFaults(seed, {}), "") << "seed " << seed;
+}
+
+} // namespace
+} // namespace catkin::harness
