--- /dev/null
+++ b/src/share_table.cpp
@@ -0,0 +1,701 @@
+#include "config.h"
+#include "share_targets_p.h"
+#include "shares_p.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+
+namespace catkin {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view SharesPrefix = "shares/";
+// A host's demand is remembered for a few reports, so that a short pause does not move its share.
+constexpr double DemandDecay = 0.8;
+// A giver that has not lowered its use after this time is no longer counted on.
+constexpr auto LoweringPatience = std::chrono::seconds(2);
+// While more hosts ask than there are units, the units go round at this interval.
+constexpr auto RotationInterval = std::chrono::seconds(2);
+// Token rates that differ less are left as they are.
+constexpr double RateTolerance = 0.01;
+constexpr double RateEpsilon = 1e-9;
+// A version is the term of the planner that issued it, then a counter. So a newer planner's shares
+// replace those that an older one announced and never recorded.
+constexpr int VersionCounterBits = 32;
+
+/// A part of a grant.
+struct Amount {
+  int concurrency = 0;
+  double tokens = 0; ///< per second
+  bool empty() const { return concurrency == 0 && tokens <= 0; }
+  friend bool operator==(const Amount &, const Amount &) = default;
+};
+
+Amount smaller(const Amount &a, const Amount &b) {
+  return {std::min(a.concurrency, b.concurrency), std::min(a.tokens, b.tokens)};
+}
+
+/// What one host process holds of a plan.
+struct Holding {
+  Amount recorded;           ///< in the stored table; the process never uses more
+  std::uint64_t version = 0; ///< under which `recorded` is announced
+  bool lowering = false;     ///< `lowered` is announced instead
+  Amount lowered;
+  std::uint64_t loweredVersion = 0;
+  Instant loweredAt;
+  bool acknowledged = false; ///< the process uses no more than `lowered`
+  bool ended = false;
+};
+using Holdings = std::map<HolderId, Holding>;
+
+/// The stored table of a plan.
+struct Table {
+  std::uint64_t term = 0;
+  std::string writeId;             ///< recognised by its writer when read back
+  std::uint64_t grantRevision = 0; ///< of the lists that the grant is from
+  Amount grant;
+  std::map<HolderId, Amount> holders;
+};
+
+std::string encode(const Table &t) {
+  json::array holders;
+  for (auto &[id, it] : t.holders)
+    holders.push_back(json::object{{"host", id.host.value},
+                                   {"incarnation", id.incarnation},
+                                   {"concurrency", it.concurrency},
+                                   {"tokens_per_second", it.tokens}});
+  return json::serialize(json::object{{"term", t.term},
+                                      {"write_id", t.writeId},
+                                      {"grant_revision", t.grantRevision},
+                                      {"grant_concurrency", t.grant.concurrency},
+                                      {"grant_tokens_per_second", t.grant.tokens},
+                                      {"holders", holders}});
+}
+
+std::string textOf(const json::value &v) {
+  auto &s = v.as_string();
+  return {s.data(), s.size()};
+}
+
+/// Nothing for text that is not a table.
+std::optional<Table> decode(const std::string &text) {
+  json::error_code ec;
+  auto v = json::parse(text, ec);
+  if (ec)
+    return std::nullopt;
+  try {
+    auto &o = v.as_object();
+    Table t{.term = o.at("term").to_number<std::uint64_t>(),
+            .writeId = textOf(o.at("write_id")),
+            .grantRevision = o.at("grant_revision").to_number<std::uint64_t>(),
+            .grant = {o.at("grant_concurrency").to_number<int>(),
+                      o.at("grant_tokens_per_second").to_number<double>()}};
+    for (auto &it : o.at("holders").as_array()) {
+      HolderId id{HostName(textOf(it.at("host"))), it.at("incarnation").to_number<std::uint64_t>()};
+      t.holders[id] = {it.at("concurrency").to_number<int>(),
+                       it.at("tokens_per_second").to_number<double>()};
+    }
+    return t;
+  } catch (const std::exception &) {
+    return std::nullopt; // a field is missing or of another type
+  }
+}
+
+/// Latest report of a host process about one plan.
+struct Report {
+  PlanUse use;
+  double demand = 0;
+};
+
+struct Holder {
+  Instant heard;
+  std::map<PlanName, Report> reports;
+};
+
+struct PlanState {
+  std::uint64_t objectVersion = 0;
+  std::uint64_t grantRevision = 0; ///< newest lists any planner used for this table
+  Amount grant;                    ///< as recorded
+  Holdings holdings;
+  bool claimed = false; ///< written in this term, so older planners can no longer write
+  bool busy = false;    ///< a write or read is under way
+  bool blocked = false; ///< a newer planner has written
+  bool dirty = true;    ///< something changed since the last look
+  bool mayLand = false; ///< a write on objectVersion of unknown fate may still take effect
+  Instant notBefore;    ///< next rebalancing write
+  Table pending;        ///< the write under way
+};
+
+/// What the planner wants for a plan, by live holder.
+struct Wish {
+  std::map<HolderId, int> targets;
+  std::vector<HolderId> needy; ///< most urgent first
+  bool urgent = false;         ///< a host with demand has no share
+};
+
+int sumOf(const Holdings &holdings) {
+  return std::accumulate(holdings.begin(), holdings.end(), 0,
+                         [](int n, auto &it) { return n + it.second.recorded.concurrency; });
+}
+
+} // namespace
+
+struct ShareTable::Impl : std::enable_shared_from_this<ShareTable::Impl> {
+  Impl(Env &env, Guards guards) : env(env), guards(guards) {}
+
+  Env &env;
+  Guards guards;
+  ListsPtr lists;
+  std::uint64_t term = 0;
+  std::uint64_t epoch = 0; ///< answers to calls of an earlier leadership are dropped
+  std::uint64_t counter = 0;
+  bool leading = false;
+  bool loaded = false;
+  std::map<PlanName, PlanState> plans;
+  std::map<HolderId, Holder> holders;
+  std::map<HostName, std::uint64_t> endedUpTo; ///< newest incarnation known to have ended
+  PlanName cursor; ///< plan served last, so that the write budget goes round
+  double writeBudget = 1;
+  Instant budgetAt;
+  Instant platformRetryAt;
+
+  // ---- Leadership ------------------------------------------------------------------------------
+
+  void lead(std::uint64_t newTerm) {
+    resign();
+    term = newTerm;
+    leading = true;
+    counter = 0;
+    read();
+  }
+
+  void resign() {
+    ++epoch;
+    leading = false;
+    loaded = false;
+    plans.clear();
+    holders.clear();
+  }
+
+  template <class F> auto guarded(F f) {
+    return [self = weak_from_this(), at = epoch, f](auto &&...args) {
+      auto impl = self.lock();
+      if (impl && impl->epoch == at)
+        f(*impl, args...);
+    };
+  }
+
+  void read() {
+    env.platform().list(
+        std::string(SharesPrefix),
+        guarded([](Impl &impl, StoreStatus status, const std::vector<StoreObject> &objects) {
+          impl.onRead(status, objects);
+        }));
+  }
+
+  void onRead(StoreStatus status, const std::vector<StoreObject> &objects) {
+    if (status != StoreStatus::Ok) {
+      env.after(config::ShareRetryInterval, guarded([](Impl &impl) { impl.read(); }));
+      return;
+    }
+    for (auto &it : objects)
+      adopt(plans[PlanName(it.key.substr(SharesPrefix.size()))], it);
+    loaded = true;
+  }
+
+  /// Takes over what the platform holds. It is announced only once written in this term.
+  void adopt(PlanState &state, const StoreObject &object) {
+    auto table = decode(object.value).value_or(Table{});
+    state.objectVersion = object.version;
+    state.grantRevision = std::max(state.grantRevision, table.grantRevision);
+    state.grant = table.grant;
+    state.blocked = table.term > term;
+    state.claimed = false;
+    state.mayLand = false;
+    state.dirty = true;
+    state.holdings.clear();
+    for (auto &[id, amount] : table.holders)
+      state.holdings[id] = {.recorded = amount, .ended = hasEnded(id)};
+  }
+
+  // ---- Reports ---------------------------------------------------------------------------------
+
+  bool hasEnded(const HolderId &id) const {
+    auto it = endedUpTo.find(id.host);
+    return it != endedUpTo.end() && id.incarnation <= it->second;
+  }
+
+  void onSync(const HolderId &id, const std::vector<PlanUse> &uses) {
+    if (hasEnded(id))
+      return;
+    auto [entry, added] = holders.try_emplace(id);
+    auto &holder = entry->second;
+    holder.heard = env.now();
+    if (added) {
+      if (id.incarnation > 0) // a newer process of a host shows that its former ones have ended
+        onEnded({id.host, id.incarnation - 1});
+      markAllDirty();
+    }
+    for (auto &use : uses) {
+      auto &report = holder.reports[use.plan];
+      bool same = use.inFlight == report.use.inFlight && use.waiting == report.use.waiting;
+      report.use = use;
+      report.demand = std::max<double>(use.inFlight + use.waiting, report.demand * DemandDecay);
+      auto plan = plans.find(use.plan);
+      if (plan == plans.end())
+        continue;
+      plan->second.dirty |= !same || use.waiting > 0;
+      acknowledge(plan->second, id, use.shareVersion);
+    }
+  }
+
+  void acknowledge(PlanState &state, const HolderId &id, std::uint64_t version) {
+    auto it = state.holdings.find(id);
+    if (it == state.holdings.end() || !it->second.lowering || it->second.acknowledged)
+      return;
+    it->second.acknowledged = version >= it->second.loweredVersion;
+    state.dirty |= it->second.acknowledged;
+  }
+
+  void onEnded(const HolderId &id) {
+    auto &newest = endedUpTo[id.host];
+    newest = std::max(newest, id.incarnation);
+    std::erase_if(holders, [&](auto &it) { return hasEnded(it.first); });
+    for (auto &[plan, state] : plans)
+      for (auto &[holder, it] : state.holdings)
+        if (!it.ended && hasEnded(holder)) {
+          it.ended = true;
+          state.dirty = true;
+        }
+  }
+
+  void markAllDirty() {
+    for (auto &[plan, state] : plans)
+      state.dirty = true;
+  }
+
+  // ---- Decisions -------------------------------------------------------------------------------
+
+  void tick() {
+    refillBudget();
+    if (!leading || !loaded || !lists || env.now() < platformRetryAt)
+      return;
+    for (auto &[name, plan] : lists->plans)
+      plans.try_emplace(name);
+    std::vector<PlanName> order;
+    for (auto &[name, state] : plans)
+      order.push_back(name);
+    std::rotate(order.begin(), std::upper_bound(order.begin(), order.end(), cursor), order.end());
+    for (auto &it : order)
+      if (step(it, plans.at(it)))
+        cursor = it;
+  }
+
+  void refillBudget() {
+    auto dt = toSeconds(env.now() - budgetAt);
+    budgetAt = env.now();
+    writeBudget =
+        std::min(config::ShareWritesPerSecond, writeBudget + dt * config::ShareWritesPerSecond);
+  }
+
+  Grant grantOf(const PlanName &plan) const {
+    auto it = lists->plans.find(plan);
+    return it == lists->plans.end() ? Grant{} : it->second.grant;
+  }
+
+  /// True if a write was sent.
+  bool step(const PlanName &plan, PlanState &state) {
+    bool olderLists = lists->revision < state.grantRevision;
+    if (state.busy || state.blocked || !state.dirty || olderLists || writeBudget < 1)
+      return false;
+    auto grant = grantOf(plan);
+    auto wish = makeWish(plan, state, grant);
+    bool isDue = env.now() >= state.notBefore;
+    if (!isDue && !wish.urgent && state.claimed)
+      return false;
+    if (state.claimed)
+      startLowering(plan, state, grant, wish);
+    auto table = nextTable(state, grant, wish);
+    if (state.objectVersion == 0 && table.holders.empty())
+      return false; // a new plan waits for its first host
+    if (table.holders.empty() && !lists->plans.contains(plan)) {
+      eraseTable(plan, state);
+      return true;
+    }
+    if (state.claimed && !isWorthWriting(state, table)) {
+      state.dirty = isRebalancing(state, grant, wish);
+      return false;
+    }
+    write(plan, state, std::move(table));
+    return true;
+  }
+
+  bool isLive(const HolderId &id) const {
+    auto it = holders.find(id);
+    return it != holders.end() && env.now() - it->second.heard <= config::MemberTimeout;
+  }
+
+  static int recordedOf(const PlanState &state, const HolderId &id) {
+    auto it = state.holdings.find(id);
+    return it == state.holdings.end() ? 0 : it->second.recorded.concurrency;
+  }
+
+  const Report &reportOf(const HolderId &id, const PlanName &plan) const {
+    static const Report None;
+    auto holder = holders.find(id);
+    if (holder == holders.end())
+      return None;
+    auto it = holder->second.reports.find(plan);
+    return it == holder->second.reports.end() ? None : it->second;
+  }
+
+  Wish makeWish(const PlanName &plan, const PlanState &state, const Grant &grant) const {
+    int available = grant.concurrency;
+    for (auto &[id, it] : state.holdings)
+      if (!it.ended && !isLive(id))
+        available -= it.recorded.concurrency; // kept until it has ended
+    std::vector<HolderId> ids;
+    std::vector<HolderDemand> demands;
+    for (auto &[id, it] : holders) {
+      if (!isLive(id))
+        continue;
+      ids.push_back(id);
+      demands.push_back({.demand = static_cast<int>(reportOf(id, plan).demand + 0.5)});
+    }
+    auto seed = XXH64(plan.value.data(), plan.value.size(), 0);
+    for (std::size_t i = 0; i < ids.size(); ++i)
+      demands[i].order = XXH64(ids[i].host.value.data(), ids[i].host.value.size(), seed);
+    auto turn = env.now().time_since_epoch() / RotationInterval;
+    auto units = divideUnits(available, demands, turn);
+    Wish wish;
+    for (std::size_t i = 0; i < ids.size(); ++i)
+      wish.targets[ids[i]] = units[i];
+    findNeedy(plan, state, wish);
+    return wish;
+  }
+
+  /// Hosts whose share is worth a transfer: none yet, or used up while more is asked for.
+  void findNeedy(const PlanName &plan, const PlanState &state, Wish &wish) const {
+    std::vector<HolderId> saturated;
+    std::vector<HolderId> idle;
+    for (auto &[id, target] : wish.targets) {
+      auto recorded = recordedOf(state, id);
+      auto &report = reportOf(id, plan);
+      if (target <= recorded)
+        continue;
+      if (recorded == 0 && report.demand > 0)
+        wish.needy.push_back(id);
+      else if (report.use.waiting > 0 || (recorded > 0 && report.use.inFlight >= recorded))
+        saturated.push_back(id);
+      else if (recorded == 0)
+        idle.push_back(id);
+    }
+    wish.urgent = !wish.needy.empty();
+    wish.needy.insert(wish.needy.end(), saturated.begin(), saturated.end());
+    wish.needy.insert(wish.needy.end(), idle.begin(), idle.end());
+  }
+
+  static Amount proportional(int concurrency, const Grant &grant) {
+    if (grant.concurrency == 0)
+      return {};
+    return {concurrency, grant.tokensPerSecond * concurrency / grant.concurrency};
+  }
+
+  /// Announces lower shares to as many givers as the needy hosts, or a lowered grant, require.
+  void startLowering(const PlanName &plan, PlanState &state, const Grant &grant, const Wish &wish) {
+    int need = unitsToLower(state, grant, wish);
+    std::vector<std::pair<int, HolderId>> givers;
+    for (auto &[id, target] : wish.targets) {
+      auto it = state.holdings.find(id);
+      if (it == state.holdings.end() || it->second.lowering || it->second.ended)
+        continue;
+      givers.emplace_back(it->second.recorded.concurrency - target, id);
+    }
+    std::sort(givers.rbegin(), givers.rend());
+    for (auto &[excess, id] : givers) {
+      auto &it = state.holdings[id];
+      auto units = std::clamp(need, 0, std::max(excess, 0));
+      need -= units;
+      lower(plan, id, it, proportional(it.recorded.concurrency - units, grant));
+    }
+  }
+
+  int unitsToLower(const PlanState &state, const Grant &grant, const Wish &wish) const {
+    int need = sumOf(state.holdings) - grant.concurrency;
+    for (auto &it : wish.needy)
+      need += wish.targets.at(it) - recordedOf(state, it);
+    for (auto &[id, it] : state.holdings) {
+      if (it.ended)
+        need -= it.recorded.concurrency;
+      else if (it.lowering && countsAsComing(id, it))
+        need -= it.recorded.concurrency - it.lowered.concurrency;
+    }
+    return need;
+  }
+
+  bool countsAsComing(const HolderId &id, const Holding &it) const {
+    return it.acknowledged || (isLive(id) && env.now() - it.loweredAt < LoweringPatience);
+  }
+
+  void lower(const PlanName &plan, const HolderId &id, Holding &it, const Amount &amount) {
+    auto lowered = smaller(it.recorded, amount);
+    bool isLess = lowered.concurrency < it.recorded.concurrency ||
+                  lowered.tokens < it.recorded.tokens * (1 - RateEpsilon);
+    if (!isLess)
+      return;
+    it.lowering = true;
+    it.lowered = lowered;
+    it.loweredVersion = nextVersion();
+    it.loweredAt = env.now();
+    it.acknowledged = !guards.lowerBeforeRaise;
+    env.decision({.kind = DecisionKind::Quota,
+                  .plan = plan,
+                  .chosen = id.host.value,
+                  .reason = "lower to " + std::to_string(lowered.concurrency)});
+  }
+
+  std::uint64_t nextVersion() { return (term << VersionCounterBits) | ++counter; }
+
+  /// The table after all acknowledged lowerings, with what is free given to those who need it.
+  Table nextTable(const PlanState &state, const Grant &grant, const Wish &wish) {
+    Table t{.term = term,
+            .writeId = std::to_string(term) + "-" + std::to_string(env.random()),
+            .grantRevision = lists->revision,
+            .grant = {grant.concurrency, grant.tokensPerSecond}};
+    auto free = t.grant;
+    for (auto &[id, it] : state.holdings) {
+      if (it.ended)
+        continue;
+      auto amount = it.acknowledged ? it.lowered : it.recorded;
+      free.concurrency -= amount.concurrency;
+      free.tokens -= amount.tokens;
+      if (!amount.empty() || !it.acknowledged)
+        t.holders[id] = amount;
+    }
+    for (auto &it : wish.needy)
+      raise(state, t, free, grant, it, wish.targets.at(it));
+    for (auto &[id, target] : wish.targets)
+      raise(state, t, free, grant, id, target);
+    std::erase_if(t.holders, [](auto &it) { return it.second.empty(); });
+    return t;
+  }
+
+  static void raise(const PlanState &state, Table &t, Amount &free, const Grant &grant,
+                    const HolderId &id, int target) {
+    auto it = state.holdings.find(id);
+    if (it != state.holdings.end() && (it->second.lowering || it->second.ended))
+      return;
+    auto &amount = t.holders[id];
+    auto units = std::clamp(target - amount.concurrency, 0, std::max(free.concurrency, 0));
+    amount.concurrency += units;
+    free.concurrency -= units;
+    auto missing = proportional(amount.concurrency, grant).tokens - amount.tokens;
+    auto tokens = std::clamp(missing, 0.0, std::max(free.tokens, 0.0));
+    amount.tokens += tokens;
+    free.tokens -= tokens;
+  }
+
+  /// A write is worth its cost if it records a lowering, an end or another grant, or raises a share
+  /// noticeably. The grant is recorded so that a planner with older lists does not raise beyond it.
+  static bool isWorthWriting(const PlanState &state, const Table &table) {
+    if (!(table.grant == state.grant))
+      return true;
+    for (auto &[id, it] : state.holdings)
+      if (it.ended || it.acknowledged)
+        return true;
+    return std::any_of(table.holders.begin(), table.holders.end(), [&](auto &entry) {
+      auto it = state.holdings.find(entry.first);
+      auto had = it == state.holdings.end() ? Amount{} : it->second.recorded;
+      return entry.second.concurrency > had.concurrency ||
+             entry.second.tokens > had.tokens * (1 + RateTolerance) + RateTolerance;
+    });
+  }
+
+  /// More remains to be done for the plan without any new report.
+  bool isRebalancing(const PlanState &state, const Grant &grant, const Wish &wish) const {
+    return !wish.needy.empty() || sumOf(state.holdings) > grant.concurrency;
+  }
+
+  // ---- Writing ---------------------------------------------------------------------------------
+
+  static std::string keyOf(const PlanName &plan) { return std::string(SharesPrefix) + plan.value; }
+
+  void write(const PlanName &plan, PlanState &state, Table table) {
+    writeBudget -= 1;
+    state.busy = true;
+    state.dirty = false;
+    state.notBefore = env.now() + config::SharePlanInterval;
+    state.pending = std::move(table);
+    env.platform().put(keyOf(plan), encode(state.pending), state.objectVersion,
+                       guarded([plan](Impl &impl, StoreStatus status, const StoreObject &object) {
+                         impl.onWritten(plan, status, object.version);
+                       }));
+  }
+
+  void onWritten(const PlanName &plan, StoreStatus status, std::uint64_t version) {
+    auto &state = plans.at(plan);
+    bool assumeWritten = status == StoreStatus::Unknown && !guards.recogniseOwnWrite;
+    if (status == StoreStatus::Ok || assumeWritten)
+      return commit(plan, state, version);
+    if (status == StoreStatus::Unknown || status == StoreStatus::Conflict) {
+      state.mayLand |= status == StoreStatus::Unknown;
+      return readBack(plan);
+    }
+    state.busy = false;
+    state.dirty = true;
+    onPlatformDown();
+  }
+
+  void readBack(const PlanName &plan) {
+    env.platform().get(keyOf(plan),
+                       guarded([plan](Impl &impl, StoreStatus status, const StoreObject &object) {
+                         impl.onReadBack(plan, status, object);
+                       }));
+  }
+
+  void onReadBack(const PlanName &plan, StoreStatus status, const StoreObject &object) {
+    auto &state = plans.at(plan);
+    bool isMissing = status == StoreStatus::NotFound;
+    if (status != StoreStatus::Ok && !isMissing) {
+      env.after(config::ShareRetryInterval, guarded([plan](Impl &impl) { impl.readBack(plan); }));
+      return;
+    }
+    auto table = isMissing ? std::nullopt : decode(object.value);
+    if (table && table->writeId == state.pending.writeId)
+      return commit(plan, state, object.version);
+    state.busy = false;
+    state.dirty = true;
+    if (object.version != state.objectVersion)
+      adopt(state, object);
+  }
+
+  /// The pending table is stored: announce it.
+  void commit(const PlanName &plan, PlanState &state, std::uint64_t version) {
+    state.objectVersion = version;
+    state.grantRevision = std::max(state.grantRevision, state.pending.grantRevision);
+    state.grant = state.pending.grant;
+    state.busy = false;
+    state.mayLand = false;
+    auto old = std::exchange(state.holdings, {});
+    for (auto &[id, amount] : state.pending.holders) {
+      auto it = old.find(id);
+      Holding held = it == old.end() ? Holding{} : it->second;
+      if (held.acknowledged && held.lowered == amount)
+        held = {.recorded = amount, .version = held.loweredVersion, .ended = held.ended};
+      else if (!state.claimed || !(held.recorded == amount))
+        held = {.recorded = amount, .version = nextVersion(), .ended = held.ended};
+      held.ended |= hasEnded(id);
+      state.holdings[id] = held;
+    }
+    state.claimed = true;
+    state.dirty = true;
+    env.decision({.kind = DecisionKind::Quota,
+                  .plan = plan,
+                  .chosen = std::to_string(version),
+                  .reason = "shares recorded"});
+  }
+
+  void eraseTable(const PlanName &plan, PlanState &state) {
+    writeBudget -= 1;
+    state.busy = true;
+    env.platform().erase(keyOf(plan), state.objectVersion,
+                         guarded([plan](Impl &impl, StoreStatus status, const StoreObject &) {
+                           impl.onErased(plan, status);
+                         }));
+  }
+
+  void onErased(const PlanName &plan, StoreStatus status) {
+    if (status == StoreStatus::Ok) {
+      plans.erase(plan);
+      return;
+    }
+    if (status == StoreStatus::Refused || status == StoreStatus::Unreachable) {
+      plans.at(plan).busy = false;
+      return onPlatformDown();
+    }
+    plans.at(plan).pending = {};
+    readBack(plan);
+  }
+
+  /// Nothing moves during an outage: lowerings under way are taken back, unless the grant itself
+  /// was lowered or an earlier write may still take effect.
+  void onPlatformDown() {
+    platformRetryAt = env.now() + config::ShareRetryInterval;
+    for (auto &[plan, state] : plans) {
+      if (state.busy || state.mayLand || sumOf(state.holdings) > grantOf(plan).concurrency)
+        continue;
+      for (auto &[id, it] : state.holdings)
+        if (it.lowering)
+          it = {.recorded = it.recorded, .version = nextVersion(), .ended = it.ended};
+    }
+  }
+
+  bool hasAcknowledged(const HolderId &id) const {
+    return std::none_of(plans.begin(), plans.end(), [&](auto &entry) {
+      auto it = entry.second.holdings.find(id);
+      return it != entry.second.holdings.end() && it->second.lowering && !it->second.acknowledged;
+    });
+  }
+
+  std::vector<HostShare> sharesOf(const HolderId &id) const {
+    std::vector<HostShare> list;
+    for (auto &[plan, state] : plans) {
+      auto it = state.holdings.find(id);
+      if (!state.claimed || it == state.holdings.end())
+        continue;
+      auto &held = it->second;
+      auto &amount = held.lowering ? held.lowered : held.recorded;
+      list.push_back({.plan = plan,
+                      .version = held.lowering ? held.loweredVersion : held.version,
+                      .concurrency = amount.concurrency,
+                      .tokensPerSecond = amount.tokens});
+    }
+    return list;
+  }
+};
+
+ShareTable::ShareTable(Env &env, Guards guards) : impl(std::make_shared<Impl>(env, guards)) {}
+
+ShareTable::~ShareTable() = default;
+
+void ShareTable::lead(std::uint64_t term) { impl->lead(term); }
+
+void ShareTable::resign() { impl->resign(); }
+
+void ShareTable::setLists(ListsPtr lists) {
+  impl->lists = std::move(lists);
+  impl->markAllDirty();
+}
+
+void ShareTable::onSync(const HolderId &holder, const std::vector<PlanUse> &uses) {
+  impl->onSync(holder, uses);
+}
+
+void ShareTable::onEnded(const HolderId &holder) { impl->onEnded(holder); }
+
+void ShareTable::tick() { impl->tick(); }
+
+std::vector<HostShare> ShareTable::sharesOf(const HolderId &holder) const {
+  return impl->sharesOf(holder);
+}
+
+bool ShareTable::hasAcknowledged(const HolderId &holder) const {
+  return impl->hasAcknowledged(holder);
+}
+
+int ShareTable::recordedConcurrency(const PlanName &plan) const {
+  auto it = impl->plans.find(plan);
+  return it == impl->plans.end() ? 0 : sumOf(it->second.holdings);
+}
+
+bool ShareTable::ready() const { return impl->loaded; }
+
+} // namespace catkin
--- a/src/shares_p.h
+++ b/src/shares_p.h
@@ -39,6 +39,8 @@
   void tick();
   /// Shares that the holder should now apply.
   std::vector<HostShare> sharesOf(const HolderId &holder) const;
+  /// False while the holder has not acknowledged a lowered share.
+  bool hasAcknowledged(const HolderId &holder) const;
   /// Sum of recorded shares of a plan, for operators and tests.
   int recordedConcurrency(const PlanName &plan) const;
   bool ready() const;
@@ -77,6 +79,9 @@
     double recentTokens = 0;
   };
 
+  static void refill(PlanState &state, Instant now);
+  void settle(PlanState &state) const;
+
   std::map<PlanName, PlanState> plans;
   Guards guards;
 };
