--- a/src/config.h
+++ b/src/config.h
@@ -30,15 +30,23 @@
 constexpr auto LeaseHolderMargin = 500ms;
 constexpr auto LeaseCandidateMargin = 500ms;
 constexpr std::size_t LeaseCandidates = 3;
+constexpr int LeaseReleaseAttempts = 20;
+constexpr auto LeaseReleaseRetry = 50ms;
 
 // Control loop between hosts.
 constexpr auto SyncMaxWait = 1000ms;
+constexpr auto SyncRetry = 200ms;
+constexpr auto SyncPokeInterval = 50ms; // at most this often besides the long poll
+constexpr auto ControlTick = 50ms;
+constexpr auto PlannerLostAfter = 1500ms;      // then this host looks at the lease itself
+constexpr auto RefuseWithoutPlannerAfter = 8s; // longer than an ordinary failover
 constexpr auto MemberTimeout = 3000ms;
 constexpr auto HostListInterval = 2000ms;
 constexpr auto EndpointStatusInterval = 1000ms;
 constexpr auto RpcTimeout = 2000ms;
 constexpr auto OrderTimeout = 2000ms;
 constexpr auto PlatformTimeout = 2000ms;
+constexpr int OperatorWriteAttempts = 5;
 constexpr auto ConfigWatchWait = 30s;
 
 // Shares. The platform takes several hundred writes a second for everything; a transfer is one
@@ -57,15 +65,46 @@
 constexpr double WeightStoreLoadsPerSecond = 2.0;
 constexpr int WeightStoreAdaptersInFlight = 30;
 
+// Planner. A status call costs about half a kilobyte, so that this many a second take most of the
+// host's control traffic of 14 KB/s; with few endpoints each is read every EndpointStatusInterval.
+constexpr int LoadedEndpointPollsPerSecond = 20;
+constexpr int EmptyEndpointPollsPerSecond = 10;
+constexpr std::size_t MaxClaimsInFlight = 64;
+constexpr int RecordWritesPerSecond = 100; // besides intents; the platform takes several hundred
+constexpr auto OrderRetryInterval = 500ms;
+constexpr auto EndpointSilentAfter = 3s; // its replicas no longer count as available
+constexpr auto RefusedOrderGrace = 500ms; // a duplicate of a refused order arrives well before
+constexpr auto RefusedEndpointPause = 5s; // no new load after it refused one
+constexpr auto IdleBeforeRelease = 2s;    // longer than the lag of the hosts' reports
+constexpr auto ReleaseEstimate = 1500ms;  // table to all hosts, status, unload
+constexpr auto HostReportTimeout = 5s;    // a silent host's requests no longer count
+constexpr auto RetentionSweep = 2s;       // each replica is looked at this often in a small fleet
+constexpr int RetentionChecksPerSecond = 200;
+constexpr auto PrewarmInterval = 5s;
+constexpr auto PrewarmDeadline = 60s;
+constexpr auto ReplacementDeadline = 30s;
+// A second replica pays when each one has had this many requests for some time: engines batch, so
+// that fewer gain little. It goes when the others would stay at half of that.
+constexpr int RequestsPerReplica = 16;
+constexpr auto ScaleUpAfter = 10s;
+constexpr auto ScaleDownAfter = 60s;
+
 // Requests.
 constexpr auto DefaultDeadline = 30s;
 constexpr auto MaxDeadline = 120s;
 constexpr auto SilenceTimeout = 2000ms;
+constexpr auto ServiceSilenceTimeout = 10s; // a plain service sends nothing while it works
+constexpr auto CallerCheckInterval = 50ms;  // how often a waiting request looks for a caller gone
+constexpr auto AdmissionInterval = 10ms;
+constexpr auto EnsureInterval = 1s; // a waiting request asks again, in case the planner changed
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t PrefixHintBytes = 512; // of the prompt; shared beginnings are mostly longer
 constexpr auto ConnectTimeout = 500ms;
 constexpr int EjectAfterFailures = 3;
 constexpr auto EjectionTime = 5s;
 constexpr double RetryRatio = 0.1; // retries allowed as a share of requests
 constexpr double RetryFloorPerSecond = 3.0;
+constexpr double RetryBurst = 30.0; // enough to resume the streams of one lost endpoint at once
 constexpr std::size_t MaxWaitingPerPlan = 1024;
 constexpr auto AddressesMaxAge = 5s;
 constexpr auto GracefulStopTimeout = 130s; // longer than the longest request
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -42,7 +42,10 @@
   ~Control();
 
   void start();
-  /// Graceful stop: announces leaving, releases the lease; `done` once the host may exit.
+  /// Announces that this host gets no new work and gives the lease up. `on` false takes it back.
+  void setLeaving(bool on);
+  /// Last step of a graceful stop, after all requests have ended: reports the host as gone, so that
+  /// its shares return at once. `done` once the process may exit.
   void stop(std::function<void()> done);
 
   /// Handles a call from another host (methods sync, ensure, lists). `done` gets the result JSON,
@@ -55,6 +58,14 @@
   /// Something in the host's report changed (first arrival, more waiting): sync soon.
   void poke();
 
+  /// A view of operator_state_p.h, from the planner. Empty if no planner answers or the name is
+  /// unknown.
+  void operatorView(const std::string &name, std::function<void(std::string)> done);
+  /// Keeps new work off an endpoint, or allows it again. Recorded, so that it outlives the planner.
+  void drainEndpoint(const EndpointName &endpoint, bool on, std::function<void(bool)> done);
+  /// Makes another host leave, or come back; true if it confirmed.
+  void drainHost(const HostName &host, bool on, std::function<void(bool)> done);
+
   bool ready() const; ///< lists and a routing table are known
   bool isPlanner() const;
   const LeaseRecord &planner() const;
