Start a planner's term only once lists and endpoints are known

Cause: three tests of the control loop failed: a host that took the lease before it had read the host list refused the first request with "no endpoint has room". In the tests the list was empty at the first read; the same holds for a planner that starts before its first answer from the platform. Ruled out: holding every refused request for a while, which would delay truthful refusals. Change: the term starts when the lists are in force and the host list has been read; until then syncs wait.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -72,6 +72,7 @@
   std::uint64_t membersVersion = 0;
   LeaseRecord formerHolder;
   bool formerEnded = false;
+  bool leadPending = false; ///< holds the lease, but the term has not started
   // As any host.
   RouteTable table;
   std::uint64_t tableTerm = 0;
@@ -79,6 +80,7 @@
   Instant plannerHeard;
   Instant lastPoke;
   bool everSynced = false;
+  bool hostListRead = false;
   std::size_t nextPeer = 0;
 
   Impl(Env &env, ControlOptions o, ControlHooks h)
@@ -88,8 +90,7 @@
             {.host = options.self.host,
              .incarnation = options.self.incarnation,
              .address = options.self.peerAddress},
-            [this](auto &mine, auto &former) { onLeaseAcquired(mine, former); },
-            [this] { onLeaseLost(); }),
+            [this](auto &, auto &former) { onLeaseAcquired(former); }, [this] { onLeaseLost(); }),
         planner(env, withGuards(options)), shares(env, options.guards),
         config(env, {.peers = options.peers, .guards = options.guards},
                [this](ListsPtr lists) { onLists(lists); }) {}
@@ -134,6 +135,7 @@
   }
 
   void onHostList(const std::vector<ListedNode> &nodes) {
+    hostListRead = true;
     membership.setListed(ofKind(nodes, ListedKind::Host));
     planner.setEndpoints(ofKind(nodes, ListedKind::Engine));
     if (hooks.nodesListed)
@@ -142,15 +144,25 @@
 
   // ---- Planner side ----------------------------------------------------------------------------
 
-  void onLeaseAcquired(const LeaseRecord &mine, const LeaseRecord &former) {
+  void onLeaseAcquired(const LeaseRecord &former) {
     membership.startObserving(env.now());
     hostViews.clear();
     publishedMembers.clear();
     formerHolder = former;
     formerEnded = former.holder.empty() || former.holder == options.self.host;
+    leadPending = true;
+    leadWhenInformed();
+  }
+
+  /// Starts the term once this host knows the lists and the endpoints: a planner without them would
+  /// refuse every request, although it only has to read them first.
+  void leadWhenInformed() {
+    if (!leadPending || !hostListRead || !config.ready())
+      return;
+    leadPending = false;
     planner.setOrderLimit(lease.validUntil());
-    planner.lead(mine.term, formerEnded);
-    shares.lead(mine.term);
+    planner.lead(lease.newest().term, formerEnded);
+    shares.lead(lease.newest().term);
     readDrains();
   }
 
@@ -214,6 +226,7 @@
   }
 
   void onLeaseLost() {
+    leadPending = false;
     planner.resign();
     shares.resign();
     for (auto &it : std::exchange(waiters, {}))
@@ -227,8 +240,9 @@
     if (!lease.held())
       return;
     planner.setOrderLimit(lease.validUntil());
+    leadWhenInformed();
     if (!planner.leading())
-      return;
+      return answerWaiters();
     noteEndedHosts();
     updateMembers();
     planner.setAcknowledgedVersion(acknowledgedVersion());
@@ -359,7 +373,7 @@
   /// Until recovery is complete a reply leaves the host's table as it is: the old one still routes.
   SyncReply makeReply(const SyncRequest &request) const {
     SyncReply reply{.isPlanner = true,
-                    .term = planner.term(),
+                    .term = lease.newest().term,
                     .planner = options.self.host,
                     .plannerAddress = options.self.peerAddress,
                     .tableVersion = request.tableVersion};
@@ -367,7 +381,7 @@
       planner.table().fillDelta(request.tableTerm == planner.term() ? request.tableVersion : 0,
                                 reply);
     reply.membersVersion = membersVersion;
-    if (membersVersion != request.membersVersion || request.term != planner.term())
+    if (membersVersion != request.membersVersion || request.term != lease.newest().term)
       reply.members = publishedMembers;
     if (shares.ready())
       reply.shares = shares.sharesOf({request.self.host, request.self.incarnation});
