Add the stand-ins for platform, engine, weight store and plain service

Each stand-in runs on one thread and needs no locks.

g++ 12 rejects initializer lists inside a co_await expression, and programs crashed where a co_await with arguments stood in a condition or where an awaited call took a temporary string. These expressions are now split with a named local.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -166,13 +166,15 @@
   else
     parser.body_limit(boost::none);
 
-  do {
-    if (!co_await connect()) {
+  for (bool complete = false; !complete && state == HttpStatus::Ok;) {
+    const bool connected = co_await connect();
+    if (!connected) {
       fail(HttpStatus::NotConnected);
       state = HttpStatus::NotConnected;
       co_return;
     }
-  } while (!co_await send(request) && state == HttpStatus::Ok);
+    complete = co_await send(request);
+  }
   while (state == HttpStatus::Ok && !parser.is_header_done())
     co_await readSome();
   // An interim response would leave the final one behind for the next request.
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -31,6 +31,8 @@
   virtual ~HttpExchange() = default;
   virtual const HttpRequest &request() const = 0;
   virtual Address remote() const = 0;
+  /// Number of the connection, from 1 in the order in which the server accepted them; 0 unknown.
+  virtual std::uint64_t connectionId() const { return 0; }
   /// Sends a whole response. False if the caller has gone.
   virtual asio::awaitable<bool> respond(HttpResponse response) = 0;
   /// Starts a chunked response; the body of `head` is ignored.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -90,6 +90,7 @@
   ByteBudget bodies;
   std::atomic<bool> stopping{false};
   std::atomic<std::size_t> rejecting{0};
+  std::atomic<std::uint64_t> accepted{0};
 };
 
 enum class Phase { Idle, Reading, Handling, Writing };
@@ -97,7 +98,7 @@
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
   Connection(std::shared_ptr<Shared> shared, tcp::socket s)
-      : shared(std::move(shared)), socket(std::move(s)),
+      : shared(std::move(shared)), id(++this->shared->accepted), socket(std::move(s)),
         buffer(this->shared->options.maxHeaderBytes + ReadAheadBytes) {
     error_code ec;
     socket.set_option(tcp::no_delay(true), ec);
@@ -141,6 +142,7 @@
   void release();
 
   std::shared_ptr<Shared> shared;
+  const std::uint64_t id;
   tcp::socket socket;
   Address peer;
   boost::beast::flat_buffer buffer;
@@ -162,6 +164,7 @@
 
   const HttpRequest &request() const override { return connection.request; }
   Address remote() const override { return connection.peer; }
+  std::uint64_t connectionId() const override { return connection.id; }
   bool callerGone() const override { return connection.gone; }
   void abort() override { aborted = true; }
 
@@ -251,9 +254,12 @@
 asio::awaitable<void> Connection::run() {
   auto self = shared_from_this();
   startWatch();
-  while (co_await readRequest())
-    if (!co_await answer())
-      break;
+  bool open = true;
+  while (open) {
+    open = co_await readRequest();
+    if (open)
+      open = co_await answer();
+  }
   release();
   watch->stop();
   close();
@@ -317,7 +323,8 @@
   auto [ec, n] = co_await http::async_read_header(socket, buffer, *parser, Tuple);
   if (ec)
     co_return co_await refuse(statusOf(ec, expired));
-  if (!co_await readBody())
+  const bool whole = co_await readBody();
+  if (!whole)
     co_return false;
   watch->clear(WatchSlot::Progress);
   request = parser->release();
--- /dev/null
+++ b/standins/weights.cpp
@@ -0,0 +1,121 @@
+#include "weights_p.h"
+
+#include <algorithm>
+
+namespace catkin::standin {
+
+namespace {
+
+constexpr Duration CallerCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration MinWait = std::chrono::microseconds(100);
+
+} // namespace
+
+WeightsStandin::WeightsStandin(asio::any_io_executor executor, WeightsOptions o)
+    : Standin(std::move(executor), {.listen = o.listen}), options(std::move(o)),
+      checkpoints(options.loadsAtFullSpeed), adapters(options.adaptersAtFullSpeed),
+      random(options.seed) {}
+
+asio::awaitable<void> WeightsStandin::handle(HttpExchange &exchange, const Target &target) {
+  using W = WeightsStandin;
+  static constexpr std::array<Route<W>, 3> Routes{{
+      {http::verb::post, "/loads", &W::load},
+      {http::verb::post, "/control", &W::control},
+      {http::verb::get, "/status", &W::status},
+  }};
+  co_await runRoute(*this, Routes, exchange, target);
+}
+
+asio::awaitable<void> WeightsStandin::load(HttpExchange &exchange, const Target &) {
+  Fields fields(exchange.request().body());
+  const auto model = fields.text("model");
+  const auto bytes = fields.count("bytes", 0);
+  const bool adapter = fields.flag("adapter", false);
+  if (!fields.error().empty() || model.empty()) {
+    co_await answerProblem(exchange, 400, model.empty() ? "needs a model" : fields.error());
+    co_return;
+  }
+  bool complete = false;
+  if (adapter) {
+    complete = co_await transfer(exchange, adapters, adapterTime());
+  } else {
+    const bool proceed = co_await waitForTurn(exchange);
+    const auto work = fromSeconds(static_cast<double>(bytes) / options.bytesPerSecond);
+    if (proceed)
+      complete = co_await transfer(exchange, checkpoints, work);
+  }
+  if (!complete) {
+    exchange.abort();
+    co_return;
+  }
+  const json::object body{{"model", model}, {"bytes", bytes}};
+  co_await answerJson(exchange, body);
+}
+
+/// Spaces the starts of checkpoint transfers. False if the caller has gone meanwhile.
+asio::awaitable<bool> WeightsStandin::waitForTurn(HttpExchange &exchange) {
+  const Instant turn = std::max(now(), nextStart);
+  nextStart = turn + fromSeconds(1 / options.loadsPerSecond);
+  ++queued;
+  while (now() < turn && !exchange.callerGone())
+    co_await sleepFor(std::min(turn - now(), CallerCheckInterval));
+  --queued;
+  co_return !exchange.callerGone();
+}
+
+/// Runs one transfer. False if the caller has gone meanwhile.
+asio::awaitable<bool> WeightsStandin::transfer(HttpExchange &exchange, Queue &queue,
+                                               Duration work) {
+  const auto id = queue.pool.add(work, now());
+  const std::string key = std::to_string(id);
+  queue.complete[id] = false;
+  while (!queue.complete[id] && !exchange.callerGone()) {
+    const auto wait = queue.pool.untilNext().value_or(MinWait);
+    co_await queue.waiters.wait(key, std::clamp(wait, MinWait, CallerCheckInterval));
+    collect(queue);
+  }
+  const bool complete = queue.complete[id];
+  queue.complete.erase(id);
+  if (!complete)
+    queue.pool.remove(id, now());
+  co_return complete;
+}
+
+void WeightsStandin::collect(Queue &queue) {
+  for (const auto id : queue.pool.advance(now())) {
+    queue.complete[id] = true;
+    ++queue.finished;
+    queue.waiters.notify(std::to_string(id));
+  }
+}
+
+Duration WeightsStandin::adapterTime() {
+  return Duration(std::uniform_int_distribution<Duration::rep>(
+      options.adapterTimeMin.count(), options.adapterTimeMax.count())(random));
+}
+
+asio::awaitable<void> WeightsStandin::control(HttpExchange &exchange, const Target &) {
+  Fields fields(exchange.request().body());
+  const double slow = fields.number("slow", 1);
+  if (!fields.error().empty() || slow <= 0) {
+    co_await answerProblem(exchange, 400, "slow must be a number above 0");
+    co_return;
+  }
+  checkpoints.pool.setSlow(slow, now());
+  adapters.pool.setSlow(slow, now());
+  const json::object body{{"slow", slow}};
+  co_await answerJson(exchange, body);
+}
+
+asio::awaitable<void> WeightsStandin::status(HttpExchange &exchange, const Target &) {
+  const json::object body{{"queued", queued},
+                          {"in_flight", checkpoints.pool.inFlight()},
+                          {"highest_in_flight", checkpoints.pool.highestInFlight()},
+                          {"loads", checkpoints.finished},
+                          {"adapters_in_flight", adapters.pool.inFlight()},
+                          {"highest_adapters_in_flight", adapters.pool.highestInFlight()},
+                          {"adapter_loads", adapters.finished}};
+  co_await answerJson(exchange, body);
+}
+
+} // namespace catkin::standin
