--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -255,8 +255,8 @@
 
 std::map<EndpointName, std::vector<PlannedReplica>> Planner::replicas() const {
   std::map<EndpointName, std::vector<PlannedReplica>> found;
-  for (auto &name : impl->populated)
-    for (auto &[model, r] : impl->endpoints.at(name).replicas) {
+  for (auto &[name, ep] : impl->populated)
+    for (auto &[model, r] : ep->replicas) {
       PlannedReplica copy = r;
       copy.state = ReplicaState::Intended;
       if (r.phase == Phase::Ready)
@@ -281,8 +281,8 @@
 PlannerStats Planner::stats() const {
   auto s = impl->counters;
   s.replicas = s.loadsUnderWay = 0;
-  for (auto &name : impl->populated)
-    for (auto &[model, r] : impl->endpoints.at(name).replicas) {
+  for (auto &[name, ep] : impl->populated)
+    for (auto &[model, r] : ep->replicas) {
       s.replicas += r.committed() ? 1 : 0;
       s.loadsUnderWay += r.committed() && r.underWay() ? 1 : 0;
     }
--- a/src/planner_housekeeping.cpp
+++ b/src/planner_housekeeping.cpp
@@ -22,10 +22,9 @@
   if (!unclaimed.empty())
     sendClaims();
   pollDueEndpoints();
-  auto names = active;
-  for (auto &name : names)
-    if (auto *ep = find(name))
-      advance(*ep);
+  auto visits = active;
+  for (auto &[name, ep] : visits)
+    advance(*ep);
   if (!isReady)
     return;
   pump();
@@ -54,6 +53,9 @@
 }
 
 void Planner::Impl::everySecond() {
+  replicaCount = 0;
+  for (auto &[name, ep] : populated)
+    replicaCount += ep->replicas.size();
   forgetSilentHosts();
   flushRecords();
   checkQueued();
@@ -74,18 +76,18 @@
   auto now = env.now();
   auto &known = hosts[host];
   for (auto &it : known.loads) {
-    auto &use = models[it.model];
-    use.inFlight -= it.inFlight;
-    use.waiting -= it.waiting;
+    it.use->inFlight -= it.inFlight;
+    it.use->waiting -= it.waiting;
     if (it.inFlight + it.waiting > 0)
-      use.lastUse = now;
+      it.use->lastUse = now;
   }
   known.heard = now;
-  known.loads = loads;
+  known.loads.clear();
   for (auto &it : loads) {
     auto &use = models[it.model];
     use.inFlight += it.inFlight;
     use.waiting += it.waiting;
+    known.loads.push_back({.use = &use, .inFlight = it.inFlight, .waiting = it.waiting});
     if (it.inFlight + it.waiting > 0 || it.arrivals > 0)
       use.lastUse = now;
     if (it.arrivals > 0)
@@ -159,8 +161,8 @@
   if (!options.guards.skipLeavingEndpoints)
     return;
   std::vector<std::pair<EndpointName, ModelName>> releases;
-  for (auto &name : populated) {
-    auto &ep = endpoints.at(name);
+  for (auto &[name, endpoint] : populated) {
+    auto &ep = *endpoint;
     if (!ep.departing())
       continue;
     for (auto &[model, r] : ep.replicas) {
@@ -185,6 +187,10 @@
 void Planner::Impl::scale() {
   auto now = env.now();
   for (auto &[name, use] : models) {
+    if (use.endpoints.size() < 2 && use.inFlight + use.waiting < config::RequestsPerReplica) {
+      use.busySince = use.quietSince = {};
+      continue;
+    }
     int ready = 0, underWay = 0;
     Endpoint *least = nullptr;
     for (auto &other : use.endpoints) {
@@ -228,8 +234,8 @@
 void Planner::Impl::checkQueued() {
   auto now = env.now();
   std::vector<std::pair<EndpointName, ModelName>> drops;
-  for (auto &name : active) {
-    auto &ep = endpoints.at(name);
+  for (auto &[name, endpoint] : queuedAt) {
+    auto &ep = *endpoint;
     bool releasing = std::any_of(ep.replicas.begin(), ep.replicas.end(), [](auto &it) {
       return it.second.phase >= Phase::Releasing && it.second.phase <= Phase::Unloading;
     });
@@ -279,25 +285,23 @@
 /// Looks at some replicas in turn: all within RetentionSweep in a small fleet, and at most
 /// RetentionChecksPerSecond in a large one.
 void Planner::Impl::checkRetention(Duration elapsed) {
-  std::size_t loaded = 0;
-  for (auto &name : populated)
-    loaded += endpoints.at(name).replicas.size();
-  auto perSecond = std::min<double>(static_cast<double>(loaded) / toSeconds(config::RetentionSweep),
-                                    config::RetentionChecksPerSecond);
+  auto perSecond =
+      std::min<double>(static_cast<double>(replicaCount) / toSeconds(config::RetentionSweep),
+                       config::RetentionChecksPerSecond);
   retentionCredit =
-      std::min(retentionCredit + perSecond * toSeconds(elapsed), static_cast<double>(loaded));
+      std::min(retentionCredit + perSecond * toSeconds(elapsed), static_cast<double>(replicaCount));
   while (retentionCredit >= 1 && !populated.empty()) {
     retentionCredit -= 1;
     auto name = populated.lower_bound(retentionCursor.first);
     if (name == populated.end())
       name = populated.begin();
-    auto &ep = endpoints.at(*name);
+    auto &ep = *name->second;
     if (retentionCursor.first != ep.name)
       retentionCursor = {ep.name, ModelName()};
     auto r = ep.replicas.upper_bound(retentionCursor.second);
     if (r == ep.replicas.end()) {
       auto next = populated.upper_bound(ep.name);
-      retentionCursor = {next == populated.end() ? EndpointName() : *next, ModelName()};
+      retentionCursor = {next == populated.end() ? EndpointName() : next->first, ModelName()};
       retentionCredit += 1;
       if (retentionCursor.first.empty())
         return;
@@ -322,8 +326,8 @@
   if (!lists)
     return;
   std::map<PlanName, PlanTotals> sums;
-  for (auto &name : populated)
-    for (auto &[model, r] : endpoints.at(name).replicas)
+  for (auto &[name, ep] : populated)
+    for (auto &[model, r] : ep->replicas)
       if (r.phase < Phase::Releasing && !r.payer.empty()) {
         ++sums[r.payer].models;
         sums[r.payer].bytes += r.bytes;
--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -175,8 +175,12 @@
   std::size_t claimsInFlight = 0;
   std::size_t ordersInFlight = 0; ///< of all sessions
   std::set<EndpointName> unclaimed;
-  std::set<EndpointName> active;    ///< endpoints with a replica that is not simply loaded
-  std::set<EndpointName> populated; ///< endpoints with replicas
+  // Endpoints are never erased, so that pointers to them stay valid.
+  using EndpointSet = std::map<EndpointName, Endpoint *>;
+  EndpointSet active;           ///< with a replica that is not simply loaded
+  EndpointSet queuedAt;         ///< with a queued load
+  EndpointSet populated;        ///< with replicas
+  std::size_t replicaCount = 0; ///< as of the last second
   std::set<EndpointName> dirtyRecords;
   std::set<std::pair<Instant, EndpointName>> polls;
   std::pair<EndpointName, ModelName> retentionCursor;
@@ -186,7 +190,12 @@
 
   struct HostReport {
     Instant heard;
-    std::vector<ModelLoad> loads;
+    struct Load {
+      ModelUse *use; ///< entries of `models` are never erased
+      int inFlight;
+      int waiting;
+    };
+    std::vector<Load> loads;
   };
   std::map<HostName, HostReport> hosts;
 
@@ -273,7 +282,6 @@
   // planner_placement.cpp: where to load, grants, estimates.
   bool eligible(const Endpoint &ep, std::uint64_t bytes) const;
   bool available(const Endpoint &ep) const;
-  PlanTotals totals(const PlanName &plan, bool committedOnly) const;
   bool idle(const Endpoint &ep, const Replica &r) const;
   RetentionInput retentionInput(const Endpoint &ep, const Replica &r) const;
   Duration loadTime(CopySource source, std::uint64_t bytes, bool adapter) const;
@@ -298,9 +306,15 @@
   Replica *commit(const Model &model, const PlanName &payer, Instant urgency, bool prewarm,
                   const Placement &p, const std::string &requestId);
   void pump();
-  bool startable(const Endpoint &ep, const Replica &r);
-  bool takeStoreSlot(const Replica &r);
-  int storeInUse(bool adapter) const;
+  /// What loads under way take, while queued ones are considered in turn.
+  struct QueueRoom {
+    std::map<PlanName, PlanTotals> plans;
+    int modelSlots = 0;
+    int adapterSlots = 0;
+  };
+  QueueRoom queueRoom();
+  bool startable(const Endpoint &ep, const Replica &r, QueueRoom &room);
+  bool takeStoreSlot(const Replica &r, QueueRoom &room);
   void refillStoreTokens();
 
   // planner.cpp: requests and housekeeping.
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -58,17 +58,20 @@
 
 /// Keeps the sets of endpoints that housekeeping visits.
 void Planner::Impl::classify(Endpoint &ep) {
-  bool busy = false;
-  for (auto &[model, r] : ep.replicas)
+  bool busy = false, queued = false;
+  for (auto &[model, r] : ep.replicas) {
     busy |= r.phase != Phase::Ready && r.phase != Phase::Held;
-  if (busy)
-    active.insert(ep.name);
-  else
-    active.erase(ep.name);
-  if (ep.replicas.empty())
-    populated.erase(ep.name);
-  else
-    populated.insert(ep.name);
+    queued |= r.phase == Phase::Queued;
+  }
+  auto keep = [&ep](EndpointSet &set, bool in) {
+    if (in)
+      set.emplace(ep.name, &ep);
+    else
+      set.erase(ep.name);
+  };
+  keep(active, busy);
+  keep(queuedAt, queued);
+  keep(populated, !ep.replicas.empty());
 }
 
 void Planner::Impl::addReplica(Endpoint &ep, Replica r) {
--- a/src/planner_placement.cpp
+++ b/src/planner_placement.cpp
@@ -10,6 +10,7 @@
 
 // Keeps estimates finite when a measured rate is absurdly low.
 constexpr double SlowestBytesPerSecond = 1e3;
+constexpr Duration ShortestPumpInterval = std::chrono::milliseconds(50);
 
 bool isReleasing(const Replica &r) {
   return r.phase == Phase::Releasing || r.phase == Phase::RecordingRelease ||
@@ -59,12 +60,11 @@
 /// first, in as many slots and at the rate that the weight store allows.
 Duration Planner::Impl::storeWait(bool adapter, Instant urgency) const {
   std::vector<Duration> running, ahead;
-  for (auto &name : active)
-    for (auto &[model, r] : endpoints.at(name).replicas) {
+  for (auto &[name, ep] : active)
+    for (auto &[model, r] : ep->replicas) {
       if (r.source != CopySource::Remote || r.isAdapter() != adapter || !r.underWay())
         continue;
-      auto &ep = endpoints.at(name);
-      if (r.phase != Phase::Queued && ep.reachable)
+      if (r.phase != Phase::Queued && ep->reachable)
         running.push_back(std::max(r.expectedLoad - (env.now() - r.decidedAt), Duration(0)));
       else if (r.phase == Phase::Queued && r.urgency < urgency)
         ahead.push_back(r.expectedLoad);
@@ -137,18 +137,6 @@
   return ep.silentSince == Instant() || env.now() - ep.silentSince <= config::EndpointSilentAfter;
 }
 
-PlanTotals Planner::Impl::totals(const PlanName &plan, bool committedOnly) const {
-  PlanTotals sum;
-  for (auto &name : populated)
-    for (auto &[model, r] : endpoints.at(name).replicas) {
-      if (r.payer != plan || (committedOnly ? !r.committed() : isReleasing(r)))
-        continue;
-      ++sum.models;
-      sum.bytes += r.bytes;
-    }
-  return sum;
-}
-
 bool Planner::Impl::idle(const Endpoint &ep, const Replica &r) const {
   if (r.phase != Phase::Ready || r.unresolved || r.inFlight > 0 || !ep.claimed)
     return false;
@@ -176,17 +164,20 @@
 
 /// Room that a plan has, and its own idle replicas, which go first when it has none.
 Planner::Impl::GrantRoom Planner::Impl::grantRoom(const Plan &plan, const Model &model) {
-  auto used = totals(plan.name, false);
+  PlanTotals used;
+  std::vector<std::pair<double, std::pair<Endpoint *, Replica *>>> found;
+  for (auto &[name, ep] : populated)
+    for (auto &[other, r] : ep->replicas) {
+      if (r.payer != plan.name || isReleasing(r))
+        continue;
+      ++used.models;
+      used.bytes += r.bytes;
+      if (other != model.name && idle(*ep, r) && !ep->hasDependents(other))
+        found.push_back({retention->keepValue(retentionInput(*ep, r)), {ep, &r}});
+    }
   GrantRoom room{.models = plan.grant.models - used.models,
                  .bytes = static_cast<std::int64_t>(plan.grant.acceleratorBytes) -
                           static_cast<std::int64_t>(used.bytes)};
-  std::vector<std::pair<double, std::pair<Endpoint *, Replica *>>> found;
-  for (auto &name : populated) {
-    auto &ep = endpoints.at(name);
-    for (auto &[other, r] : ep.replicas)
-      if (r.payer == plan.name && other != model.name && idle(ep, r) && !ep.hasDependents(other))
-        found.push_back({retention->keepValue(retentionInput(ep, r)), {&ep, &r}});
-  }
   std::stable_sort(found.begin(), found.end(), [](auto &a, auto &b) { return a.first < b.first; });
   for (auto &it : found)
     room.releasable.push_back(it.second);
@@ -292,8 +283,8 @@
   if (p.base)
     p.loadTime += loadTime(source, p.base->bytes, false);
   p.estimate = p.loadTime + baseWait;
-  if (source == CopySource::Remote)
-    p.estimate += storeQueue;
+  auto queueWait = source == CopySource::Remote ? storeQueue : Duration(0);
+  p.estimate += queueWait;
   if (!p.releases.empty() || ep.committedBytes() + need > ep.report.memoryBytes)
     p.estimate += config::ReleaseEstimate;
   PlacementCandidate c{.endpoint = ep.name,
@@ -302,8 +293,8 @@
                        .generation = ep.report.generation,
                        .loadBytes = need,
                        .evictionCost = evictionCost,
-                       .storeQueue = source == CopySource::Remote ? storeQueue : Duration(0),
-                       .expectedLoad = p.loadTime + baseWait,
+                       .storeQueue = queueWait,
+                       .expectedLoad = p.estimate - queueWait,
                        .running = ep.report.running,
                        .baseLoaded = baseLoaded,
                        .checksFencing = ep.fencing()};
@@ -384,32 +375,41 @@
   storeTokensAt = now;
 }
 
-int Planner::Impl::storeInUse(bool adapter) const {
-  int n = 0;
-  for (auto &name : active) {
-    auto &ep = endpoints.at(name);
-    for (auto &[model, r] : ep.replicas)
-      if (ep.reachable && r.source == CopySource::Remote && r.isAdapter() == adapter &&
-          r.committed() && r.underWay())
-        ++n;
-  }
-  return n;
+Planner::Impl::QueueRoom Planner::Impl::queueRoom() {
+  QueueRoom room{.modelSlots = options.storeConcurrentLoads,
+                 .adapterSlots = options.storeAdaptersInFlight};
+  for (auto &[name, ep] : populated)
+    for (auto &[model, r] : ep->replicas) {
+      if (!r.committed())
+        continue;
+      auto &sum = room.plans[r.payer];
+      ++sum.models;
+      sum.bytes += r.bytes;
+      // A load on an endpoint that does not answer takes nothing from the store.
+      if (ep->reachable && r.source == CopySource::Remote && r.underWay())
+        --(r.isAdapter() ? room.adapterSlots : room.modelSlots);
+    }
+  return room;
 }
 
-bool Planner::Impl::takeStoreSlot(const Replica &r) {
+bool Planner::Impl::takeStoreSlot(const Replica &r, QueueRoom &room) {
   if (r.source != CopySource::Remote)
     return true;
-  if (r.isAdapter())
-    return storeInUse(true) < options.storeAdaptersInFlight;
-  refillStoreTokens();
-  if (storeInUse(false) >= options.storeConcurrentLoads || storeTokens < 1)
+  auto &slots = r.isAdapter() ? room.adapterSlots : room.modelSlots;
+  if (slots <= 0)
     return false;
-  storeTokens -= 1;
+  if (!r.isAdapter()) {
+    refillStoreTokens();
+    if (storeTokens < 1)
+      return false;
+    storeTokens -= 1;
+  }
+  --slots;
   return true;
 }
 
-/// True if the queued load can be ordered now; takes its slot at the weight store.
-bool Planner::Impl::startable(const Endpoint &ep, const Replica &r) {
+/// True if the queued load can be ordered now; takes its share of `room`.
+bool Planner::Impl::startable(const Endpoint &ep, const Replica &r, QueueRoom &room) {
   if (!mayOrder(ep) || (platformDown && !ep.fencing()))
     return false;
   if (ep.committedBytes() + r.bytes > ep.report.memoryBytes)
@@ -419,37 +419,42 @@
     if (base == ep.replicas.end() || base->second.phase != Phase::Ready)
       return false;
   }
+  auto &used = room.plans[r.payer];
   if (auto plan = lists->plans.find(r.payer); plan != lists->plans.end()) {
-    auto used = totals(r.payer, true);
     auto &grant = plan->second.grant;
     if (used.models + 1 > grant.models || used.bytes + r.bytes > grant.acceleratorBytes)
       return false;
   }
-  return takeStoreSlot(r);
+  if (!takeStoreSlot(r, room))
+    return false;
+  ++used.models;
+  used.bytes += r.bytes;
+  return true;
 }
 
 /// Starts queued loads, the most urgent first.
 void Planner::Impl::pump() {
   std::vector<std::pair<Endpoint *, Replica *>> queue;
-  for (auto &name : active)
-    for (auto &[model, r] : endpoints.at(name).replicas)
+  for (auto &[name, ep] : queuedAt)
+    for (auto &[model, r] : ep->replicas)
       if (r.phase == Phase::Queued)
-        queue.emplace_back(&endpoints.at(name), &r);
+        queue.emplace_back(ep, &r);
   if (queue.empty() || !lists)
     return;
   std::stable_sort(queue.begin(), queue.end(),
                    [](auto &a, auto &b) { return a.second->urgency < b.second->urgency; });
   bool left = false;
+  auto room = queueRoom();
   std::vector<std::pair<EndpointName, ModelName>> start;
   for (auto &[ep, r] : queue) {
-    auto phase = r->phase;
-    if (phase != Phase::Queued || !startable(*ep, *r)) {
+    if (!startable(*ep, *r, room)) {
       left = true;
       continue;
     }
     // Counts against memory and grant for the loads that follow.
     r->phase = Phase::Recording;
     start.emplace_back(ep->name, r->model);
+    classify(*ep);
   }
   for (auto &[name, model] : start)
     if (auto *ep = find(name); ep && ep->replicas.contains(model))
@@ -460,7 +465,8 @@
     self.pumpScheduled = false;
     self.pump();
   };
-  env.after(fromSeconds(0.5 / options.storeLoadsPerSecond), inSession(run));
+  env.after(std::max(fromSeconds(0.5 / options.storeLoadsPerSecond), ShortestPumpInterval),
+            inSession(run));
 }
 
 } // namespace catkin
--- a/src/planner_recovery.cpp
+++ b/src/planner_recovery.cpp
@@ -49,7 +49,9 @@
   pumpScheduled = false;
   orderLimit = {};
   table = RouteTable();
-  for (auto *it : {&unclaimed, &active, &populated, &dirtyRecords})
+  for (auto *it : {&unclaimed, &dirtyRecords})
+    it->clear();
+  for (auto *it : {&active, &queuedAt, &populated})
     it->clear();
   polls.clear();
   wanted.clear();
