--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -12,6 +12,8 @@
 constexpr double DiskRateFactor = 2;
 constexpr double FirstAdapterSeconds = 0.02;
 constexpr Duration RetryWhenFull = std::chrono::seconds(2);
+// A search of a large full fleet takes milliseconds, and a burst asks for the same model again.
+constexpr Duration RefusalKept = std::chrono::milliseconds(250);
 // A load longer than the deadline is begun for the caller's next attempt only if it starts soon.
 constexpr Duration SoonStart = std::chrono::seconds(2);
 
@@ -88,11 +90,20 @@
   if (joinExisting(request, done))
     return;
 
+  auto now = env.now();
+  if (known.refusedUntil > now && known.refusedPlan == request.plan)
+    return refuse(known.refusedReason, RetryWhenFull);
   std::string reason;
-  auto deadline = env.now() + request.remaining;
-  auto p = choose(*model, &plan->second, deadline, request.remaining, false, reason);
-  if (!p)
+  auto deadline = now + request.remaining;
+  LoadWish wish{
+      .urgency = deadline, .remaining = request.remaining, .dataCentre = request.dataCentre};
+  auto p = choose(*model, plan->second, wish, reason);
+  if (!p) {
+    known.refusedPlan = request.plan;
+    known.refusedReason = reason;
+    known.refusedUntil = now + RefusalKept;
     return refuse(std::move(reason), RetryWhenFull);
+  }
   if (p->estimate > request.remaining) {
     bool tooLong = p->loadTime > request.remaining && p->estimate - p->loadTime <= SoonStart;
     if (!tooLong)
--- a/src/planner_housekeeping.cpp
+++ b/src/planner_housekeeping.cpp
@@ -147,7 +147,8 @@
     if (plan == lists->plans.end())
       continue;
     std::string reason;
-    auto p = choose(*model, &plan->second, it.deadline, it.deadline - now, false, reason);
+    LoadWish wish{.urgency = it.deadline, .remaining = it.deadline - now};
+    auto p = choose(*model, plan->second, wish, reason);
     if (p)
       commit(*model, plan->first, it.deadline, false, *p, {});
     else
@@ -224,7 +225,8 @@
       continue;
     std::string reason;
     auto deadline = now + config::ReplacementDeadline;
-    auto p = choose(*model, &plan->second, deadline, config::ReplacementDeadline, true, reason);
+    LoadWish wish{.urgency = deadline, .remaining = config::ReplacementDeadline, .spareOnly = true};
+    auto p = choose(*model, plan->second, wish, reason);
     if (p)
       commit(*model, plan->first, deadline, false, *p, {});
   }
@@ -273,7 +275,8 @@
     if (plan == lists->plans.end() || storeWait(false, deadline) > Second)
       continue;
     std::string reason;
-    auto p = choose(*model, &plan->second, deadline, config::PrewarmDeadline, true, reason);
+    LoadWish wish{.urgency = deadline, .remaining = config::PrewarmDeadline, .spareOnly = true};
+    auto p = choose(*model, plan->second, wish, reason);
     if (p)
       commit(*model, payer, deadline, true, *p, {});
   }
--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -121,6 +121,9 @@
   Instant busySince{};  ///< enough requests for one more replica since then
   Instant quietSince{}; ///< one replica fewer would do since then
   PlanName payer;       ///< plan that last asked
+  PlanName refusedPlan; ///< plan that was refused for want of room, until the moment below
+  std::string refusedReason;
+  Instant refusedUntil{};
   std::set<EndpointName> endpoints;
 };
 
@@ -135,6 +138,14 @@
   std::uint64_t bytes = 0;
 };
 
+/// Who wants a load and by when.
+struct LoadWish {
+  Instant urgency{};
+  Duration remaining{0};
+  bool spareOnly = false;    ///< only into free memory and unused grant
+  DataCentreName dataCentre; ///< of the host that asked; empty: none did
+};
+
 struct Placement {
   Endpoint *endpoint = nullptr;
   const Model *base = nullptr; ///< to be loaded first; null if it is there
@@ -298,11 +309,11 @@
                        double &cost) const;
   bool chooseGrantReleases(const GrantRoom &room, const PlanName &plan, const Model &model,
                            Placement &p);
-  std::optional<Placement> consider(Endpoint &ep, const Model &model, const Plan *plan,
-                                    const GrantRoom &room, Duration storeQueue, bool prewarm,
-                                    std::string &reason);
-  std::optional<Placement> choose(const Model &model, const Plan *plan, Instant urgency,
-                                  Duration remaining, bool prewarm, std::string &reason);
+  std::optional<Placement> consider(Endpoint &ep, const Model &model, const Plan &plan,
+                                    const GrantRoom &room, const LoadWish &wish,
+                                    Duration storeQueue, bool evictAnywhere, std::string &reason);
+  std::optional<Placement> choose(const Model &model, const Plan &plan, const LoadWish &wish,
+                                  std::string &reason);
   Replica *commit(const Model &model, const PlanName &payer, Instant urgency, bool prewarm,
                   const Placement &p, const std::string &requestId);
   void pump();
--- a/src/planner_placement.cpp
+++ b/src/planner_placement.cpp
@@ -243,9 +243,10 @@
   return roomModels >= needModels && roomBytes >= needBytes;
 }
 
-std::optional<Placement> Planner::Impl::consider(Endpoint &ep, const Model &model, const Plan *plan,
-                                                 const GrantRoom &room, Duration storeQueue,
-                                                 bool prewarm, std::string &reason) {
+std::optional<Placement> Planner::Impl::consider(Endpoint &ep, const Model &model, const Plan &plan,
+                                                 const GrantRoom &room, const LoadWish &wish,
+                                                 Duration storeQueue, bool evictAnywhere,
+                                                 std::string &reason) {
   if (!eligible(ep, model.bytes) || ep.replicas.contains(model.name))
     return std::nullopt;
   Placement p{.endpoint = &ep};
@@ -268,17 +269,21 @@
     baseLoaded = base != ep.replicas.end();
   }
   auto need = model.bytes + (p.base ? p.base->bytes : 0);
+  auto source = sourceOf(ep, p.base ? p.base->name : model.name);
+  bool near = source != CopySource::Remote || (model.isAdapter() && baseLoaded);
+  bool fits = ep.plannedBytes() + need + baseReturns <= ep.report.memoryBytes;
+  if (!fits && (wish.spareOnly || (!near && !evictAnywhere)))
+    return std::nullopt;
   double evictionCost = 0;
   if (ep.report.memoryBytes < need ||
       !chooseEvictions(ep, need + baseReturns, model, p, evictionCost))
     return std::nullopt;
-  if (plan && !chooseGrantReleases(room, plan->name, model, p)) {
+  if (!chooseGrantReleases(room, plan.name, model, p)) {
     reason = "the plan's grant is used up";
     return std::nullopt;
   }
-  if (prewarm && !p.releases.empty())
+  if (wish.spareOnly && !p.releases.empty())
     return std::nullopt;
-  auto source = sourceOf(ep, p.base ? p.base->name : model.name);
   p.loadTime = loadTime(sourceOf(ep, model.name), model.bytes, model.isAdapter());
   if (p.base)
     p.loadTime += loadTime(source, p.base->bytes, false);
@@ -297,35 +302,41 @@
                        .expectedLoad = p.estimate - queueWait,
                        .running = ep.report.running,
                        .baseLoaded = baseLoaded,
-                       .checksFencing = ep.fencing()};
+                       .checksFencing = ep.fencing(),
+                       .sameDataCentre =
+                           wish.dataCentre.empty() || wish.dataCentre == ep.dataCentre};
   auto planned = ep.plannedBytes();
   c.freeBytes = ep.report.memoryBytes > planned ? ep.report.memoryBytes - planned : 0;
   p.cost = placement->cost(c);
   return p;
 }
 
-/// The cheapest placement that is ready within `remaining`; if there is none, the quickest.
-std::optional<Placement> Planner::Impl::choose(const Model &model, const Plan *plan,
-                                               Instant urgency, Duration remaining, bool prewarm,
-                                               std::string &reason) {
+/// The cheapest placement that is ready within the remaining time; if there is none, the quickest.
+/// Replicas are evicted only where a copy is near, or else when no free memory serves in time.
+std::optional<Placement> Planner::Impl::choose(const Model &model, const Plan &plan,
+                                               const LoadWish &wish, std::string &reason) {
   reason = "no endpoint has room";
   refillStoreTokens();
-  auto room = plan ? grantRoom(*plan, model) : GrantRoom{};
-  auto modelQueue = storeWait(false, urgency);
-  auto adapterQueue = model.isAdapter() ? storeWait(true, urgency) : modelQueue;
+  auto room = grantRoom(plan, model);
+  auto modelQueue = storeWait(false, wish.urgency);
+  auto adapterQueue = model.isAdapter() ? storeWait(true, wish.urgency) : modelQueue;
   std::optional<Placement> best;
+  auto inTime = [&](const Placement &p) { return p.estimate <= wish.remaining; };
   auto better = [&](const Placement &a, const Placement &b) {
-    bool aInTime = a.estimate <= remaining, bInTime = b.estimate <= remaining;
-    if (aInTime != bInTime)
-      return aInTime;
-    return aInTime ? a.cost < b.cost : a.estimate < b.estimate;
+    if (inTime(a) != inTime(b))
+      return inTime(a);
+    return inTime(a) ? a.cost < b.cost : a.estimate < b.estimate;
   };
-  for (auto &[name, ep] : endpoints) {
-    bool adapterOnly = model.isAdapter() && ep.replicas.contains(model.base);
-    auto queue = adapterOnly ? adapterQueue : modelQueue;
-    auto p = consider(ep, model, plan, room, queue, prewarm, reason);
-    if (p && (!best || better(*p, *best)))
-      best = std::move(p);
+  for (bool evictAnywhere : {false, true}) {
+    for (auto &[name, ep] : endpoints) {
+      bool adapterOnly = model.isAdapter() && ep.replicas.contains(model.base);
+      auto queue = adapterOnly ? adapterQueue : modelQueue;
+      auto p = consider(ep, model, plan, room, wish, queue, evictAnywhere, reason);
+      if (p && (!best || better(*p, *best)))
+        best = std::move(p);
+    }
+    if (best && inTime(*best))
+      break;
   }
   return best;
 }
