--- a/src/config.h
+++ b/src/config.h
@@ -70,6 +70,7 @@
 constexpr int LoadedEndpointPollsPerSecond = 20;
 constexpr int EmptyEndpointPollsPerSecond = 10;
 constexpr std::size_t MaxClaimsInFlight = 64;
+constexpr int RecordErasesPerSecond = 5;
 constexpr int RecordWritesPerSecond = 100; // besides intents; the platform takes several hundred
 constexpr auto PauseNoticed = 3s; // between two ticks, which come every ControlTick
 constexpr auto OrderRetryInterval = 500ms;
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -157,6 +157,11 @@
     ready = releasing;
   }
   if (ready) {
+    // Adopted replicas have no payer; the first plan that uses one pays.
+    if (auto &r = ready->replicas.at(request.model); r.payer.empty()) {
+      r.payer = request.plan;
+      markDirty(*ready);
+    }
     done({.outcome = EnsureOutcome::Ready, .endpoint = ready->name});
     return true;
   }
--- a/src/planner_housekeeping.cpp
+++ b/src/planner_housekeeping.cpp
@@ -63,6 +63,7 @@
   leaveDepartingEndpoints();
   scale();
   enforceGrants();
+  forgetGoneEndpoints();
   if (env.now() - lastPrewarm < config::PrewarmInterval)
     return;
   lastPrewarm = env.now();
@@ -232,6 +233,42 @@
   }
 }
 
+/// Erases the records of endpoints that have gone, which would otherwise add up over the years, and
+/// then the endpoints.
+void Planner::Impl::forgetGoneEndpoints() {
+  if (platformDown || !recordsRead)
+    return;
+  int left = config::RecordErasesPerSecond;
+  for (auto it = endpoints.begin(); it != endpoints.end() && left > 0;) {
+    auto &[name, ep] = *it;
+    bool kept = ep.liveness != Liveness::Gone || !ep.replicas.empty() || ep.writing ||
+                ep.claimInFlight || ep.pollInFlight || ep.drained || ep.recordMalformed;
+    if (!kept && ep.recordVersion == 0) {
+      polls.erase({ep.pollAt, name});
+      dirtyRecords.erase(name);
+      it = endpoints.erase(it);
+      continue;
+    }
+    ++it;
+    if (kept)
+      continue;
+    --left;
+    ep.writing = true;
+    auto done = [name = name](Impl &self, StoreStatus status, const StoreObject &) {
+      auto *gone = self.find(name);
+      if (!gone)
+        return;
+      gone->writing = false;
+      // After any other outcome the record is read back by the next write or erased later.
+      if (status == StoreStatus::Ok || status == StoreStatus::NotFound)
+        gone->recordVersion = 0;
+      if (!gone->nextWriteDone.empty())
+        self.startWrite(*gone);
+    };
+    env.platform().erase("endpoints/" + name.value, ep.recordVersion, inSession(done));
+  }
+}
+
 /// Drops queued loads that cannot start any more, and decides them anew if somebody still waits.
 void Planner::Impl::checkQueued() {
   auto now = env.now();
--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -186,7 +186,7 @@
   std::size_t claimsInFlight = 0;
   std::size_t ordersInFlight = 0; ///< of all sessions
   std::set<EndpointName> unclaimed;
-  // Endpoints are never erased, so that pointers to them stay valid.
+  // Endpoints in these sets are not erased, so that the pointers stay valid.
   using EndpointSet = std::map<EndpointName, Endpoint *>;
   EndpointSet active;           ///< with a replica that is not simply loaded
   EndpointSet queuedAt;         ///< with a queued load
@@ -344,6 +344,7 @@
   void checkRetention(Duration elapsed);
   void checkReplica(Endpoint &ep, Replica &r);
   void enforceGrants();
+  void forgetGoneEndpoints();
   void prewarm();
   bool needed(const ModelName &model) const;
   bool availableElsewhere(const ModelName &model, const EndpointName &except) const;
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -97,16 +97,17 @@
   if (r.committed())
     markDirty(ep);
   log(DecisionKind::Release, model, ep.name.value, std::string(reason), r.payer);
-  bool wait = r.underWay() && r.urgency > env.now();
+  std::vector<ModelName> dependents;
+  for (auto &[name, other] : ep.replicas)
+    if (other.base == model && other.phase == Phase::Queued)
+      dependents.push_back(name);
+  // A base that was on its way for an adapter is decided again together with it.
+  bool wait = r.underWay() && r.urgency > env.now() && dependents.empty();
   if (again && (wait || (r.phase <= Phase::Ready && needed(model))))
     wanted[model] = {.payer = r.payer,
                      .deadline = std::max(r.urgency, env.now() + config::ReplacementDeadline)};
   askAgain(std::move(r.answers));
-  std::vector<ModelName> waiting;
-  for (auto &[name, other] : ep.replicas)
-    if (other.base == model && other.phase == Phase::Queued)
-      waiting.push_back(name);
-  for (auto &name : waiting)
+  for (auto &name : dependents)
     dropReplica(ep, name, "its base was dropped", again);
   classify(ep);
 }
--- a/src/planner_placement.cpp
+++ b/src/planner_placement.cpp
@@ -253,20 +253,18 @@
   Duration baseWait{0};
   std::uint64_t baseReturns = 0; // memory of a base whose release is to be cancelled
   bool baseLoaded = true;
-  if (model.isAdapter()) {
-    auto base = ep.replicas.find(model.base);
-    if (base == ep.replicas.end())
-      p.base = modelOf(model.base);
-    else if (isReleasing(base->second) &&
-             (base->second.phase != Phase::Releasing || base->second.unresolved))
+  if (auto base = ep.replicas.find(model.base); base != ep.replicas.end()) {
+    auto &r = base->second;
+    bool cancellable = r.phase == Phase::Releasing && !r.unresolved;
+    if (r.phase >= Phase::Releasing && !cancellable)
       return std::nullopt;
-    else
-      baseWait = estimate(ep, base->second);
-    if (base != ep.replicas.end() && base->second.phase == Phase::Held)
+    baseWait = estimate(ep, r);
+    baseReturns = cancellable ? r.bytes : 0;
+  } else if (model.isAdapter()) {
+    baseLoaded = false;
+    p.base = modelOf(model.base);
+    if (!p.base)
       return std::nullopt;
-    if (base != ep.replicas.end() && isReleasing(base->second))
-      baseReturns = base->second.bytes;
-    baseLoaded = base != ep.replicas.end();
   }
   auto need = model.bytes + (p.base ? p.base->bytes : 0);
   auto source = sourceOf(ep, p.base ? p.base->name : model.name);
