--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -206,7 +206,7 @@
 }
 
 /// Decides anew for requests whose load was dropped before it was recorded.
-void Planner::Impl::askAgain(std::vector<OwedAnswer> owed) {
+void Planner::Impl::askAgain(const std::vector<OwedAnswer> &owed) {
   for (auto &it : owed) {
     auto again = [it](Impl &self) {
       auto request = it.request;
@@ -247,6 +247,8 @@
 
 std::uint64_t Planner::term() const { return impl->currentTerm; }
 
+// The signature leaves room for moving the callback.
+// NOLINTNEXTLINE(performance-unnecessary-value-param)
 void Planner::ensure(const EnsureRequest &request, EnsureDone done) { impl->ensure(request, done); }
 
 void Planner::onModelLoads(const HostName &host, const std::vector<ModelLoad> &loads) {
--- a/src/planner_housekeeping.cpp
+++ b/src/planner_housekeeping.cpp
@@ -135,7 +135,9 @@
 void Planner::Impl::decideWanted() {
   auto now = env.now();
   auto due = std::exchange(wanted, {});
-  for (auto &[name, it] : due) {
+  for (auto &entry : due) {
+    auto &name = entry.first;
+    auto &it = entry.second;
     auto *model = modelOf(name);
     auto &use = models[name];
     bool there = std::any_of(use.endpoints.begin(), use.endpoints.end(), [&](auto &other) {
--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -333,7 +333,7 @@
   bool joinExisting(const EnsureRequest &request, const EnsureDone &done);
   void answerHeld();
   void answerOwed(Endpoint &ep, Replica &r);
-  void askAgain(std::vector<OwedAnswer> owed);
+  void askAgain(const std::vector<OwedAnswer> &owed);
   void tick();
   void noticePause();
   void everySecond();
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -106,7 +106,7 @@
   if (again && (wait || (r.phase <= Phase::Ready && needed(model))))
     wanted[model] = {.payer = r.payer,
                      .deadline = std::max(r.urgency, env.now() + config::ReplacementDeadline)};
-  askAgain(std::move(r.answers));
+  askAgain(r.answers);
   for (auto &name : dependents)
     dropReplica(ep, name, "its base was dropped", again);
   classify(ep);
--- a/src/planner_placement.cpp
+++ b/src/planner_placement.cpp
@@ -192,7 +192,9 @@
   while (planned + need > ep.report.memoryBytes) {
     const Replica *best = nullptr;
     double lowest = 0;
-    for (auto &[other, r] : ep.replicas) {
+    for (auto &entry : ep.replicas) {
+      auto &other = entry.first;
+      auto &r = entry.second;
       if (other == model.name || other == model.base || chosen.contains(other) || !idle(ep, r))
         continue;
       bool based = std::any_of(ep.replicas.begin(), ep.replicas.end(), [&](auto &it) {
--- a/tests/planner_world_helper.cpp
+++ b/tests/planner_world_helper.cpp
@@ -66,6 +66,15 @@
   return lists;
 }
 
+std::vector<Model> makeModels(int n, std::uint64_t bytes) {
+  std::vector<Model> models(static_cast<std::size_t>(n));
+  for (std::size_t i = 0; i < models.size(); ++i) {
+    models[i].name = ModelName("m" + std::to_string(i));
+    models[i].bytes = bytes;
+  }
+  return models;
+}
+
 FakeEngine makeEngine(int i, std::uint64_t memoryBytes, bool checksFencing) {
   return {.name = EndpointName("e" + std::to_string(i)),
           .address = {"10.0.1.1", static_cast<std::uint16_t>(i + 1)},
--- a/tests/planner_world_p.h
+++ b/tests/planner_world_p.h
@@ -37,6 +37,8 @@
 
 /// Plans p0 to p(n-1), each with the given grant and the use of all `models`.
 ListsPtr makeLists(int plans, Grant grant, const std::vector<Model> &models);
+/// Models m0 to m(n-1) of that size.
+std::vector<Model> makeModels(int n, std::uint64_t bytes);
 /// Engine e<i> with an address of its own.
 FakeEngine makeEngine(int i, std::uint64_t memoryBytes, bool checksFencing);
 /// State of a replica in the planner's table.
