--- a/src/planner_housekeeping.cpp
+++ b/src/planner_housekeeping.cpp
@@ -38,7 +38,7 @@
 /// After a pause of the process everything known of the endpoints is old, and another planner may
 /// have begun: nothing is decided before they were claimed again.
 void Planner::Impl::noticePause() {
-  if (!isReady || env.now() - lastTick < config::PauseNoticed)
+  if (env.now() - lastTick < config::PauseNoticed)
     return;
   lastTick = env.now();
   isReady = false;
@@ -47,7 +47,8 @@
     if (ep.liveness == Liveness::Gone)
       continue;
     ep.claimTried = false;
-    requireClaim(ep);
+    if (recordsRead || listFailures > 0)
+      requireClaim(ep);
   }
   sendClaims();
 }
--- a/src/planner_recovery.cpp
+++ b/src/planner_recovery.cpp
@@ -172,12 +172,15 @@
       if (!it)
         return;
       it->claimInFlight = false;
-      it->claimTried = true;
-      // An order was under way beside the claim: the report may miss its effect.
-      if (status == OrderStatus::Ok && epoch != it->orderEpoch)
+      // Another claim became necessary meanwhile, or an order was under way beside this one, so
+      // that the report may miss its effect.
+      bool old = now < it->nextClaim || epoch != it->orderEpoch;
+      if (status == OrderStatus::Ok && old) {
         it->nextClaim = self.env.now();
-      else
+      } else {
+        it->claimTried = true;
         self.onClaimed(*it, status, report);
+      }
       if (!self.isLeading)
         return;
       self.sendClaims();
