--- a/standins/batch.cpp
+++ b/standins/batch.cpp
@@ -19,6 +19,8 @@
   const std::string key = std::to_string(position.second);
   auto ticket = std::make_shared<Ticket>();
   queue.emplace(position, ticket);
+  if (onQueued)
+    onQueued();
   while (!ticket->granted && !exchange.callerGone())
     co_await waiters.wait(key, CallerCheckInterval);
   if (ticket->granted)
--- a/standins/batch_p.h
+++ b/standins/batch_p.h
@@ -28,6 +28,7 @@
   int queued() const { return static_cast<int>(queue.size()); }
 
   double slow = 1;
+  std::function<void()> onQueued; ///< called when a request starts to wait
 
 private:
   struct Ticket {
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -59,7 +59,9 @@
 EngineStandin::EngineStandin(asio::any_io_executor e, EngineOptions o)
     : Standin(e, {.listen = o.listen}), options(std::move(o)), executor(std::move(e)),
       client(executor), memory(options.memory), batch(options.batch), prefixes(options.prefixes),
-      figures(options.reportLag) {}
+      figures(options.reportLag) {
+  batch.onQueued = [this] { this->noteLoad(); };
+}
 
 asio::awaitable<void> EngineStandin::handle(HttpExchange &exchange, const Target &target) {
   using E = EngineStandin;
--- a/standins/platform.cpp
+++ b/standins/platform.cpp
@@ -88,7 +88,7 @@
   return nodes;
 }
 
-PlatformStandin::PlatformStandin(asio::any_io_executor executor, PlatformOptions options)
+PlatformStandin::PlatformStandin(asio::any_io_executor executor, const PlatformOptions &options)
     : Standin(std::move(executor), {.listen = options.listen, .maxBodyBytes = MaxRequestBytes}),
       writes(options.writesPerSecond), reads(options.readsPerSecond),
       nodes(options.nodeLag, byName(options.nodes)) {}
--- a/standins/platform_p.h
+++ b/standins/platform_p.h
@@ -24,7 +24,7 @@
 
 class PlatformStandin final : public Standin {
 public:
-  PlatformStandin(asio::any_io_executor executor, PlatformOptions options);
+  PlatformStandin(asio::any_io_executor executor, const PlatformOptions &options);
 
 private:
   using NodeMap = std::map<std::string, ListedNode>;
