Do not take a pause of a stream's reader for silence

The silence timeout went on while nobody read, so a stream relayed to a slow caller was reported silent although its endpoint had sent data. The deadline now counts only while a read is pending.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -235,6 +235,7 @@
     co_return false;
   watch->expireAfter(WatchSlot::Progress, timeouts.silence);
   auto [ec, n] = co_await http::async_read_some(socket, buffer, parser, Tuple);
+  watch->clear(WatchSlot::Progress); // a reader that pauses is not the peer's silence
   if (ec)
     onError(ec);
   if (state != HttpStatus::Ok)
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -364,6 +364,28 @@
   }
 }
 
+// Guards against taking a pause of the reader, who waits for a slow caller, for a silent endpoint.
+TEST_F(HttpTest, PauseOfTheReaderIsNotSilence) {
+  serve([](HttpExchange &exchange) -> asio::awaitable<void> {
+    co_await exchange.startStream(jsonResponse(""));
+    co_await exchange.writeChunk("a");
+    co_await exchange.writeChunk("b");
+    co_await exchange.endStream();
+  });
+  const auto status = run([](HttpClient &c, Address to) -> asio::awaitable<HttpStatus> {
+    const HttpTimeouts timeouts{.silence = 1s};
+    auto request = makeRequest("/");
+    auto stream = co_await c.open(to, std::move(request), timeouts);
+    co_await stream->read();
+    co_await sleepFor(1200ms);
+    std::string piece = co_await stream->read();
+    while (!piece.empty())
+      piece = co_await stream->read();
+    co_return stream->status();
+  }(client, server->address()));
+  EXPECT_EQ(status, HttpStatus::Ok);
+}
+
 // Guards against an endpoint that keeps generating after its stream was dropped.
 TEST_F(HttpTest, DroppedStreamEndsTheWriter) {
   std::promise<void> ended;
