Keep a co_await out of a loop condition in http_test

g++ 12 miscompiles a coroutine that declares no local variable in its outermost block and has a co_await in an if or while condition: small reproductions crashed at -O0, -O1 and -O2, and did not with a local declared. The test passed as it was, but should not depend on it.

--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -391,8 +391,11 @@
   std::promise<void> ended;
   serve([&](HttpExchange &exchange) -> asio::awaitable<void> {
     co_await exchange.startStream(jsonResponse(""));
-    while (co_await exchange.writeChunk("x"))
+    bool open = true;
+    while (open) {
+      open = co_await exchange.writeChunk("x");
       co_await sleepFor(1ms);
+    }
     ended.set_value();
   });
   run([](HttpClient &c, Address to) -> asio::awaitable<void> {
