Keep the load generator's rate when service calls are switched off

Arrivals that would have been service calls become completions, some of them bursts, but the spacing of arrivals did not count these bursts: 2340 instead of 2000 requests were sent in a run of 5 s at 400/s.

--- a/src/load_generator.cpp
+++ b/src/load_generator.cpp
@@ -310,7 +310,7 @@
   start = SteadyClock::now();
   Duration end{0};
   for (const auto &it : plan) {
-    // Scheduled one by one, so that memory depends on what is in progress and not on the plan.
+    // Scheduled one by one, so that there are no more timers than requests in progress.
     co_await sleepUntil(start + it.at);
     const auto item = std::make_shared<const LoadItem>(it);
     schedule(item, it.at);
--- a/src/load_generator_plan.cpp
+++ b/src/load_generator_plan.cpp
@@ -70,7 +70,8 @@
     return profile.burstShare / (profile.burstShare + BurstSize * (1 - profile.burstShare));
   }
   double requestsPerArrival() const {
-    const double completions = 1 - profile.lookUpShare - profile.confirmShare;
+    const double completions = 1 - (lookUpService().empty() ? 0 : profile.lookUpShare) -
+                               (confirmService().empty() ? 0 : profile.confirmShare);
     return 1 + completions * (BurstSize - 1) * burstChance();
   }
 
--- a/src/load_generator_report.cpp
+++ b/src/load_generator_report.cpp
@@ -29,6 +29,7 @@
   return {digits.data()};
 }
 
+/// Text filled up with blanks, with at least one at the end.
 std::string padded(std::string text, std::size_t width) {
   text.resize(std::max(width, text.size() + 1), ' ');
   return text;
