--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -67,6 +67,7 @@
   };
   if (!isLeading)
     return done({.outcome = EnsureOutcome::NotPlanner});
+  noticePause();
   if (!isReady) {
     heldEnsures.emplace_back(request, done);
     heldSince.push_back(env.now());
@@ -128,7 +129,7 @@
       bool nearer = !ready || (ep.dataCentre == request.dataCentre &&
                                ready->dataCentre != request.dataCentre);
       ready = nearer ? &ep : ready;
-    } else if (r.phase == Phase::Releasing && !r.unresolved) {
+    } else if (r.phase == Phase::Releasing && !r.unresolved && !r.recovered) {
       releasing = &ep;
     } else if (r.underWay() && options.guards.joinLoadUnderWay) {
       if (r.phase == Phase::Ordering && !r.orderInFlight && !mayOrder(ep))
