Fix a crash of the operators' interface

Cause: the first view request made catkind abort with "free(): invalid pointer". g++ 12 destroys the captures of a closure twice when the closure is a temporary inside a coroutine, seen in the traces at the closures with captured strings. Ruled out: a data race (thread sanitizer showed a use after free on one thread), and the server's handling of the handler. Change: closures with captured values are made by plain functions and passed by reference to an object of the waiting caller.

--- a/src/operator_api.cpp
+++ b/src/operator_api.cpp
@@ -126,23 +126,51 @@
       co_return problem(http::status::method_not_allowed, "only GET is allowed here");
     if (target == "decisions")
       co_return decisions();
-    co_return co_await view(std::string(target));
+    const std::string name(target);
+    co_return co_await view(name);
   }
 
-  /// Runs `start` on Control's executor and waits for its callback.
-  template <class Result, class Start> asio::awaitable<Result> onControl(Start start) {
-    co_return co_await waitForCallback<Result>(
-        [self = shared_from_this(), start = std::move(start)](auto done) mutable {
-          asio::post(self->options.strand,
-                     [self, start = std::move(start), done = std::move(done)]() mutable {
-                       start(self->options.control, std::move(done));
-                     });
-        });
+  template <class Result>
+  using ControlCall = std::function<void(Control &, std::function<void(Result)>)>;
+
+  /// Runs `start` on Control's executor and waits for its callback. `start` is taken by reference
+  /// to an object of the waiting caller, and closures with captured values are made by plain
+  /// functions: g++ 12 destroys the captures of a closure twice when it is a temporary of a
+  /// coroutine.
+  template <class Result> asio::awaitable<Result> onControl(const ControlCall<Result> &start) {
+    auto begin = [&](std::function<void(Result)> done) {
+      asio::post(options.strand, [self = shared_from_this(), start, done = std::move(done)] {
+        start(self->options.control, done);
+      });
+    };
+    co_return co_await waitForCallback<Result>(begin);
   }
 
   asio::awaitable<ListsPtr> currentLists() {
-    co_return co_await onControl<ListsPtr>(
-        [](Control &control, auto done) { done(control.config().current()); });
+    const ControlCall<ListsPtr> read = [](Control &control, auto done) {
+      done(control.config().current());
+    };
+    co_return co_await onControl<ListsPtr>(read);
+  }
+
+  static ControlCall<EditResult> editCall(ListKind kind, const std::string &document,
+                                          std::uint64_t revision) {
+    return [kind, document, revision](Control &control, auto done) {
+      control.config().edit(kind, document, revision, std::move(done));
+    };
+  }
+
+  static ControlCall<bool> drainCall(const HostName &host, const EndpointName &endpoint, bool on) {
+    return [host, endpoint, on](Control &control, auto done) {
+      if (host.empty())
+        control.drainEndpoint(endpoint, on, std::move(done));
+      else
+        control.drainHost(host, on, std::move(done));
+    };
+  }
+
+  static ControlCall<std::string> viewCall(const std::string &name) {
+    return [name](Control &control, auto done) { control.operatorView(name, std::move(done)); };
   }
 
   Reply list(const HttpRequest &request, std::string_view target) {
@@ -181,10 +209,8 @@
     if (!revision)
       co_return problem(http::status::precondition_required, "If-Match is missing",
                         "send the revision that was read, as in If-Match: \"7\"");
-    auto result = co_await onControl<EditResult>(
-        [kind, document = request.body(), revision = *revision](Control &control, auto done) {
-          control.config().edit(kind, document, revision, std::move(done));
-        });
+    const auto apply = editCall(kind, request.body(), *revision);
+    auto result = co_await onControl<EditResult>(apply);
     co_return editResponse(result);
   }
 
@@ -198,24 +224,20 @@
     auto on = object.contains("on") ? in.flag("on") : true;
     if (!in.ok || host.empty() == endpoint.empty())
       co_return problem(http::status::unprocessable_entity, "name either a host or an endpoint");
-    auto done = co_await onControl<bool>([host, endpoint, on](Control &control, auto finish) {
-      if (host.empty())
-        control.drainEndpoint(endpoint, on, std::move(finish));
-      else
-        control.drainHost(host, on, std::move(finish));
-    });
+    const auto apply = drainCall(host, endpoint, on);
+    auto done = co_await onControl<bool>(apply);
     if (!done)
       co_return problem(http::status::service_unavailable, "not confirmed",
                         "no planner or host of that name answered");
     co_return respond(http::status::ok, R"({"confirmed":true})");
   }
 
-  Reply view(std::string name) {
+  Reply view(const std::string &name) {
     auto names = operatorViewNames();
     if (std::find(names.begin(), names.end(), name) == names.end())
       co_return problem(http::status::not_found, "no such view");
-    auto text = co_await onControl<std::string>(
-        [name](Control &control, auto done) { control.operatorView(name, std::move(done)); });
+    const auto read = viewCall(name);
+    auto text = co_await onControl<std::string>(read);
     if (text.empty())
       co_return problem(http::status::service_unavailable, "no planner answers");
     co_return respond(http::status::ok, std::move(text));
