Tell which processes hold shares, and keep what each is told

A planner did not learn of a holder that had ended before it reported there, so that its share would never return. ShareTable now lists the holders, for the control loop to check each of them.

The control loop asks for every host's shares several times a second. They are now kept per holder until they change.

A create of unknown fate that was given up on is looked for once more, because a slow platform may carry it out late and make retries at other hosts wait.

--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -160,6 +160,7 @@
     bool settled = false;
     bool uncertain = false; ///< a create was sent and its reply lost
     bool sawOther = false;  ///< another attempt's record exists
+    bool rechecked = false; ///< a create of unknown fate was looked for once more
   };
   using ClaimPtr = std::shared_ptr<Claim>;
 
@@ -260,7 +261,7 @@
       return onRecord(c, o);
     if (status == StoreStatus::NotFound) {
       c->sawOther = false;
-      return c->settled ? forget(c) : create(c);
+      return c->settled ? recheck(c) : create(c);
     }
     if (c->uncertain || c->sawOther)
       return inspectLater(c);
@@ -268,6 +269,17 @@
     settle(c, {.outcome = ClaimOutcome::Unavailable, .retryAfter = config::CallRetryAfter});
   }
 
+  /// A slow platform may still carry out a create whose reply was given up on. Its record would
+  /// make retries at other hosts wait, so it is looked for once more.
+  void recheck(const ClaimPtr &c) {
+    if (std::exchange(c->rechecked, true))
+      return forget(c);
+    env.after(2 * config::PlatformTimeout, [self = shared_from_this(), c] {
+      if (!self->stopped)
+        self->inspect(c);
+    });
+  }
+
   void onRecord(const ClaimPtr &c, const StoreObject &o) {
     auto record = decode(o.value);
     if (record && record->attempt == c->attempt)
--- a/src/share_table.cpp
+++ b/src/share_table.cpp
@@ -163,6 +163,9 @@
   std::map<PlanName, PlanState> plans;
   std::map<HolderId, Holder> holders;
   std::map<HostName, std::uint64_t> endedUpTo; ///< newest incarnation known to have ended
+  /// What each holder is told. Hosts' long polls ask for it several times a second, and it seldom
+  /// changes; a missing entry is built when asked for.
+  mutable std::map<HolderId, std::vector<HostShare>> announced;
   PlanName cursor; ///< plan served last, so that the write budget goes round
   double writeBudget = 1;
   Instant budgetAt;
@@ -184,6 +187,7 @@
     loaded = false;
     plans.clear();
     holders.clear();
+    announced.clear();
   }
 
   template <class F> auto guarded(F f) {
@@ -222,6 +226,7 @@
     state.claimed = false;
     state.mayLand = false;
     state.dirty = true;
+    announced.clear();
     state.holdings.clear();
     for (auto &[id, amount] : table.holders)
       state.holdings[id] = {.recorded = amount, .ended = hasEnded(id)};
@@ -270,6 +275,7 @@
     auto &newest = endedUpTo[id.host];
     newest = std::max(newest, id.incarnation);
     std::erase_if(holders, [&](auto &it) { return hasEnded(it.first); });
+    std::erase_if(announced, [&](auto &it) { return hasEnded(it.first); });
     for (auto &[plan, state] : plans)
       for (auto &[holder, it] : state.holdings)
         if (!it.ended && hasEnded(holder)) {
@@ -452,6 +458,7 @@
                   lowered.tokens < it.recorded.tokens * (1 - RateEpsilon);
     if (!isLess)
       return;
+    announced.erase(id);
     it.lowering = true;
     it.lowered = lowered;
     it.loweredVersion = nextVersion();
@@ -594,8 +601,13 @@
       else if (!state.claimed || !(held.recorded == amount))
         held = {.recorded = amount, .version = nextVersion(), .ended = held.ended};
       held.ended |= hasEnded(id);
+      if (it == old.end() || held.version != it->second.version)
+        announced.erase(id);
       state.holdings[id] = held;
     }
+    for (auto &[id, it] : old)
+      if (!state.holdings.contains(id))
+        announced.erase(id);
     state.claimed = true;
     state.dirty = true;
     env.decision({.kind = DecisionKind::Quota,
@@ -616,6 +628,7 @@
   void onErased(const PlanName &plan, StoreStatus status) {
     if (status == StoreStatus::Ok) {
       plans.erase(plan);
+      announced.clear();
       return;
     }
     if (status == StoreStatus::Refused || status == StoreStatus::Unreachable) {
@@ -634,11 +647,22 @@
       if (state.busy || state.mayLand || sumOf(state.holdings) > grantOf(plan).concurrency)
         continue;
       for (auto &[id, it] : state.holdings)
-        if (it.lowering)
+        if (it.lowering) {
+          announced.erase(id);
           it = {.recorded = it.recorded, .version = nextVersion(), .ended = it.ended};
+        }
     }
   }
 
+  std::vector<HolderId> holdersOfShares() const {
+    std::set<HolderId> ids;
+    for (auto &[plan, state] : plans)
+      for (auto &[id, it] : state.holdings)
+        if (!it.ended)
+          ids.insert(id);
+    return {ids.begin(), ids.end()};
+  }
+
   bool hasAcknowledged(const HolderId &id) const {
     return std::none_of(plans.begin(), plans.end(), [&](auto &entry) {
       auto it = entry.second.holdings.find(id);
@@ -647,6 +671,13 @@
   }
 
   std::vector<HostShare> sharesOf(const HolderId &id) const {
+    auto [entry, added] = announced.try_emplace(id);
+    if (added)
+      entry->second = collectShares(id);
+    return entry->second;
+  }
+
+  std::vector<HostShare> collectShares(const HolderId &id) const {
     std::vector<HostShare> list;
     for (auto &[plan, state] : plans) {
       auto it = state.holdings.find(id);
@@ -676,6 +707,8 @@
   impl->markAllDirty();
 }
 
+std::vector<HolderId> ShareTable::holders() const { return impl->holdersOfShares(); }
+
 void ShareTable::onSync(const HolderId &holder, const std::vector<PlanUse> &uses) {
   impl->onSync(holder, uses);
 }
--- a/src/shares_p.h
+++ b/src/shares_p.h
@@ -31,6 +31,9 @@
   void lead(std::uint64_t term);
   void resign();
   void setLists(ListsPtr lists);
+  /// Processes that hold shares, also those that have not reported to this planner. The owner calls
+  /// onEnded for each that has ended; otherwise its shares never return.
+  std::vector<HolderId> holders() const;
   /// Use and acknowledgements reported by a live host.
   void onSync(const HolderId &holder, const std::vector<PlanUse> &uses);
   /// The process has certainly ended: its requests are over and its shares return.
--- a/tests/promise_quota_test.cpp
+++ b/tests/promise_quota_test.cpp
@@ -152,6 +152,7 @@
   newer.lead(2);
   EXPECT_FALSE(newer.ready());
   EXPECT_TRUE(newer.sharesOf(a).empty());
+  EXPECT_TRUE(newer.holders().empty());
   world.run(100ms);
   newer.onSync(a, {});
   newer.tick();
@@ -159,6 +160,8 @@
   ASSERT_EQ(newer.sharesOf(a).size(), 1U);
   EXPECT_EQ(newer.sharesOf(a)[0].concurrency, 2);
   EXPECT_GT(newer.sharesOf(a)[0].version, before.version);
+  // b has not reported here, but its end must be noticed.
+  EXPECT_EQ(newer.holders(), (std::vector<HolderId>{a, b}));
   auto written = world.objects().at("shares/plan").version;
   run(5s, {{a, 9}, {b, 0}});
   EXPECT_EQ(world.objects().at("shares/plan").version, written);
