Expire call records part by part and at a steady rate

Given the services, each run now lists one of 256 parts by key hash. Old records are erased one after another, so that a run takes at most about 50 writes a second.

--- a/src/config.h
+++ b/src/config.h
@@ -117,6 +117,8 @@
 constexpr auto CallRetryMin = 100ms;
 constexpr auto CallRetryMax = 5000ms;
 constexpr auto CallRetryAfter = 2000ms; // told to callers while claims cannot be recorded
-constexpr std::size_t MaxExpiredPerRun = 200;
+// Old records are erased one after another at this interval, a small part of the platform's writes.
+constexpr auto CallEraseInterval = 20ms;
+constexpr std::size_t MaxExpiredPerRun = 2000;
 
 } // namespace catkin::config
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -27,6 +27,7 @@
 namespace {
 
 constexpr std::string_view CallsPrefix = "calls/";
+constexpr std::uint64_t ExpiryParts = 256; // by the first byte of the key's hash
 
 /// The stored form of a call.
 struct Record {
@@ -171,7 +172,10 @@
   LedgerOptions options;
   AliveCheck alive;
   bool stopped = false;
-  std::map<std::string, Attempt> attempts; ///< by attempt id
+  std::map<std::string, Attempt> attempts;                    ///< by attempt id
+  std::vector<std::pair<std::string, std::uint64_t>> expired; ///< keys and versions to be erased
+  bool isErasing = false;
+  std::uint64_t expiryPart = env.random(); ///< any start: a new planner must not begin at zero
 
   // ---- Claim -----------------------------------------------------------------------------------
 
@@ -462,28 +466,46 @@
 
   // ---- Expiry ----------------------------------------------------------------------------------
 
-  void expire() {
-    env.platform().list(
-        std::string(CallsPrefix),
-        [self = shared_from_this()](StoreStatus status, const std::vector<StoreObject> &objects) {
-          if (!self->stopped && status == StoreStatus::Ok)
-            self->eraseOld(objects);
-        });
+  void expire(const std::vector<ServiceName> &services) {
+    if (services.empty())
+      return expirePrefix(std::string(CallsPrefix));
+    auto part = static_cast<unsigned char>(expiryPart++ % ExpiryParts);
+    for (auto &it : services)
+      expirePrefix(std::string(CallsPrefix) + it.value + "/" + toHex(&part, 1));
+  }
+
+  void expirePrefix(const std::string &prefix) {
+    env.platform().list(prefix, [self = shared_from_this()](
+                                    StoreStatus status, const std::vector<StoreObject> &objects) {
+      if (!self->stopped && status == StoreStatus::Ok)
+        self->queueOld(objects);
+    });
   }
 
-  void eraseOld(const std::vector<StoreObject> &objects) {
+  void queueOld(const std::vector<StoreObject> &objects) {
     auto oldest =
         env.wallSeconds() -
         std::chrono::duration_cast<std::chrono::seconds>(config::CallRecordRetention).count();
-    std::size_t n = 0;
     for (auto &it : objects) {
+      if (expired.size() >= config::MaxExpiredPerRun)
+        break;
       auto record = decode(it.value);
-      if (!record || record->created >= oldest || attempts.contains(record->attempt))
-        continue;
-      env.platform().erase(it.key, it.version, [](StoreStatus, const StoreObject &) {});
-      if (++n == config::MaxExpiredPerRun)
-        return;
+      if (record && record->created < oldest && !attempts.contains(record->attempt))
+        expired.emplace_back(it.key, it.version);
     }
+    if (!std::exchange(isErasing, true))
+      eraseNext();
+  }
+
+  /// An erase that fails is left to a later run.
+  void eraseNext() {
+    isErasing = !stopped && !expired.empty();
+    if (!isErasing)
+      return;
+    auto [key, version] = expired.back();
+    expired.pop_back();
+    env.platform().erase(key, version, [](StoreStatus, const StoreObject &) {});
+    env.after(config::CallEraseInterval, [self = shared_from_this()] { self->eraseNext(); });
   }
 };
 
@@ -506,7 +528,7 @@
   impl->store(attemptId, RecordState::Lost, {});
 }
 
-void Ledger::expire() { impl->expire(); }
+void Ledger::expire(const std::vector<ServiceName> &services) { impl->expire(services); }
 
 std::size_t Ledger::open() const { return impl->attempts.size(); }
 
--- a/src/ledger_p.h
+++ b/src/ledger_p.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 /// At-most-once execution of non-idempotent calls, recorded in the platform as
 /// calls/<service>/<hash of plan and key>.
@@ -71,8 +72,9 @@
   void abandon(const CallKey &key, const std::string &attemptId);
   /// The call was sent and its answer is lost: retries get MayHaveRun at once.
   void lose(const CallKey &key, const std::string &attemptId);
-  /// Erases records older than the retention time. Call about once a minute on one host.
-  void expire();
+  /// Erases records older than the retention time. Call about once a minute on one host. Given the
+  /// services, each call looks at one of 256 parts of their records; without, at all records.
+  void expire(const std::vector<ServiceName> &services = {});
   /// Claims granted or being recorded by this process and not yet finished.
   std::size_t open() const;
 
--- a/tests/promise_calls_test.cpp
+++ b/tests/promise_calls_test.cpp
@@ -117,7 +117,12 @@
   world.run(1s);
   EXPECT_EQ(world.objects().size(), 1U);
   world.run(24h);
-  ledger.expire();
+  for (int part = 0; part < 256; ++part)
+    ledger.expire({ServiceName("other")});
+  world.run(1s);
+  EXPECT_EQ(world.objects().size(), 1U);
+  for (int part = 0; part < 256; ++part)
+    ledger.expire({key.service});
   world.run(1s);
   EXPECT_TRUE(world.objects().empty());
 }
