--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -12,6 +12,8 @@
 constexpr double DiskRateFactor = 2;
 constexpr double FirstAdapterSeconds = 0.02;
 constexpr Duration RetryWhenFull = std::chrono::seconds(2);
+// A search of a large full fleet takes milliseconds, and a burst asks for the same model again.
+constexpr Duration RefusalKept = std::chrono::milliseconds(250);
 // A load longer than the deadline is begun for the caller's next attempt only if it starts soon.
 constexpr Duration SoonStart = std::chrono::seconds(2);
 
@@ -88,11 +90,20 @@
   if (joinExisting(request, done))
     return;
 
+  auto now = env.now();
+  if (known.refusedUntil > now && known.refusedPlan == request.plan)
+    return refuse(known.refusedReason, RetryWhenFull);
   std::string reason;
-  auto deadline = env.now() + request.remaining;
-  auto p = choose(*model, &plan->second, deadline, request.remaining, false, reason);
-  if (!p)
+  auto deadline = now + request.remaining;
+  LoadWish wish{
+      .urgency = deadline, .remaining = request.remaining, .dataCentre = request.dataCentre};
+  auto p = choose(*model, plan->second, wish, reason);
+  if (!p) {
+    known.refusedPlan = request.plan;
+    known.refusedReason = reason;
+    known.refusedUntil = now + RefusalKept;
     return refuse(std::move(reason), RetryWhenFull);
+  }
   if (p->estimate > request.remaining) {
     bool tooLong = p->loadTime > request.remaining && p->estimate - p->loadTime <= SoonStart;
     if (!tooLong)
@@ -255,8 +266,8 @@
 
 std::map<EndpointName, std::vector<PlannedReplica>> Planner::replicas() const {
   std::map<EndpointName, std::vector<PlannedReplica>> found;
-  for (auto &name : impl->populated)
-    for (auto &[model, r] : impl->endpoints.at(name).replicas) {
+  for (auto &[name, ep] : impl->populated)
+    for (auto &[model, r] : ep->replicas) {
       PlannedReplica copy = r;
       copy.state = ReplicaState::Intended;
       if (r.phase == Phase::Ready)
@@ -281,8 +292,8 @@
 PlannerStats Planner::stats() const {
   auto s = impl->counters;
   s.replicas = s.loadsUnderWay = 0;
-  for (auto &name : impl->populated)
-    for (auto &[model, r] : impl->endpoints.at(name).replicas) {
+  for (auto &[name, ep] : impl->populated)
+    for (auto &[model, r] : ep->replicas) {
       s.replicas += r.committed() ? 1 : 0;
       s.loadsUnderWay += r.committed() && r.underWay() ? 1 : 0;
     }
