--- a/tools/catkinctl.cpp
+++ b/tools/catkinctl.cpp
@@ -118,7 +118,7 @@
   app.fallthrough();
   app.set_version_flag("--version", CATKIN_VERSION);
   app.add_option("--hosts", options.hosts, "Operator addresses of hosts, ip:port; tried in turn")
-      ->envname("CATKIN_HOSTS")
+      ->envname("CATKIN_OPERATOR_HOSTS")
       ->delimiter(',');
   app.add_option("--key-file", options.keyFile,
                  "File with the operator key; else CATKIN_OPERATOR_KEY")
