Space failing last-resort probes; complete whole chat answers

By hand with an engine killed in mid-stream, the resumed stream used up its eight attempts on the dead endpoint in 8 s, while the platform still listed it as live. Probes of an endpoint that is the last one left now double their distance up to the ejection time.

A whole chat answer merged from chunks lacked the role if the engine leaves it out, and asked for no usage figures.

--- a/src/gateway_completions.cpp
+++ b/src/gateway_completions.cpp
@@ -83,6 +83,8 @@
   // A whole answer is put together from a stream: it would show no byte until it is complete, so
   // that a dead connection could not be told from work.
   body["stream"] = true;
+  if (!out.stream && !body.contains("stream_options"))
+    body["stream_options"] = {{"include_usage", true}};
   out.body = json::serialize(body);
   return out;
 }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -183,7 +183,10 @@
   /// When nothing else is left, an ejected endpoint gets one request at a time, well spaced: the
   /// others wait for the planner to place the model elsewhere.
   static bool lastResort(const EndpointState &e, Instant now) {
-    return e.ejected && !e.probing && now - e.lastProbe >= LastResortInterval;
+    int doublings = std::clamp(e.failures - config::EjectAfterFailures, 0, 8);
+    Duration interval =
+        std::min<Duration>(LastResortInterval * (1 << doublings), config::EjectionTime);
+    return e.ejected && !e.probing && now - e.lastProbe >= interval;
   }
 
   double cost(const EndpointState &e, std::uint64_t prefixHash, Instant now) const {
--- a/src/sse.cpp
+++ b/src/sse.cpp
@@ -67,6 +67,9 @@
       continue;
     json::value message = std::move(*delta);
     choice->erase("delta");
+    // Engines may leave the role out of their chunks, but callers expect it in a message.
+    if (message.is_object() && !message.get_object().contains("role"))
+      message.get_object()["role"] = "assistant";
     (*choice)["message"] = std::move(message);
   }
 }
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -122,6 +122,7 @@
   EXPECT_EQ(first.at("message").at("tool_calls").at(0).at("function").at("arguments"), "{}");
   EXPECT_EQ(first.at("finish_reason"), "stop");
   EXPECT_EQ(out["choices"].at(1).at("message").at("content"), "x");
+  EXPECT_EQ(out["choices"].at(1).at("message").at("role"), "assistant") << "engines may omit it";
   EXPECT_EQ(out["usage"].at("completion_tokens"), 3);
 }
 
