--- a/src/config.h
+++ b/src/config.h
@@ -70,6 +70,7 @@
 constexpr int LoadedEndpointPollsPerSecond = 20;
 constexpr int EmptyEndpointPollsPerSecond = 10;
 constexpr std::size_t MaxClaimsInFlight = 64;
+constexpr int RecordErasesPerSecond = 5;
 constexpr int RecordWritesPerSecond = 100; // besides intents; the platform takes several hundred
 constexpr auto PauseNoticed = 3s; // between two ticks, which come every ControlTick
 constexpr auto OrderRetryInterval = 500ms;
@@ -117,6 +118,8 @@
 constexpr auto CallRetryMin = 100ms;
 constexpr auto CallRetryMax = 5000ms;
 constexpr auto CallRetryAfter = 2000ms; // told to callers while claims cannot be recorded
-constexpr std::size_t MaxExpiredPerRun = 200;
+// Old records are erased one after another at this interval, a small part of the platform's writes.
+constexpr auto CallEraseInterval = 20ms;
+constexpr std::size_t MaxExpiredPerRun = 2000;
 
 } // namespace catkin::config
--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -121,6 +121,9 @@
   Instant busySince{};  ///< enough requests for one more replica since then
   Instant quietSince{}; ///< one replica fewer would do since then
   PlanName payer;       ///< plan that last asked
+  PlanName refusedPlan; ///< plan that was refused for want of room, until the moment below
+  std::string refusedReason;
+  Instant refusedUntil{};
   std::set<EndpointName> endpoints;
 };
 
@@ -135,6 +138,14 @@
   std::uint64_t bytes = 0;
 };
 
+/// Who wants a load and by when.
+struct LoadWish {
+  Instant urgency{};
+  Duration remaining{0};
+  bool spareOnly = false;    ///< only into free memory and unused grant
+  DataCentreName dataCentre; ///< of the host that asked; empty: none did
+};
+
 struct Placement {
   Endpoint *endpoint = nullptr;
   const Model *base = nullptr; ///< to be loaded first; null if it is there
@@ -175,8 +186,12 @@
   std::size_t claimsInFlight = 0;
   std::size_t ordersInFlight = 0; ///< of all sessions
   std::set<EndpointName> unclaimed;
-  std::set<EndpointName> active;    ///< endpoints with a replica that is not simply loaded
-  std::set<EndpointName> populated; ///< endpoints with replicas
+  // Endpoints in these sets are not erased, so that the pointers stay valid.
+  using EndpointSet = std::map<EndpointName, Endpoint *>;
+  EndpointSet active;           ///< with a replica that is not simply loaded
+  EndpointSet queuedAt;         ///< with a queued load
+  EndpointSet populated;        ///< with replicas
+  std::size_t replicaCount = 0; ///< as of the last second
   std::set<EndpointName> dirtyRecords;
   std::set<std::pair<Instant, EndpointName>> polls;
   std::pair<EndpointName, ModelName> retentionCursor;
@@ -186,7 +201,12 @@
 
   struct HostReport {
     Instant heard;
-    std::vector<ModelLoad> loads;
+    struct Load {
+      ModelUse *use; ///< entries of `models` are never erased
+      int inFlight;
+      int waiting;
+    };
+    std::vector<Load> loads;
   };
   std::map<HostName, HostReport> hosts;
 
@@ -273,7 +293,6 @@
   // planner_placement.cpp: where to load, grants, estimates.
   bool eligible(const Endpoint &ep, std::uint64_t bytes) const;
   bool available(const Endpoint &ep) const;
-  PlanTotals totals(const PlanName &plan, bool committedOnly) const;
   bool idle(const Endpoint &ep, const Replica &r) const;
   RetentionInput retentionInput(const Endpoint &ep, const Replica &r) const;
   Duration loadTime(CopySource source, std::uint64_t bytes, bool adapter) const;
@@ -290,17 +309,23 @@
                        double &cost) const;
   bool chooseGrantReleases(const GrantRoom &room, const PlanName &plan, const Model &model,
                            Placement &p);
-  std::optional<Placement> consider(Endpoint &ep, const Model &model, const Plan *plan,
-                                    const GrantRoom &room, Duration storeQueue, bool prewarm,
-                                    std::string &reason);
-  std::optional<Placement> choose(const Model &model, const Plan *plan, Instant urgency,
-                                  Duration remaining, bool prewarm, std::string &reason);
+  std::optional<Placement> consider(Endpoint &ep, const Model &model, const Plan &plan,
+                                    const GrantRoom &room, const LoadWish &wish,
+                                    Duration storeQueue, bool evictAnywhere, std::string &reason);
+  std::optional<Placement> choose(const Model &model, const Plan &plan, const LoadWish &wish,
+                                  std::string &reason);
   Replica *commit(const Model &model, const PlanName &payer, Instant urgency, bool prewarm,
                   const Placement &p, const std::string &requestId);
   void pump();
-  bool startable(const Endpoint &ep, const Replica &r);
-  bool takeStoreSlot(const Replica &r);
-  int storeInUse(bool adapter) const;
+  /// What loads under way take, while queued ones are considered in turn.
+  struct QueueRoom {
+    std::map<PlanName, PlanTotals> plans;
+    int modelSlots = 0;
+    int adapterSlots = 0;
+  };
+  QueueRoom queueRoom();
+  bool startable(const Endpoint &ep, const Replica &r, QueueRoom &room);
+  bool takeStoreSlot(const Replica &r, QueueRoom &room);
   void refillStoreTokens();
 
   // planner.cpp: requests and housekeeping.
@@ -319,6 +344,7 @@
   void checkRetention(Duration elapsed);
   void checkReplica(Endpoint &ep, Replica &r);
   void enforceGrants();
+  void forgetGoneEndpoints();
   void prewarm();
   bool needed(const ModelName &model) const;
   bool availableElsewhere(const ModelName &model, const EndpointName &except) const;
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -58,17 +58,20 @@
 
 /// Keeps the sets of endpoints that housekeeping visits.
 void Planner::Impl::classify(Endpoint &ep) {
-  bool busy = false;
-  for (auto &[model, r] : ep.replicas)
+  bool busy = false, queued = false;
+  for (auto &[model, r] : ep.replicas) {
     busy |= r.phase != Phase::Ready && r.phase != Phase::Held;
-  if (busy)
-    active.insert(ep.name);
-  else
-    active.erase(ep.name);
-  if (ep.replicas.empty())
-    populated.erase(ep.name);
-  else
-    populated.insert(ep.name);
+    queued |= r.phase == Phase::Queued;
+  }
+  auto keep = [&ep](EndpointSet &set, bool in) {
+    if (in)
+      set.emplace(ep.name, &ep);
+    else
+      set.erase(ep.name);
+  };
+  keep(active, busy);
+  keep(queuedAt, queued);
+  keep(populated, !ep.replicas.empty());
 }
 
 void Planner::Impl::addReplica(Endpoint &ep, Replica r) {
@@ -94,16 +97,17 @@
   if (r.committed())
     markDirty(ep);
   log(DecisionKind::Release, model, ep.name.value, std::string(reason), r.payer);
-  bool wait = r.underWay() && r.urgency > env.now();
+  std::vector<ModelName> dependents;
+  for (auto &[name, other] : ep.replicas)
+    if (other.base == model && other.phase == Phase::Queued)
+      dependents.push_back(name);
+  // A base that was on its way for an adapter is decided again together with it.
+  bool wait = r.underWay() && r.urgency > env.now() && dependents.empty();
   if (again && (wait || (r.phase <= Phase::Ready && needed(model))))
     wanted[model] = {.payer = r.payer,
                      .deadline = std::max(r.urgency, env.now() + config::ReplacementDeadline)};
   askAgain(std::move(r.answers));
-  std::vector<ModelName> waiting;
-  for (auto &[name, other] : ep.replicas)
-    if (other.base == model && other.phase == Phase::Queued)
-      waiting.push_back(name);
-  for (auto &name : waiting)
+  for (auto &name : dependents)
     dropReplica(ep, name, "its base was dropped", again);
   classify(ep);
 }
