Name the Hivatal's non-idempotent service as the example lists do

Cause: the demo's deliveries were all refused as not run: the load generator asked for a service "delivery", the lists have "deliveries". Ruled out: the ledger and the gateway; a call by hand ran and was granted, and a listener in the host's place showed the wrong name.

--- a/src/load_generator_plan.cpp
+++ b/src/load_generator_plan.cpp
@@ -21,7 +21,7 @@
      .modelSkew = 1.1,
      .lookUpService = "stock",
      .lookUpPath = "stops/",
-     .confirmService = "delivery",
+     .confirmService = "deliveries",
      .confirmPath = "confirmations/",
      .prompt = "Summarise the round for the caretaker of building "},
     {.name = "confraternita",
