--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -27,6 +27,7 @@
 namespace {
 
 constexpr std::string_view CallsPrefix = "calls/";
+constexpr std::uint64_t ExpiryParts = 256; // by the first byte of the key's hash
 
 /// The stored form of a call.
 struct Record {
@@ -160,6 +161,7 @@
     bool settled = false;
     bool uncertain = false; ///< a create was sent and its reply lost
     bool sawOther = false;  ///< another attempt's record exists
+    bool rechecked = false; ///< a create of unknown fate was looked for once more
   };
   using ClaimPtr = std::shared_ptr<Claim>;
 
@@ -170,7 +172,10 @@
   LedgerOptions options;
   AliveCheck alive;
   bool stopped = false;
-  std::map<std::string, Attempt> attempts; ///< by attempt id
+  std::map<std::string, Attempt> attempts;                    ///< by attempt id
+  std::vector<std::pair<std::string, std::uint64_t>> expired; ///< keys and versions to be erased
+  bool isErasing = false;
+  std::uint64_t expiryPart = env.random(); ///< any start: a new planner must not begin at zero
 
   // ---- Claim -----------------------------------------------------------------------------------
 
@@ -260,7 +265,7 @@
       return onRecord(c, o);
     if (status == StoreStatus::NotFound) {
       c->sawOther = false;
-      return c->settled ? forget(c) : create(c);
+      return c->settled ? recheck(c) : create(c);
     }
     if (c->uncertain || c->sawOther)
       return inspectLater(c);
@@ -268,6 +273,17 @@
     settle(c, {.outcome = ClaimOutcome::Unavailable, .retryAfter = config::CallRetryAfter});
   }
 
+  /// A slow platform may still carry out a create whose reply was given up on. Its record would
+  /// make retries at other hosts wait, so it is looked for once more.
+  void recheck(const ClaimPtr &c) {
+    if (std::exchange(c->rechecked, true))
+      return forget(c);
+    env.after(2 * config::PlatformTimeout, [self = shared_from_this(), c] {
+      if (!self->stopped)
+        self->inspect(c);
+    });
+  }
+
   void onRecord(const ClaimPtr &c, const StoreObject &o) {
     auto record = decode(o.value);
     if (record && record->attempt == c->attempt)
@@ -450,28 +466,46 @@
 
   // ---- Expiry ----------------------------------------------------------------------------------
 
-  void expire() {
-    env.platform().list(
-        std::string(CallsPrefix),
-        [self = shared_from_this()](StoreStatus status, const std::vector<StoreObject> &objects) {
-          if (!self->stopped && status == StoreStatus::Ok)
-            self->eraseOld(objects);
-        });
+  void expire(const std::vector<ServiceName> &services) {
+    if (services.empty())
+      return expirePrefix(std::string(CallsPrefix));
+    auto part = static_cast<unsigned char>(expiryPart++ % ExpiryParts);
+    for (auto &it : services)
+      expirePrefix(std::string(CallsPrefix) + it.value + "/" + toHex(&part, 1));
   }
 
-  void eraseOld(const std::vector<StoreObject> &objects) {
+  void expirePrefix(const std::string &prefix) {
+    env.platform().list(prefix, [self = shared_from_this()](
+                                    StoreStatus status, const std::vector<StoreObject> &objects) {
+      if (!self->stopped && status == StoreStatus::Ok)
+        self->queueOld(objects);
+    });
+  }
+
+  void queueOld(const std::vector<StoreObject> &objects) {
     auto oldest =
         env.wallSeconds() -
         std::chrono::duration_cast<std::chrono::seconds>(config::CallRecordRetention).count();
-    std::size_t n = 0;
     for (auto &it : objects) {
+      if (expired.size() >= config::MaxExpiredPerRun)
+        break;
       auto record = decode(it.value);
-      if (!record || record->created >= oldest || attempts.contains(record->attempt))
-        continue;
-      env.platform().erase(it.key, it.version, [](StoreStatus, const StoreObject &) {});
-      if (++n == config::MaxExpiredPerRun)
-        return;
+      if (record && record->created < oldest && !attempts.contains(record->attempt))
+        expired.emplace_back(it.key, it.version);
     }
+    if (!std::exchange(isErasing, true))
+      eraseNext();
+  }
+
+  /// An erase that fails is left to a later run.
+  void eraseNext() {
+    isErasing = !stopped && !expired.empty();
+    if (!isErasing)
+      return;
+    auto [key, version] = expired.back();
+    expired.pop_back();
+    env.platform().erase(key, version, [](StoreStatus, const StoreObject &) {});
+    env.after(config::CallEraseInterval, [self = shared_from_this()] { self->eraseNext(); });
   }
 };
 
@@ -494,7 +528,7 @@
   impl->store(attemptId, RecordState::Lost, {});
 }
 
-void Ledger::expire() { impl->expire(); }
+void Ledger::expire(const std::vector<ServiceName> &services) { impl->expire(services); }
 
 std::size_t Ledger::open() const { return impl->attempts.size(); }
 
