Return shares of holders that died before reporting to a new planner

Cause: the planner looked only at hosts that had reported to it, so a host that died during a failover kept its share for good. A lowered grant was reported as in force before its hosts had applied it. Change: the planner checks every recorded holder; the config view and 'catkinctl wait' count a host only once its lowered shares are applied; call records are expired per service. A script measures control costs by size.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -3,13 +3,14 @@
 #   scripts/cluster.sh start [hivatal|confraternita]
 #   scripts/cluster.sh stop
 # CATKIN_RUN_DIR keeps process ids and logs (default build/run); CATKIN_HOSTS_COUNT is the number of hosts;
-# CATKIN_BASE_PORT the first of 800 ports.
+# CATKIN_ENGINE_FACTOR multiplies the engines (at most 100 in all); CATKIN_BASE_PORT is the first of 800 ports.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=build/bin
 run=${CATKIN_RUN_DIR:-build/run}
 base=${CATKIN_BASE_PORT:-21000}
 hosts=${CATKIN_HOSTS_COUNT:-8}
+factor=${CATKIN_ENGINE_FACTOR:-1}
 export CATKIN_OPERATOR_KEY=${CATKIN_OPERATOR_KEY:-example-operator-key}
 
 platform=127.0.0.1:$base
@@ -68,7 +69,7 @@
   local n=0 group count i name port options
   for it in "${groups[@]}"; do
     read -r group count <<<"$it"
-    for ((i = 1; i <= count; ++i)); do
+    for ((i = 1; i <= count * factor; ++i)); do
       name=$group-$i
       port=$((base + 100 + n))
       options=(--name "$name" --listen "127.0.0.1:$port" --weights "$weights" --memory-gb 96
@@ -144,7 +145,7 @@
     start_host "$2"
     ;;
   *)
-    sed -n '2,6p' "$0"
+    sed -n '2,7p' "$0"
     exit 1
     ;;
 esac
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -254,15 +254,13 @@
   /// Shares of ended processes return; the former planner's orders are settled once it has ended.
   void noteEndedHosts() {
     auto now = env.now();
-    for (auto it = hostViews.begin(); it != hostViews.end();) {
-      if (membership.ended(it->first, it->second.incarnation, now)) {
-        shares.onEnded({it->first, it->second.incarnation});
-        uses.erase(it->first);
-        it = hostViews.erase(it);
-      } else {
-        ++it;
-      }
-    }
+    std::erase_if(hostViews,
+                  [&](auto &it) { return membership.ended(it.first, it.second.incarnation, now); });
+    std::erase_if(uses, [&](auto &it) { return !hostViews.contains(it.first); });
+    // Also holders that died before they reported to this planner.
+    for (auto &it : shares.holders())
+      if (membership.ended(it.host, it.incarnation, now))
+        shares.onEnded(it);
     if (!formerEnded && membership.ended(formerHolder.holder, formerHolder.incarnation, now)) {
       formerEnded = true;
       planner.formerHolderEnded();
@@ -305,8 +303,6 @@
       return done(notPlanner()); // delayed message of a process that has been replaced
     auto &view = hostViews[request.self.host];
     if (view.incarnation != request.self.incarnation) {
-      if (view.incarnation != 0)
-        shares.onEnded({request.self.host, view.incarnation});
       view = {.incarnation = request.self.incarnation, .acknowledgedTable = 0, .sentShares = {}};
     }
     if (request.tableTerm == planner.term())
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -117,6 +117,7 @@
   void awaitDrain(Instant limit);
   void stopControl();
   void expireCalls();
+  std::vector<ServiceName> recordedServices();
 
   const Settings &settings;
   asio::io_context io;
@@ -213,10 +214,20 @@
   control.stop([this] { io.stop(); });
 }
 
+/// Services whose calls leave records.
+std::vector<ServiceName> Daemon::recordedServices() {
+  std::vector<ServiceName> names;
+  if (auto lists = control.config().current())
+    for (auto &[name, it] : lists->services)
+      if (!it.idempotent)
+        names.push_back(name);
+  return names;
+}
+
 /// The planner erases old call records, so that one host does it.
 void Daemon::expireCalls() {
   if (control.isPlanner())
-    ledger.expire();
+    ledger.expire(recordedServices());
   env.after(ExpireInterval, [this] { expireCalls(); });
 }
 
--- a/src/operator_client.cpp
+++ b/src/operator_client.cpp
@@ -202,7 +202,7 @@
       behind.clear();
       in.objects("hosts", [&](JsonReader &it) {
         auto host = it.text("host");
-        if (it.unsignedInt("revision") < wanted)
+        if (it.unsignedInt("revision") < wanted || !it.flag("shares_applied"))
           behind += (behind.empty() ? "" : ", ") + host;
       });
       if (behind.empty() && newest >= wanted)
--- a/src/operator_state.cpp
+++ b/src/operator_state.cpp
@@ -131,8 +131,11 @@
   json::array hosts;
   bool everywhere = true;
   for (auto &it : s.membership.live(s.now)) {
-    everywhere = everywhere && it.revision >= revision;
-    hosts.push_back(json::object{{"host", it.host.value}, {"revision", it.revision}});
+    // A lowered grant is in force on a host once the requests above its new share have ended.
+    bool settled = s.shares.hasAcknowledged({it.host, it.incarnation});
+    everywhere = everywhere && it.revision >= revision && settled;
+    hosts.push_back(json::object{
+        {"host", it.host.value}, {"revision", it.revision}, {"shares_applied", settled}});
   }
   return json::serialize(
       json::object{{"revision", revision}, {"in_force", everywhere}, {"hosts", hosts}});
--- a/tests/operator_client_test.cpp
+++ b/tests/operator_client_test.cpp
@@ -72,13 +72,20 @@
 // Guards against `wait` returning while a host still uses the old lists.
 TEST(OperatorClient, WaitNamesTheHostsThatAreBehind) {
   auto config = [](int a, int b) {
-    return ok(0, R"({"revision":3,"hosts":[{"host":"a","revision":)" + std::to_string(a) +
-                     R"(},{"host":"b","revision":)" + std::to_string(b) + "}]}");
+    auto host = [](const char *name, int revision, bool applied) {
+      return R"({"host":")" + std::string(name) + R"(","revision":)" + std::to_string(revision) +
+             R"(,"shares_applied":)" + (applied ? "true}" : "false}");
+    };
+    return ok(0, R"({"revision":3,"hosts":[)" + host("a", a, true) + "," +
+                     host("b", b == 4 ? 3 : b, b != 4) + "]}");
   };
   Script late{{config(3, 2), config(3, 2)}, {}};
   auto result = ctlWait(late.transport(), 3, 2, [] {});
   EXPECT_EQ(result.exit, CtlExit::Timeout);
   EXPECT_NE(result.error.find(": b"), std::string::npos);
+  // 4 stands for: revision 3 is known there, but a lowered share is not yet applied.
+  Script settling{{config(3, 4)}, {}};
+  EXPECT_EQ(ctlWait(settling.transport(), 3, 1, [] {}).exit, CtlExit::Timeout);
   Script fine{{config(3, 2), config(3, 3)}, {}};
   EXPECT_EQ(ctlWait(fine.transport(), 3, 2, [] {}).exit, CtlExit::Ok);
 }
