Add the public library interface

Cause: the system ships as a library with thin daemons, and had no public header. Change: include/catkin/catkin.h with Init, Caps, Stats and Host; the checks are those of the daemon's flags. Controls stay valid after the host has ended.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -7,14 +7,18 @@
 #include "operator_api_p.h"
 #include "real_env_p.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <csignal>
+#include <memory>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -25,6 +29,7 @@
 constexpr auto DrainCheckInterval = std::chrono::milliseconds(50);
 // Giving up shares and the lease needs the platform and the planner, which may not answer.
 constexpr auto ControlStopTimeout = std::chrono::seconds(5);
+constexpr auto StatsInterval = std::chrono::milliseconds(200);
 constexpr auto ExpireInterval = std::chrono::minutes(1);
 constexpr std::size_t OperatorConnections = 64;
 constexpr std::size_t PeerBodyBytes = 8 * 1024 * 1024; // a whole routing table fits
@@ -108,7 +113,9 @@
     connectGateway();
   }
 
-  std::string run();
+  std::string run(const DaemonOptions &options);
+  void requestStop();
+  Stats stats();
 
 private:
   void connectGateway();
@@ -117,6 +124,7 @@
   void awaitDrain(Instant limit);
   void stopControl();
   void expireCalls();
+  void refreshStats();
   std::vector<ServiceName> recordedServices();
 
   const Settings &settings;
@@ -133,6 +141,8 @@
   HttpServer operators;
   asio::signal_set signals;
   bool stopping = false;
+  std::atomic<bool> lastReady = false;
+  std::atomic<bool> lastPlanner = false;
 };
 
 void Daemon::connectGateway() {
@@ -150,7 +160,7 @@
   gateway.setConnectionCount([this] { return callers.connections(); });
 }
 
-std::string Daemon::run() {
+std::string Daemon::run(const DaemonOptions &options) {
   for (auto *server : {&callers, &peers, &operators})
     if (auto fault = server->start(); !fault.empty())
       return fault;
@@ -158,10 +168,16 @@
           {{"version", CATKIN_VERSION},
            {"incarnation", incarnation},
            {"settings", json::parse(describeSettings(settings))}});
-  awaitSignal();
+  if (options.started)
+    options.started({});
+  if (options.handleSignals)
+    awaitSignal();
+  // Keeps the context running until the stop, also without signals to wait for.
+  auto work = asio::make_work_guard(io);
   asio::post(strand, [this] {
     control.start();
     expireCalls();
+    refreshStats();
   });
   std::vector<std::thread> threads;
   for (int i = 1; i < settings.threads; ++i)
@@ -173,6 +189,27 @@
   return {};
 }
 
+void Daemon::requestStop() {
+  asio::post(strand, [this] {
+    if (!stopping)
+      beginStop();
+  });
+}
+
+Stats Daemon::stats() {
+  return {.ready = lastReady,
+          .planner = lastPlanner,
+          .active = gateway.active(),
+          .connections = callers.connections()};
+}
+
+/// Copies for stats(), which other threads call, of what only the strand may read.
+void Daemon::refreshStats() {
+  lastReady = control.ready();
+  lastPlanner = control.isPlanner();
+  env.after(StatsInterval, [this] { refreshStats(); });
+}
+
 void Daemon::awaitSignal() {
   signals.async_wait([this](boost::system::error_code ec, int) {
     if (ec)
@@ -233,11 +270,37 @@
 
 } // namespace
 
-std::string runDaemon(const Settings &settings) {
+std::string runDaemon(const Settings &settings, const DaemonOptions &options) {
   // A caller that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   Daemon daemon(settings);
-  return daemon.run();
+  // Shared with the controls, which may be used after the daemon has ended.
+  struct Access {
+    std::mutex lock;
+    Daemon *daemon = nullptr;
+  };
+  auto access = std::make_shared<Access>();
+  access->daemon = &daemon;
+  auto run = options;
+  run.started = [&](const DaemonControls &) {
+    if (!options.started)
+      return;
+    options.started({.requestStop =
+                         [access] {
+                           std::lock_guard guard(access->lock);
+                           if (access->daemon)
+                             access->daemon->requestStop();
+                         },
+                     .stats =
+                         [access] {
+                           std::lock_guard guard(access->lock);
+                           return access->daemon ? access->daemon->stats() : Stats{};
+                         }});
+  };
+  auto fault = daemon.run(run);
+  std::lock_guard guard(access->lock);
+  access->daemon = nullptr;
+  return fault;
 }
 
 } // namespace catkin
--- /dev/null
+++ b/src/host.cpp
@@ -0,0 +1,114 @@
+#include "catkin/catkin.h"
+
+#include "config.h"
+#include "daemon_p.h"
+#include "policy_p.h"
+
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace catkin {
+
+namespace {
+
+void add(std::vector<std::string> &out, const std::string &flag, const std::string &value) {
+  if (!value.empty())
+    out.push_back("--" + flag + "=" + value);
+}
+
+std::vector<std::string> toArguments(const Init &init) {
+  std::vector<std::string> out{"catkind"};
+  add(out, "host", init.host);
+  add(out, "data-centre", init.dataCentre);
+  add(out, "listen", init.listen);
+  add(out, "peer-listen", init.peerListen);
+  add(out, "operator-listen", init.operatorListen);
+  add(out, "platform", init.platform);
+  std::string peers;
+  for (auto &it : init.peers)
+    peers += (peers.empty() ? "" : ",") + it;
+  add(out, "peers", peers);
+  add(out, "retention", init.retention);
+  add(out, "placement", init.placement);
+  add(out, "threads", std::to_string(init.threads));
+  out.insert(out.end(), init.extra.begin(), init.extra.end());
+  return out;
+}
+
+/// The same checks as those of the daemon's flags.
+SettingsResult toSettings(const Init &init) {
+  auto arguments = toArguments(init);
+  std::vector<const char *> argv;
+  for (auto &it : arguments)
+    argv.push_back(it.c_str());
+  return readSettings(static_cast<int>(argv.size()), argv.data(), init.operatorKey);
+}
+
+} // namespace
+
+Caps getCaps() {
+  return {.version = CATKIN_VERSION,
+          .retentionPolicies = retentionPolicyNames(),
+          .placementPolicies = placementPolicyNames(),
+          .maxHeaderBytes = config::MaxHeaderBytes,
+          .maxListBytes = config::MaxListBytes,
+          .maxDeadlineMs =
+              static_cast<std::uint32_t>(std::chrono::milliseconds(config::MaxDeadline).count())};
+}
+
+struct Host::Impl {
+  Settings settings;
+  DaemonControls controls;
+  std::thread thread;
+};
+
+Host::Host(std::unique_ptr<Impl> impl) : impl(std::move(impl)) {}
+
+std::unique_ptr<Host> Host::create(const Init &init, std::string &error) {
+  auto result = toSettings(init);
+  error.clear();
+  for (auto &it : result.faults)
+    error += it + "\n";
+  if (!error.empty())
+    return nullptr;
+  auto impl = std::make_unique<Impl>();
+  impl->settings = std::move(result.settings);
+  std::promise<std::string> started;
+  auto outcome = started.get_future();
+  impl->thread = std::thread([host = impl.get(), &started] {
+    bool running = false;
+    auto fault = runDaemon(host->settings,
+                           {.handleSignals = false, .started = [&](const DaemonControls &controls) {
+                              host->controls = controls;
+                              running = true;
+                              started.set_value({});
+                            }});
+    if (!running)
+      started.set_value(fault);
+  });
+  error = outcome.get();
+  if (error.empty())
+    return std::unique_ptr<Host>(new Host(std::move(impl)));
+  impl->thread.join();
+  return nullptr;
+}
+
+Host::~Host() {
+  requestStop();
+  wait();
+}
+
+Stats Host::stats() const { return impl->thread.joinable() ? impl->controls.stats() : Stats{}; }
+
+void Host::requestStop() {
+  if (impl->thread.joinable())
+    impl->controls.requestStop();
+}
+
+void Host::wait() {
+  if (impl->thread.joinable())
+    impl->thread.join();
+}
+
+} // namespace catkin
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -186,10 +186,12 @@
   }
 }
 
-void readOperatorKey(SettingsResult &result) {
+void readOperatorKey(SettingsResult &result, const std::string &given) {
   auto &s = result.settings;
   const char *fromEnvironment = std::getenv("CATKIN_OPERATOR_KEY");
-  if (fromEnvironment)
+  if (!given.empty())
+    s.operatorKey = given;
+  else if (fromEnvironment)
     s.operatorKey = fromEnvironment;
   else if (!s.operatorKeyFile.empty()) {
     std::ifstream file(s.operatorKeyFile);
@@ -270,7 +272,7 @@
 
 } // namespace
 
-SettingsResult readSettings(int argc, const char *const *argv) {
+SettingsResult readSettings(int argc, const char *const *argv, const std::string &operatorKey) {
   SettingsResult result;
   CLI::App app{"catkind, the host daemon of catkinthread"};
   app.set_help_flag();
@@ -299,7 +301,7 @@
   for (auto &[spec, option] : options)
     readValue(*spec, *option, result);
   listUnknown(app.remaining(), result.faults);
-  readOperatorKey(result);
+  readOperatorKey(result, operatorKey);
   checkTogether(result);
   return result;
 }
--- a/src/settings_p.h
+++ b/src/settings_p.h
@@ -57,8 +57,9 @@
   std::string helpText;
 };
 
-/// Reads flags and environment and checks everything; all faults are listed at once.
-SettingsResult readSettings(int argc, const char *const *argv);
+/// Reads flags and environment and checks everything; all faults are listed at once. A program that
+/// embeds a host passes the operators' key in `operatorKey`, which goes before the environment.
+SettingsResult readSettings(int argc, const char *const *argv, const std::string &operatorKey = {});
 
 /// The settings as a JSON object for the log, without secrets.
 std::string describeSettings(const Settings &settings);
--- /dev/null
+++ b/tests/host_test.cpp
@@ -0,0 +1,55 @@
+#include "catkin/catkin.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace catkin {
+namespace {
+
+Init validInit() {
+  return {.host = "host-1",
+          .dataCentre = "buda-a",
+          .listen = "127.0.0.1:18931",
+          .peerListen = "127.0.0.1:18932",
+          .operatorListen = "127.0.0.1:18933",
+          .platform = "127.0.0.1:18934",
+          .operatorKey = "example-operator-key"};
+}
+
+// Guards against an embedding program that gets a host with settings the daemon would refuse.
+TEST(Host, FaultsOfTheSettingsAreListedTogether) {
+  auto init = validInit();
+  init.platform = "nowhere";
+  init.retention = "unknown";
+  init.operatorKey = "short";
+  std::string error;
+  EXPECT_EQ(Host::create(init, error), nullptr);
+  for (auto it : {"platform", "retention", "16 characters"})
+    EXPECT_NE(error.find(it), std::string::npos) << it << " is missing in: " << error;
+}
+
+// Guards against a crash when controls are used after the host has stopped, and against a stop that
+// hangs while the platform cannot be reached.
+TEST(Host, StopsWithoutAPlatform) {
+  std::string error;
+  auto host = Host::create(validInit(), error);
+  ASSERT_NE(host, nullptr) << error;
+  EXPECT_FALSE(host->stats().ready);
+  host->requestStop();
+  host->wait();
+  host->requestStop();
+  EXPECT_EQ(host->stats().active, 0U);
+}
+
+// Guards against a build whose creator tables lack the rules that the documentation names.
+TEST(Host, CapsNameThePolicies) {
+  auto caps = getCaps();
+  EXPECT_NE(std::find(caps.retentionPolicies.begin(), caps.retentionPolicies.end(), "adaptive"),
+            caps.retentionPolicies.end());
+  EXPECT_NE(std::find(caps.placementPolicies.begin(), caps.placementPolicies.end(), "cost"),
+            caps.placementPolicies.end());
+}
+
+} // namespace
+} // namespace catkin
