Hand the usage history over to the next planner

Change: the history is saved to planner/history/<n> every 10 minutes and read at the start of a term; nothing is saved before the read has succeeded, and parts of different saves are never mixed. A save of a former planner that does not know of its end is replaced, which a test showed to be needed: before, its write blocked every later save of its successor. Ruled out: hosts' reports as the source, since a host keeps nothing either.

--- a/src/config.h
+++ b/src/config.h
@@ -46,6 +46,9 @@
 constexpr auto RpcTimeout = 2000ms;
 constexpr auto OrderTimeout = 2000ms;
 constexpr auto PlatformTimeout = 2000ms;
+constexpr auto HistorySaveInterval = 600s; // 2 MB at 1,990 models: 3.5 kB/s
+constexpr auto HistoryRetryInterval = 2s;
+constexpr std::size_t HistoryPartBytes = 400 * 1000; // text may double in size when escaped
 constexpr int OperatorWriteAttempts = 5;
 constexpr auto ConfigWatchWait = 30s;
 
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,6 +1,7 @@
 #include "control_p.h"
 
 #include "config.h"
+#include "history_store_p.h"
 #include "json_p.h"
 #include "operator_state_p.h"
 
@@ -61,6 +62,7 @@
   Planner planner;
   ShareTable shares;
   ConfigSync config;
+  HistoryStore history;
 
   bool stopped = false;
   // As the planner.
@@ -93,7 +95,10 @@
             [this](auto &, auto &former) { onLeaseAcquired(former); }, [this] { onLeaseLost(); }),
         planner(env, withGuards(options)), shares(env, options.guards),
         config(env, {.peers = options.peers, .guards = options.guards},
-               [this](ListsPtr lists) { onLists(lists); }) {}
+               [this](ListsPtr lists) { onLists(lists); }),
+        history(
+            env, [this] { return planner.saveHistory(); },
+            [this](std::string_view text) { planner.restoreHistory(text); }) {}
 
   static PlannerOptions withGuards(const ControlOptions &options) {
     auto out = options.planner;
@@ -163,6 +168,7 @@
     planner.setOrderLimit(lease.validUntil());
     planner.lead(lease.newest().term, formerEnded);
     shares.lead(lease.newest().term);
+    history.lead(lease.newest().term);
     readDrains();
   }
 
@@ -229,6 +235,7 @@
     leadPending = false;
     planner.resign();
     shares.resign();
+    history.resign();
     for (auto &it : std::exchange(waiters, {}))
       it.done(notPlanner());
   }
--- /dev/null
+++ b/src/history_store.cpp
@@ -0,0 +1,178 @@
+#include "history_store_p.h"
+
+#include "config.h"
+#include "json_p.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace catkin {
+
+namespace {
+
+constexpr std::string_view Prefix = "planner/history/";
+
+struct Part {
+  std::string saveId;
+  std::uint64_t term = 0; ///< of the planner that wrote it
+  std::size_t parts = 0;
+  std::string data;
+};
+
+std::string keyOf(std::size_t index) {
+  // Fixed width, so that the list is in order.
+  auto digits = std::to_string(index);
+  return std::string(Prefix) + std::string(4 - std::min<std::size_t>(digits.size(), 4), '0') +
+         digits;
+}
+
+std::string format(const Part &p) {
+  return json::serialize(
+      json::object{{"save_id", p.saveId}, {"term", p.term}, {"parts", p.parts}, {"data", p.data}});
+}
+
+bool parse(const std::string &text, Part &out) {
+  json::object object;
+  if (!parseObject(text, object))
+    return false;
+  JsonReader in(object);
+  out = {.saveId = in.text("save_id"),
+         .term = in.unsignedInt("term"),
+         .parts = in.unsignedInt("parts"),
+         .data = in.text("data")};
+  return in.ok && out.parts > 0;
+}
+
+/// The text of a save if all its parts are there; otherwise empty.
+std::string join(const std::vector<StoreObject> &objects) {
+  std::string text;
+  Part first;
+  for (std::size_t i = 0; i < objects.size(); ++i) {
+    Part part;
+    if (objects[i].key != keyOf(i) || !parse(objects[i].value, part))
+      return {};
+    if (i == 0)
+      first = part;
+    if (part.saveId != first.saveId)
+      return {};
+    text += part.data;
+    if (i + 1 == first.parts)
+      return text;
+  }
+  return {};
+}
+
+} // namespace
+
+struct HistoryStore::Impl : std::enable_shared_from_this<HistoryStore::Impl> {
+  Env &env;
+  Save save;
+  Restore restore;
+  std::uint64_t term = 0;
+  std::uint64_t session = 0; ///< tells calls of an ended term apart
+  bool leading = false;
+  bool wasRestored = false;
+  std::map<std::string, std::uint64_t> versions;
+  std::uint64_t saves = 0;
+
+  Impl(Env &env, Save save, Restore restore)
+      : env(env), save(std::move(save)), restore(std::move(restore)) {}
+
+  bool current(std::uint64_t s) const { return leading && s == session; }
+
+  void read() {
+    env.platform().list(std::string(Prefix), [self = shared_from_this(), s = session](
+                                                 StoreStatus status, const auto &objects) {
+      if (!self->current(s))
+        return;
+      if (status == StoreStatus::Ok)
+        return self->onRead(objects);
+      self->env.after(config::HistoryRetryInterval, [self, s] {
+        if (self->current(s))
+          self->read();
+      });
+    });
+  }
+
+  void onRead(const std::vector<StoreObject> &objects) {
+    versions.clear();
+    for (auto &it : objects)
+      versions[it.key] = it.version;
+    if (auto text = join(objects); !text.empty())
+      restore(text);
+    wasRestored = true;
+    scheduleSave();
+  }
+
+  void scheduleSave() {
+    env.after(config::HistorySaveInterval, [self = shared_from_this(), s = session] {
+      if (!self->current(s))
+        return;
+      self->writeParts();
+      self->scheduleSave();
+    });
+  }
+
+  void writeParts() {
+    auto text = save();
+    if (text.empty())
+      return;
+    auto count = (text.size() + config::HistoryPartBytes - 1) / config::HistoryPartBytes;
+    auto id = std::to_string(term) + "-" + std::to_string(++saves);
+    for (std::size_t i = 0; i < count; ++i)
+      writePart(keyOf(i),
+                {.saveId = id,
+                 .term = term,
+                 .parts = count,
+                 .data = text.substr(i * config::HistoryPartBytes, config::HistoryPartBytes)});
+  }
+
+  /// A write that fails leaves parts of two saves, which the reader refuses; the next save mends
+  /// it.
+  void writePart(const std::string &key, const Part &part) {
+    env.platform().put(key, format(part), versions[key],
+                       [self = shared_from_this(), s = session, key](StoreStatus status,
+                                                                     const StoreObject &object) {
+                         if (!self->current(s))
+                           return;
+                         if (status == StoreStatus::Ok)
+                           self->versions[key] = object.version;
+                         else if (status == StoreStatus::Conflict || status == StoreStatus::Unknown)
+                           self->refreshVersion(key);
+                       });
+  }
+
+  /// After a lost reply or a conflict the version is read again. A save of a newer planner must not
+  /// be replaced by this one; a save of a former planner that does not know of its end must.
+  void refreshVersion(const std::string &key) {
+    env.platform().get(key, [self = shared_from_this(), s = session,
+                             key](StoreStatus status, const StoreObject &object) {
+      Part part;
+      if (!self->current(s) || status != StoreStatus::Ok || !parse(object.value, part))
+        return;
+      if (part.term <= self->term)
+        self->versions[key] = object.version;
+    });
+  }
+};
+
+HistoryStore::HistoryStore(Env &env, Save save, Restore restore)
+    : impl(std::make_shared<Impl>(env, std::move(save), std::move(restore))) {}
+
+HistoryStore::~HistoryStore() { impl->leading = false; }
+
+void HistoryStore::lead(std::uint64_t term) {
+  impl->term = term;
+  ++impl->session;
+  impl->leading = true;
+  impl->wasRestored = false;
+  impl->read();
+}
+
+void HistoryStore::resign() { impl->leading = false; }
+
+bool HistoryStore::restored() const { return impl->wasRestored; }
+
+} // namespace catkin
--- a/src/planner.cpp
+++ b/src/planner.cpp
@@ -296,6 +296,10 @@
 
 std::size_t Planner::ordersInFlight() const { return impl->ordersInFlight; }
 
+std::string Planner::saveHistory() const { return impl->retention->saveHistory(); }
+
+void Planner::restoreHistory(std::string_view text) { impl->retention->restoreHistory(text); }
+
 PlannerStats Planner::stats() const {
   auto s = impl->counters;
   s.replicas = s.loadsUnderWay = 0;
--- a/src/planner_p.h
+++ b/src/planner_p.h
@@ -93,6 +93,9 @@
   const RouteTable &table() const;
   std::map<EndpointName, std::vector<PlannedReplica>> replicas() const;
   std::vector<EndpointReport> endpointReports() const;
+  /// Usage history of the retention policy, for the next planner.
+  std::string saveHistory() const;
+  void restoreHistory(std::string_view text);
   PlannerStats stats() const;
   /// Orders sent and not yet answered, of this and earlier terms. A former holder may acknowledge a
   /// newer term only when there are none: the new planner then drops what it kept for them.
