Fix lint findings in settings, Env, services and their tests

Parameters that are only read are taken by reference; a static table gets the name that the style asks for. No behaviour changes.

--- a/src/gateway_services.cpp
+++ b/src/gateway_services.cpp
@@ -183,7 +183,7 @@
                     .service = target.service,
                     .idempotencyKey = std::string(headerOf(message, "Idempotency-Key")),
                     .requestHash = hashKey(fingerprint)};
-  auto start = [&](std::function<void(ClaimResult)> done) {
+  auto start = [&](const std::function<void(ClaimResult)> &done) {
     onLedger([wantedKey, deadline = request.deadline, done](Ledger &ledger) {
       ledger.claim(wantedKey, deadline, done);
     });
--- a/src/real_env.cpp
+++ b/src/real_env.cpp
@@ -149,7 +149,7 @@
       std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-HttpRequest makeRequest(http::verb verb, std::string target, std::string body) {
+HttpRequest makeRequest(http::verb verb, const std::string &target, std::string body) {
   HttpRequest request{verb, target, 11};
   if (!body.empty())
     request.set(http::field::content_type, "application/json");
@@ -173,7 +173,7 @@
   return out;
 }
 
-HttpCaller::HttpCaller(Strand strand, Duration connectTimeout)
+HttpCaller::HttpCaller(const Strand &strand, Duration connectTimeout)
     : strand(strand), connectTimeout(connectTimeout), client(std::make_shared<HttpClient>(strand)) {
 }
 
@@ -236,7 +236,7 @@
                          StoreGetDone done) {
   auto target = "/objects/" + escapeKey(key) + "?after=" + std::to_string(after) +
                 "&wait_ms=" + std::to_string(toMillis(maxWait));
-  caller->call(address, makeRequest(http::verb::get, std::move(target)), maxWait + WatchMargin,
+  caller->call(address, makeRequest(http::verb::get, target), maxWait + WatchMargin,
                [key, done = std::move(done)](const HttpResult &result) {
                  if (answered(result, 304))
                    return done(StoreStatus::NotFound, StoreObject{.key = key});
@@ -293,7 +293,7 @@
                });
 }
 
-RealEnv::RealEnv(Strand strand, const RealEnvOptions &options, DecisionLog &log)
+RealEnv::RealEnv(const Strand &strand, const RealEnvOptions &options, DecisionLog &log)
     : strand(strand), log(log), generator(std::random_device()()),
       caller(std::make_shared<HttpCaller>(strand, options.connectTimeout)),
       platformHttp(caller, options.platform), hostListHttp(caller, options.platform),
@@ -320,7 +320,7 @@
     response.set(http::field::content_type, "application/json");
     auto request = decodeRpcRequest(exchange.request().body());
     if (request.ok) {
-      auto start = [&](std::function<void(std::string)> done) {
+      auto start = [&](const std::function<void(std::string)> &done) {
         asio::post(strand, [call, method = request.method, params = request.paramsJson, done] {
           call(method, params, done);
         });
--- a/src/real_env_p.h
+++ b/src/real_env_p.h
@@ -23,7 +23,7 @@
 public:
   using Done = std::function<void(const HttpResult &)>;
 
-  HttpCaller(Strand strand, Duration connectTimeout);
+  HttpCaller(const Strand &strand, Duration connectTimeout);
   /// `total` bounds the whole call and also the time without a byte.
   void call(const Address &to, HttpRequest request, Duration total, Done done);
 
@@ -34,7 +34,7 @@
 };
 
 /// A request with a JSON body, or none if `body` is empty.
-HttpRequest makeRequest(http::verb verb, std::string target, std::string body = {});
+HttpRequest makeRequest(http::verb verb, const std::string &target, std::string body = {});
 
 /// Escapes a key for use in a target; slashes stay.
 std::string escapeKey(std::string_view key);
@@ -95,7 +95,7 @@
 
 class RealEnv : public Env {
 public:
-  RealEnv(Strand strand, const RealEnvOptions &options, DecisionLog &log);
+  RealEnv(const Strand &strand, const RealEnvOptions &options, DecisionLog &log);
 
   Instant now() const override;
   std::int64_t wallSeconds() const override;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -31,7 +31,7 @@
 };
 
 const std::vector<Spec> &specs() {
-  static const std::vector<Spec> table{
+  static const std::vector<Spec> Table{
       {"host", "name of this host", &Settings::host, true},
       {"data-centre", "data centre of this host", &Settings::dataCentre, true},
       {"listen", "ip:port of the callers' API", &Settings::listen, true},
@@ -74,7 +74,7 @@
       {"max-connections", "callers' connections", &Settings::maxConnections, false, 1, 100000},
       {"max-body-bytes", "longest request body", &Settings::maxBodyBytes, false, 1024, 1 << 28},
   };
-  return table;
+  return Table;
 }
 
 std::string environmentName(std::string_view flag) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -28,7 +28,7 @@
 /// Platform in memory; everything else is the real Env, or unused.
 class TestEnv : public RealEnv, public Platform {
 public:
-  TestEnv(Strand strand, DecisionLog &log) : RealEnv(strand, {}, log), strand(strand) {}
+  TestEnv(const Strand &strand, DecisionLog &log) : RealEnv(strand, {}, log), strand(strand) {}
   Platform &platform() override { return *this; }
 
   void get(const std::string &key, StoreGetDone done) override {
@@ -179,8 +179,8 @@
     hooks.nodesListed(nodes);
   }
 
-  static HttpRequest post(std::string target, std::string body) {
-    auto request = makeRequest(http::verb::post, std::move(target), std::move(body));
+  static HttpRequest post(const std::string &target, std::string body) {
+    auto request = makeRequest(http::verb::post, target, std::move(body));
     request.set(http::field::authorization, "Bearer key-a");
     return request;
   }
