Add tests with real processes (not yet run)

Cause: signals, restarts and silent connections only show between separate processes. Not built or run yet.

--- /dev/null
+++ b/tests/promise_process_test.cpp
@@ -0,0 +1,300 @@
+#include "load_generator_p.h"
+#include "process_cluster_p.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <csignal>
+#include <future>
+#include <set>
+#include <thread>
+
+namespace catkin {
+namespace {
+
+using namespace std::chrono_literals;
+
+using Pending = std::future<HttpResult>;
+
+Pending completeLater(const ProcessCluster &cluster, int host, std::string model,
+                      std::string prompt, unsigned tokens = 8, bool stream = false) {
+  return std::async(std::launch::async,
+                    [&cluster, host, model = std::move(model), prompt = std::move(prompt), tokens,
+                     stream] { return cluster.complete(host, model, prompt, tokens, stream); });
+}
+
+Pending confirmLater(const ProcessCluster &cluster, int host, std::string key) {
+  return std::async(std::launch::async, [&cluster, host, key = std::move(key)] {
+    return cluster.confirm(host, key, R"({"bottles":4})");
+  });
+}
+
+/// What a failed assertion shows of an answer.
+std::string describe(const HttpResult &result) {
+  return std::string(toString(result.status)) + " " + std::to_string(statusOf(result)) + " " +
+         result.response.body();
+}
+
+void expectNoOvercommit(const ProcessCluster &cluster) {
+  EXPECT_EQ(cluster.engineFaults("overcommits"), 0);
+}
+
+bool loadHasBegun(const ProcessCluster &cluster, const char *model) {
+  return eventually([&] { return !cluster.enginesWith(model).empty(); });
+}
+
+// Guards against a second replica, or requests that are never answered, when the planner dies
+// between the order of a load and its end (P1, P2, P3).
+TEST(Process, PlannerKilledInMidLoad) {
+  ProcessCluster cluster;
+  ASSERT_TRUE(cluster.ready()) << cluster.error;
+  const int planner = cluster.planner();
+  const int a = (planner + 1) % cluster.hosts();
+  const int b = (planner + 2) % cluster.hosts();
+  auto first = completeLater(cluster, a, ProcessCluster::Model, "first");
+  auto second = completeLater(cluster, b, ProcessCluster::Model, "second");
+  ASSERT_TRUE(loadHasBegun(cluster, ProcessCluster::Model));
+  cluster.signalHost(planner, SIGKILL);
+  EXPECT_EQ(cluster.waitHost(planner), 128 + SIGKILL);
+  const auto one = first.get();
+  const auto two = second.get();
+  EXPECT_TRUE(isWholeAnswer(one, ProcessCluster::Model, "first")) << describe(one);
+  EXPECT_TRUE(isWholeAnswer(two, ProcessCluster::Model, "second")) << describe(two);
+  // A new planner decides the next load, and the killed host comes back.
+  const auto other = cluster.complete(a, ProcessCluster::Other, "third");
+  EXPECT_TRUE(isWholeAnswer(other, ProcessCluster::Other, "third")) << describe(other);
+  cluster.startHost(planner);
+  ASSERT_TRUE(eventually([&] { return cluster.hostReady(planner); }));
+  const auto back = cluster.complete(planner, ProcessCluster::Model, "fourth");
+  EXPECT_TRUE(isWholeAnswer(back, ProcessCluster::Model, "fourth")) << describe(back);
+  EXPECT_EQ(cluster.enginesWith(ProcessCluster::Model).size(), 1U);
+  EXPECT_EQ(cluster.enginesWith(ProcessCluster::Other).size(), 1U);
+  expectNoOvercommit(cluster);
+}
+
+/// Pauses the planner in mid-load past its lease. On waking it finds a cold request to decide.
+void pausePlanner(std::vector<std::string> engineFlags) {
+  ProcessCluster cluster({.engineFlags = std::move(engineFlags)});
+  ASSERT_TRUE(cluster.ready()) << cluster.error;
+  const int planner = cluster.planner();
+  const auto term = cluster.leaseTerm();
+  const int a = (planner + 1) % cluster.hosts();
+  auto first = completeLater(cluster, a, ProcessCluster::Model, "first");
+  ASSERT_TRUE(loadHasBegun(cluster, ProcessCluster::Model));
+  cluster.signalHost(planner, SIGSTOP);
+  auto asleep = completeLater(cluster, planner, ProcessCluster::Other, "asleep");
+  ASSERT_TRUE(
+      eventually([&] { return cluster.leaseTerm() > term && cluster.planner() != planner; }));
+  const auto one = first.get();
+  EXPECT_TRUE(isWholeAnswer(one, ProcessCluster::Model, "first")) << describe(one);
+  auto awake = completeLater(cluster, a, ProcessCluster::Other, "awake");
+  cluster.signalHost(planner, SIGCONT);
+  const auto two = asleep.get();
+  const auto three = awake.get();
+  EXPECT_TRUE(isWholeAnswer(two, ProcessCluster::Other, "asleep")) << describe(two);
+  EXPECT_TRUE(isWholeAnswer(three, ProcessCluster::Other, "awake")) << describe(three);
+  for (int i = 0; i < cluster.hosts(); ++i) {
+    const auto it = cluster.complete(i, ProcessCluster::Model, "after");
+    EXPECT_TRUE(isWholeAnswer(it, ProcessCluster::Model, "after")) << describe(it);
+  }
+  EXPECT_EQ(cluster.enginesWith(ProcessCluster::Model).size(), 1U);
+  EXPECT_EQ(cluster.enginesWith(ProcessCluster::Other).size(), 1U);
+  expectNoOvercommit(cluster);
+}
+
+// Guards against a former planner that wakes up and acts on a lease that another holds (P1, P2).
+TEST(Process, PlannerPausedPastItsLease) { pausePlanner({}); }
+
+// The same where no engine refuses the former planner's orders.
+TEST(Process, PlannerPausedPastItsLeaseWithoutFencing) { pausePlanner({"--ignore-fencing"}); }
+
+// Guards against warm requests that need the platform, and against non-idempotent calls that run
+// unrecorded or are refused untruthfully while it is down (P5, P6).
+TEST(Process, PlatformDown) {
+  ProcessCluster cluster;
+  ASSERT_TRUE(cluster.ready()) << cluster.error;
+  const auto warm = cluster.complete(0, ProcessCluster::Model, "warm");
+  ASSERT_TRUE(isWholeAnswer(warm, ProcessCluster::Model, "warm")) << describe(warm);
+  ASSERT_TRUE(eventually([&] { return statusOf(cluster.confirm(0, "before", "{}")) == 200; }));
+  ASSERT_TRUE(ProcessCluster::control(cluster.platform(), "/control/faults", R"({"down":true})"));
+  // Longer than the planner's lease, so that the later rounds are served without one.
+  for (int round = 0; round < 10; ++round) {
+    for (int i = 0; i < cluster.hosts(); ++i) {
+      const auto it = cluster.complete(i, ProcessCluster::Model, "down");
+      EXPECT_TRUE(isWholeAnswer(it, ProcessCluster::Model, "down")) << describe(it);
+    }
+    std::this_thread::sleep_for(500ms);
+  }
+  for (int i = 0; i < cluster.hosts(); ++i) {
+    const auto refused = cluster.confirm(i, "during", "{}");
+    EXPECT_EQ(memberOf(refused, "outcome"), "not_run") << describe(refused);
+    EXPECT_FALSE(refused.response[http::field::retry_after].empty());
+  }
+  EXPECT_EQ(cluster.runsOf("during"), 0);
+  ASSERT_TRUE(ProcessCluster::control(cluster.platform(), "/control/faults", R"({"down":false})"));
+  EXPECT_TRUE(eventually([&] { return statusOf(cluster.confirm(1, "during", "{}")) == 200; }));
+  EXPECT_EQ(cluster.runsOf("during"), 1);
+  const auto cold = cluster.complete(2, ProcessCluster::Other, "cold");
+  EXPECT_TRUE(isWholeAnswer(cold, ProcessCluster::Other, "cold")) << describe(cold);
+  expectNoOvercommit(cluster);
+}
+
+// Guards against callers left waiting, or given part of an answer as the whole, when the connection
+// to an engine goes silent in mid-stream (P3, P4, P5).
+TEST(Process, EngineConnectionGoesSilent) {
+  constexpr unsigned Tokens = 150;
+  ProcessCluster cluster({.engineFlags = {"--token-ms", "20", "--report-lag-ms", "0"}});
+  ASSERT_TRUE(cluster.ready()) << cluster.error;
+  const auto warm = cluster.complete(0, ProcessCluster::Model, "warm");
+  ASSERT_TRUE(isWholeAnswer(warm, ProcessCluster::Model, "warm")) << describe(warm);
+  const auto engines = cluster.enginesWith(ProcessCluster::Model);
+  ASSERT_EQ(engines.size(), 1U);
+  const auto engine = cluster.engine(engines.front());
+  auto streamed = completeLater(cluster, 0, ProcessCluster::Model, "streamed", Tokens, true);
+  auto plain = completeLater(cluster, 1, ProcessCluster::Model, "plain", Tokens);
+  ASSERT_TRUE(eventually([&] { return cluster.enginesRunning() == 2; }));
+  ASSERT_TRUE(ProcessCluster::control(engine, "/control", R"({"silent":true})"));
+  const auto one = streamed.get();
+  const LoadItem item{.model = ProcessCluster::Model, .prompt = "streamed", .maxTokens = Tokens};
+  StreamChecker checker(item);
+  checker.feed(one.response.body());
+  // Ended properly, and either whole or with an error that says so.
+  EXPECT_EQ(one.status, HttpStatus::Ok);
+  if (checker.outcome() != LoadOutcome::Whole) {
+    EXPECT_EQ(checker.outcome(), LoadOutcome::Cut) << describe(one);
+    EXPECT_THAT(one.response.body(), ::testing::HasSubstr("may_have_run"));
+  }
+  const auto two = plain.get();
+  if (!isWholeAnswer(two, ProcessCluster::Model, "plain", Tokens)) {
+    EXPECT_EQ(memberOf(two, "outcome"), "may_have_run") << describe(two);
+  }
+  EXPECT_TRUE(eventually([&] {
+    return isWholeAnswer(cluster.complete(0, ProcessCluster::Model, "after"), ProcessCluster::Model,
+                         "after");
+  }));
+  expectNoOvercommit(cluster);
+}
+
+// Guards against a lost edit when operators change the same list through two hosts (P9).
+TEST(Process, OperatorsRace) {
+  ProcessCluster cluster;
+  ASSERT_TRUE(cluster.ready()) << cluster.error;
+  for (int round = 0; round < 5; ++round) {
+    const auto revision = cluster.revisionAt(0, "plans");
+    ASSERT_TRUE(eventually([&] { return cluster.revisionAt(1, "plans") == revision; }));
+    auto edit = [&](int host) {
+      return std::async(std::launch::async, [&cluster, &revision, host, round] {
+        const auto document = ProcessCluster::plansDocument(10 + 2 * round + host);
+        return cluster.putList(host, "plans", revision, document);
+      });
+    };
+    auto first = edit(0);
+    auto second = edit(1);
+    const auto one = first.get();
+    const auto two = second.get();
+    const std::multiset<unsigned> statuses{statusOf(one), statusOf(two)};
+    EXPECT_EQ(statuses, (std::multiset<unsigned>{200, 412})) << describe(one) << describe(two);
+    const int winner = statusOf(one) == 200 ? 0 : 1;
+    const int expected = 10 + 2 * round + winner;
+    for (int i = 0; i < cluster.hosts(); ++i)
+      EXPECT_TRUE(eventually([&] { return cluster.concurrencyAt(i) == expected; }))
+          << "host " << i << " does not have the accepted edit";
+  }
+}
+
+/// Load over all hosts; the report is complete when the future is ready.
+std::future<LoadReport> loadLater(const ProcessCluster &cluster, std::uint64_t seed) {
+  LoadOptions options{.apiKey = ProcessCluster::Key,
+                      .rate = 30,
+                      .duration = 6s,
+                      .seed = seed,
+                      .models = {ProcessCluster::Model},
+                      .lookUpService = "none",
+                      .confirmService = ProcessCluster::Service,
+                      .maxTokens = 64};
+  for (int i = 0; i < cluster.hosts(); ++i)
+    options.entries.push_back(cluster.host(i));
+  return std::async(std::launch::async, [options] {
+    asio::io_context context(1);
+    LoadGenerator generator(context.get_executor(), options);
+    LoadReport report;
+    std::string error;
+    asio::co_spawn(context, generator.run(report, error), asio::detached);
+    context.run();
+    EXPECT_EQ(error, "");
+    SCOPED_TRACE(report.toTable(options));
+    EXPECT_THAT(report.failures(false), ::testing::IsEmpty());
+    for (const auto kind : {LoadKind::Completion, LoadKind::Confirm})
+      for (const auto outcome : {LoadOutcome::Cut, LoadOutcome::NoHost, LoadOutcome::MayHaveRun})
+        EXPECT_EQ(report.count(kind, outcome), 0U) << toString(kind) << " " << toString(outcome);
+    return report;
+  });
+}
+
+// Guards against requests cut off or lost by planned stops (P8), and against calls that run twice
+// when their caller repeats them at another host (P6).
+TEST(Process, RollingRestartUnderLoad) {
+  ProcessCluster cluster({.hosts = 4});
+  ASSERT_TRUE(cluster.ready()) << cluster.error;
+  const auto warm = cluster.complete(0, ProcessCluster::Model, "warm");
+  ASSERT_TRUE(isWholeAnswer(warm, ProcessCluster::Model, "warm")) << describe(warm);
+  for (int i = 0; i < cluster.hosts(); ++i) {
+    auto load = loadLater(cluster, static_cast<std::uint64_t>(i) + 1);
+    std::this_thread::sleep_for(1s); // so that the host has requests in progress
+    cluster.signalHost(i, SIGTERM);
+    EXPECT_EQ(cluster.waitHost(i), 0);
+    cluster.startHost(i);
+    EXPECT_TRUE(eventually([&] { return cluster.hostReady(i); }));
+    const auto report = load.get();
+    EXPECT_GT(report.count(LoadKind::Completion, LoadOutcome::Whole), 0U);
+    EXPECT_GT(report.count(LoadKind::Confirm, LoadOutcome::Whole), 0U);
+  }
+  EXPECT_EQ(cluster.enginesWith(ProcessCluster::Model).size(), 1U);
+  expectNoOvercommit(cluster);
+}
+
+/// A final answer that is true after one run.
+bool toldTruthfully(const HttpResult &result) {
+  return statusOf(result) == 200 || memberOf(result, "outcome") == "may_have_run";
+}
+
+/// Sends one key to two hosts at once, kills one of them while the service works, and repeats.
+void killDuringCall(bool killClaimant) {
+  ProcessCluster cluster;
+  ASSERT_TRUE(cluster.ready()) << cluster.error;
+  ASSERT_TRUE(eventually([&] { return statusOf(cluster.confirm(0, "before", "{}")) == 200; }));
+  ASSERT_TRUE(ProcessCluster::control(cluster.service(), "/control", R"({"delay_ms":4000})"));
+  std::array<Pending, 2> calls{confirmLater(cluster, 0, "key"), confirmLater(cluster, 1, "key")};
+  ASSERT_TRUE(eventually([&] { return cluster.runsOf("key") > 0; }));
+  const int claimant = cluster.claimantOf("key");
+  ASSERT_TRUE(claimant == 0 || claimant == 1);
+  const int killed = killClaimant ? claimant : 1 - claimant;
+  cluster.signalHost(killed, SIGKILL);
+  EXPECT_EQ(cluster.waitHost(killed), 128 + SIGKILL);
+  cluster.startHost(killed);
+  ASSERT_TRUE(eventually([&] { return cluster.hostReady(killed); }));
+  const auto survivor = calls.at(static_cast<std::size_t>(1 - killed)).get();
+  EXPECT_TRUE(toldTruthfully(survivor)) << describe(survivor);
+  for (int i = 0; i < cluster.hosts(); ++i) {
+    const auto again = cluster.confirm(i, "key", R"({"bottles":4})");
+    EXPECT_TRUE(toldTruthfully(again)) << describe(again);
+    // The answer of a claimant that lived on is stored and replayed.
+    if (!killClaimant) {
+      EXPECT_EQ(statusOf(again), 200U) << describe(again);
+    }
+  }
+  EXPECT_EQ(cluster.runsOf("key"), 1);
+}
+
+// Guards against a second run of a non-idempotent call when the host that started it dies (P6).
+TEST(Process, ClaimantOfCallKilled) { killDuringCall(true); }
+
+// Guards against a second run, or a lost answer, when a host that waits for another's call dies.
+TEST(Process, WaiterForCallKilled) { killDuringCall(false); }
+
+} // namespace
+} // namespace catkin
