Wait for claimed engines before the process tests begin

Cause: a planner refuses cold requests until it has claimed the engines, so that tests that began earlier got refusals.

--- a/tests/process_cluster_helper.cpp
+++ b/tests/process_cluster_helper.cpp
@@ -35,7 +35,7 @@
 constexpr int FirstPort = 24000;
 constexpr int Clusters = 170;
 
-const char *const Plan = "drivers";
+const char *const PlanOfKey = "drivers";
 const char *const OperatorKey = "process-test-operator-key";
 
 std::pair<std::string, std::string> bearer(const std::string &key) {
@@ -60,7 +60,7 @@
 std::string ProcessCluster::plansDocument(int concurrency) {
   return json::serialize(json::object{
       {"plans",
-       json::array{json::object{{"name", Plan},
+       json::array{json::object{{"name", PlanOfKey},
                                 {"keys", json::array{hashKey(ProcessCluster::Key)}},
                                 {"priority", "normal"},
                                 {"grant", json::object{{"models", 6},
@@ -81,7 +81,7 @@
       {"services",
        json::array{json::object{{"name", ProcessCluster::Service}, {"idempotent", false}}}},
       {"uses", json::array{json::object{
-                   {"plan", Plan},
+                   {"plan", PlanOfKey},
                    {"models", json::array{ProcessCluster::Model, ProcessCluster::Other}},
                    {"services", json::array{ProcessCluster::Service}}}}}});
 }
@@ -279,9 +279,16 @@
   for (int i = 0; i < options.hosts; ++i)
     if (!eventually([&] { return hostReady(i); }))
       error = "host " + std::to_string(i) + " did not become ready";
-  // The service is known once a host has read the list of nodes; the planner by its lease.
-  if (!eventually([&] { return planner() >= 0; }))
-    error = "no planner";
+  // A planner refuses cold requests until it has read the list of nodes and claimed the engines.
+  if (!eventually([&] { return enginesKnown() == options.engines; }))
+    error = "the planner did not claim the engines";
+}
+
+int ProcessCluster::enginesKnown() const {
+  const auto body = parsed(operatorCall(0, {.target = "/operator/v1/endpoints"}));
+  boost::system::error_code ec;
+  const auto *list = body.find_pointer("/endpoints", ec);
+  return list && list->is_array() ? static_cast<int>(list->as_array().size()) : -1;
 }
 
 void ProcessCluster::startHost(int n) {
@@ -358,7 +365,7 @@
 
 int ProcessCluster::claimantOf(const std::string &key) const {
   const auto hash =
-      hashKey(std::string(Plan) + '\0' + key).substr(std::string_view("sha256:").size());
+      hashKey(std::string(PlanOfKey) + '\0' + key).substr(std::string_view("sha256:").size());
   const auto target = std::string("/objects/calls/") + Service + "/" + hash;
   return hostIn(recordAt(platform(), target), "host", options.hosts);
 }
--- a/tests/process_cluster_p.h
+++ b/tests/process_cluster_p.h
@@ -108,6 +108,7 @@
   void start(const std::string &name, const std::string &program, std::vector<std::string> flags);
   void startStandins();
   bool addNodes();
+  int enginesKnown() const;
   bool applyList(const std::string &list, const std::string &document);
   void bringUp();
 
