--- a/tests/cluster_helper.cpp
+++ b/tests/cluster_helper.cpp
@@ -9,25 +9,39 @@
 constexpr std::uint64_t EngineMemory = 100;
 constexpr std::uint64_t ModelBytes = 30;
 
-std::string listsDocument(std::uint64_t revision, const std::string &editId, int models) {
-  json::array modelList;
-  json::array names;
-  for (int i = 0; i < models; ++i) {
-    modelList.push_back(json::object{{"name", Cluster::model(i).value}, {"bytes", ModelBytes}});
-    names.emplace_back(Cluster::model(i).value);
-  }
+constexpr std::uint64_t AdapterBytes = 1;
+constexpr int Concurrency = 16;
+
+json::object plansOf(int concurrency) {
   json::object grant{{"models", 100},
-                     {"concurrency", 16},
+                     {"concurrency", concurrency},
                      {"tokens_per_second", 1000},
                      {"accelerator_bytes", 100000}};
   json::object plan{{"name", "dispatch"},
                     {"keys", json::array{hashKey("example")}},
                     {"priority", "normal"},
                     {"grant", grant}};
+  return {{"plans", json::array{plan}}};
+}
+
+std::string listsDocument(std::uint64_t revision, const std::string &editId, int models,
+                          int adapters) {
+  json::array modelList;
+  json::array names;
+  for (int i = 0; i < models; ++i) {
+    modelList.push_back(json::object{{"name", Cluster::model(i).value}, {"bytes", ModelBytes}});
+    names.emplace_back(Cluster::model(i).value);
+  }
+  for (int i = 0; i < adapters; ++i) {
+    modelList.push_back(json::object{{"name", Cluster::adapter(i).value},
+                                     {"bytes", AdapterBytes},
+                                     {"base", Cluster::model(0).value}});
+    names.emplace_back(Cluster::adapter(i).value);
+  }
   json::object use{{"plan", "dispatch"}, {"models", names}, {"services", json::array{}}};
   return json::serialize(json::object{{"revision", revision},
                                       {"edit_id", editId},
-                                      {"plans", json::object{{"plans", json::array{plan}}}},
+                                      {"plans", plansOf(Concurrency)},
                                       {"uses", json::object{{"models", modelList},
                                                             {"services", json::array{}},
                                                             {"uses", json::array{use}}}}});
@@ -63,7 +77,12 @@
 }
 
 void Cluster::putLists(std::uint64_t revision, const std::string &editId) {
-  world.putObject("config/lists", listsDocument(revision, editId, options.models));
+  world.putObject("config/lists",
+                  listsDocument(revision, editId, options.models, options.adapters));
+}
+
+std::string Cluster::plansDocument(int concurrency) {
+  return json::serialize(plansOf(concurrency));
 }
 
 void Cluster::start(std::size_t host) {
--- a/tests/cluster_p.h
+++ b/tests/cluster_p.h
@@ -15,6 +15,7 @@
   int hosts = 4;
   int engines = 4;
   int models = 6;
+  int adapters = 0;         ///< of model 0
   bool mixedFencing = true; ///< every second engine ignores fencing tokens
   Guards guards;
 };
@@ -46,11 +47,14 @@
   bool loaded(std::size_t host, const ModelName &model) const;
   void ensure(std::size_t host, const ModelName &model, Duration remaining,
               std::function<void(const EnsureReply &)> done = {});
+  /// The list of plans, with the grant's concurrency.
+  static std::string plansDocument(int concurrency);
   /// Writes lists as an operator would, directly in the platform.
   void putLists(std::uint64_t revision, const std::string &editId);
   void setHostListed(std::size_t host, Liveness liveness, Duration lag);
 
   static ModelName model(int i) { return ModelName("model-" + std::to_string(i)); }
+  static ModelName adapter(int i) { return ModelName("adapter-" + std::to_string(i)); }
   static EndpointName engineName(int i) { return EndpointName("engine-" + std::to_string(i)); }
 
   World world;
--- /dev/null
+++ b/tests/golden_test.cpp
@@ -0,0 +1,257 @@
+#include "cluster_p.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
+#include <fstream>
+#include <iomanip>
+#include <sstream>
+
+/// Golden files of whole sessions: the decision log of a cluster, with the session's steps and the
+/// planner's replies between. CATKIN_UPDATE_GOLDEN=1 rewrites the files.
+namespace catkin::harness {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration LongDeadline = 60s;
+
+bool isNumber(const std::string &text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(),
+                                      [](unsigned char c) { return std::isdigit(c) != 0; });
+}
+
+std::string describe(const Decision &d) {
+  std::ostringstream out;
+  out << toString(d.kind);
+  if (!d.plan.empty())
+    out << " plan " << d.plan.value;
+  if (!d.model.empty())
+    out << " model " << d.model.value;
+  // Versions of platform objects count all writes, so they change with any unrelated write.
+  if (!d.chosen.empty() && !(d.kind == DecisionKind::Quota && isNumber(d.chosen)))
+    out << " -> " << d.chosen;
+  out << ": " << d.reason;
+  return out.str();
+}
+
+/// A cluster and the text of its golden file.
+class Session {
+public:
+  explicit Session(const ClusterOptions &options) : cluster(options) {}
+
+  /// Adds a step of the session to the text.
+  void say(const std::string &what) { add("#", what); }
+
+  void ask(std::size_t host, const ModelName &model) {
+    auto name = cluster.hosts[host].self.host.value;
+    cluster.ensure(host, model, LongDeadline, [this, name, model](const EnsureReply &r) {
+      std::ostringstream out;
+      out << "reply to " << name << " for " << model.value << ": " << toString(r.outcome);
+      if (!r.endpoint.empty())
+        out << " on " << r.endpoint.value;
+      if (r.outcome == EnsureOutcome::Loading)
+        out << ", ready in " << toMillis(r.estimate) << " ms";
+      if (r.outcome == EnsureOutcome::Refused)
+        out << ", " << r.reason << ", come back in " << toMillis(r.retryAfter) << " ms";
+      add("<", out.str());
+    });
+  }
+
+  void askEverywhere(const ModelName &model) {
+    say("first requests for " + model.value + " at every host");
+    for (std::size_t i = 0; i < cluster.hosts.size(); ++i)
+      ask(i, model);
+  }
+
+  void run(Duration d) { cluster.world.run(d); }
+
+  void showReplicas() {
+    for (auto &[name, engine] : cluster.world.engines()) {
+      std::string text = name.value + " holds";
+      for (auto &[model, it] : engine.models)
+        text += " " + model.value + (it.ready ? "" : " (loading)");
+      say(text);
+    }
+  }
+
+  void showRevisions() {
+    for (auto &it : cluster.hosts)
+      say(it.self.host.value + " has revision " + std::to_string(it.revisions.back()));
+  }
+
+  std::string text() {
+    addDecisions();
+    return out.str();
+  }
+
+  Cluster cluster;
+
+private:
+  void add(const char *sign, const std::string &what) {
+    addDecisions();
+    line(cluster.world.now(), sign, what);
+  }
+
+  void addDecisions() {
+    auto &log = cluster.world.decisions();
+    for (; shown < log.size(); ++shown)
+      line(log[shown].first, cluster.world.decisionHosts()[shown].value,
+           describe(log[shown].second));
+  }
+
+  void line(Instant when, const std::string &who, const std::string &what) {
+    out << std::fixed << std::setprecision(3) << std::setw(8) << toSeconds(when.time_since_epoch())
+        << ' ' << who << ' ' << what << '\n';
+  }
+
+  std::ostringstream out;
+  std::size_t shown = 0;
+};
+
+std::vector<std::string> linesOf(std::istream &in) {
+  std::vector<std::string> lines;
+  for (std::string it; std::getline(in, it);)
+    lines.push_back(it);
+  return lines;
+}
+
+/// Compares with the golden file, or rewrites it.
+void expectGolden(const std::string &name, const std::string &text) {
+  auto path = std::string(CATKIN_SOURCE_DIR "/tests/golden/") + name + ".txt";
+  if (std::getenv("CATKIN_UPDATE_GOLDEN") != nullptr) {
+    std::ofstream(path) << text;
+    return;
+  }
+  std::ifstream file(path);
+  ASSERT_TRUE(file) << path << " is missing; make golden writes it";
+  std::istringstream stream(text);
+  auto expected = linesOf(file);
+  auto actual = linesOf(stream);
+  for (std::size_t i = 0; i < std::max(expected.size(), actual.size()); ++i) {
+    auto want = i < expected.size() ? expected[i] : "(end)";
+    auto have = i < actual.size() ? actual[i] : "(end)";
+    ASSERT_EQ(want, have) << path << " line " << i + 1 << "; make golden rewrites the file";
+  }
+}
+
+std::string morningStart() {
+  Session s({.seed = 1, .hosts = 8, .engines = 3, .models = 10});
+  EXPECT_TRUE(s.cluster.startAll());
+  for (int i = 0; i < 3; ++i)
+    s.askEverywhere(Cluster::model(i));
+  s.run(20s);
+  s.showReplicas();
+  s.say("the other models wake one after the other");
+  for (int i = 3; i < 10; ++i) {
+    s.ask(static_cast<std::size_t>(i) % 8, Cluster::model(i));
+    s.run(8s);
+  }
+  s.run(30s);
+  s.showReplicas();
+  return s.text();
+}
+
+std::string feastDayDeparture() {
+  Session s({.seed = 2, .hosts = 8, .engines = 4, .models = 4, .adapters = 8});
+  EXPECT_TRUE(s.cluster.startAll());
+  s.askEverywhere(Cluster::model(0));
+  s.say("at once each host asks for an adapter of its own");
+  for (int i = 0; i < 8; ++i)
+    s.ask(static_cast<std::size_t>(i), Cluster::adapter(i));
+  s.run(30s);
+  s.showReplicas();
+  s.say("second wave");
+  s.askEverywhere(Cluster::model(0));
+  for (int i = 0; i < 8; ++i)
+    s.ask(static_cast<std::size_t>(i), Cluster::adapter(7 - i));
+  s.askEverywhere(Cluster::model(1));
+  s.run(30s);
+  s.showReplicas();
+  return s.text();
+}
+
+std::string outageDuringEdit() {
+  Session s({.seed = 3, .hosts = 4, .engines = 4});
+  EXPECT_TRUE(s.cluster.startAll());
+  s.ask(0, Cluster::model(0));
+  s.run(10s);
+  auto edit = [&](std::size_t host, std::uint64_t revision, int concurrency) {
+    s.say("an operator sets the concurrency to " + std::to_string(concurrency));
+    s.cluster.hosts[host].control->config().edit(
+        ListKind::Plans, Cluster::plansDocument(concurrency), revision, [&](const EditResult &r) {
+          s.say("the edit is answered " + std::string(toString(r.outcome)) + ", revision " +
+                std::to_string(r.revision));
+        });
+  };
+  s.cluster.world.faults().loseWriteReply = 1;
+  edit(0, 1, 8);
+  s.run(3ms);
+  s.say("the platform goes down, and the reply is lost");
+  s.cluster.world.faults().loseWriteReply = 0;
+  s.cluster.world.faults().platformDown = true;
+  s.run(60s);
+  edit(1, 1, 4);
+  s.run(30s);
+  for (int i = 1; i < 5; ++i) {
+    s.say("a cold model is asked for");
+    s.ask(static_cast<std::size_t>(i) % 4, Cluster::model(i));
+    s.run(10s);
+  }
+  s.showReplicas();
+  s.showRevisions();
+  s.say("the platform is back");
+  s.cluster.world.faults().platformDown = false;
+  s.run(30s);
+  s.showRevisions();
+  edit(1, 2, 4);
+  s.run(10s);
+  s.showRevisions();
+  s.showReplicas();
+  return s.text();
+}
+
+void replaceHost(Session &s, std::size_t host) {
+  auto &it = s.cluster.hosts[host];
+  auto name = it.self.host.value;
+  s.say(name + " is asked to stop");
+  it.control->setLeaving(true);
+  s.cluster.setHostListed(host, Liveness::Leaving, 1s);
+  s.run(3s);
+  bool done = false;
+  it.control->stop([&] { done = true; });
+  EXPECT_TRUE(s.cluster.world.runUntil([&] { return done; }, 10s)) << name << " did not stop";
+  s.say(name + " ends");
+  s.cluster.kill(host);
+  s.run(1s);
+  s.cluster.start(host);
+  s.cluster.setHostListed(host, Liveness::Live, 1s);
+  EXPECT_TRUE(s.cluster.world.runUntil([&] { return it.control->ready(); }, 30s));
+  s.say(name + " is ready again");
+}
+
+std::string rollingReplacement() {
+  Session s({.seed = 4, .hosts = 8, .engines = 4});
+  EXPECT_TRUE(s.cluster.startAll());
+  s.ask(0, Cluster::model(0));
+  s.run(10s);
+  for (std::size_t i = 0; i < s.cluster.hosts.size(); ++i) {
+    replaceHost(s, i);
+    s.ask((i + 1) % s.cluster.hosts.size(), Cluster::model(static_cast<int>(i) % 6));
+    s.run(8s);
+  }
+  s.showReplicas();
+  return s.text();
+}
+
+// Each guards against a change of decisions that nobody has looked at, and against a log that
+// differs from run to run.
+TEST(Golden, MorningStart) { expectGolden("morning_start", morningStart()); }
+TEST(Golden, FeastDayDeparture) { expectGolden("feast_day_departure", feastDayDeparture()); }
+TEST(Golden, OutageDuringEdit) { expectGolden("outage_during_edit", outageDuringEdit()); }
+TEST(Golden, RollingReplacement) { expectGolden("rolling_replacement", rollingReplacement()); }
+
+} // namespace
+} // namespace catkin::harness
--- a/tests/harness_helper.cpp
+++ b/tests/harness_helper.cpp
@@ -63,7 +63,10 @@
   world.schedule(d, [this, task = std::move(task)] { runOrDefer(task); });
 }
 
-void Process::decision(const Decision &d) { world.decisionLog.emplace_back(world.now(), d); }
+void Process::decision(const Decision &d) {
+  world.decisionLog.emplace_back(world.now(), d);
+  world.decisionHostLog.push_back(hostName);
+}
 
 template <class Done, class... Args> void Process::answer(Duration delay, Done done, Args... args) {
   after(delay, [done, args...] { done(args...); });
--- a/tests/harness_p.h
+++ b/tests/harness_p.h
@@ -172,6 +172,8 @@
   Faults &faults() { return faultSettings; }
   std::vector<Event> &history() { return events; }
   std::vector<std::pair<Instant, Decision>> &decisions() { return decisionLog; }
+  /// Host of each decision, in the same order.
+  const std::vector<HostName> &decisionHosts() const { return decisionHostLog; }
   void record(Event event);
   bool chance(double probability);
   std::uint64_t random() { return generator(); }
@@ -215,6 +217,7 @@
   Faults faultSettings;
   std::vector<Event> events;
   std::vector<std::pair<Instant, Decision>> decisionLog;
+  std::vector<HostName> decisionHostLog;
 };
 
 } // namespace catkin::harness
