--- a/tests/cluster_helper.cpp
+++ b/tests/cluster_helper.cpp
@@ -6,17 +6,17 @@
 
 namespace {
 
-constexpr std::uint64_t EngineMemory = 100;
-constexpr std::uint64_t ModelBytes = 30;
+constexpr std::uint64_t EngineUnits = 100;
+constexpr std::uint64_t ModelUnits = 30;
 
-constexpr std::uint64_t AdapterBytes = 1;
+constexpr std::uint64_t AdapterUnits = 1;
 constexpr int Concurrency = 16;
 
-json::object plansOf(int concurrency) {
+json::object plansOf(int concurrency, std::uint64_t unitBytes) {
   json::object grant{{"models", 100},
                      {"concurrency", concurrency},
                      {"tokens_per_second", 1000},
-                     {"accelerator_bytes", 100000}};
+                     {"accelerator_bytes", 100000 * unitBytes}};
   json::object plan{{"name", "dispatch"},
                     {"keys", json::array{hashKey("example")}},
                     {"priority", "normal"},
@@ -24,24 +24,25 @@
   return {{"plans", json::array{plan}}};
 }
 
-std::string listsDocument(std::uint64_t revision, const std::string &editId, int models,
-                          int adapters) {
+std::string listsDocument(std::uint64_t revision, const std::string &editId,
+                          const ClusterOptions &o) {
   json::array modelList;
   json::array names;
-  for (int i = 0; i < models; ++i) {
-    modelList.push_back(json::object{{"name", Cluster::model(i).value}, {"bytes", ModelBytes}});
+  for (int i = 0; i < o.models; ++i) {
+    modelList.push_back(
+        json::object{{"name", Cluster::model(i).value}, {"bytes", ModelUnits * o.unitBytes}});
     names.emplace_back(Cluster::model(i).value);
   }
-  for (int i = 0; i < adapters; ++i) {
+  for (int i = 0; i < o.adapters; ++i) {
     modelList.push_back(json::object{{"name", Cluster::adapter(i).value},
-                                     {"bytes", AdapterBytes},
+                                     {"bytes", AdapterUnits * o.unitBytes},
                                      {"base", Cluster::model(0).value}});
     names.emplace_back(Cluster::adapter(i).value);
   }
   json::object use{{"plan", "dispatch"}, {"models", names}, {"services", json::array{}}};
   return json::serialize(json::object{{"revision", revision},
                                       {"edit_id", editId},
-                                      {"plans", plansOf(Concurrency)},
+                                      {"plans", plansOf(Concurrency, o.unitBytes)},
                                       {"uses", json::object{{"models", modelList},
                                                             {"services", json::array{}},
                                                             {"uses", json::array{use}}}}});
@@ -55,7 +56,7 @@
                      .address = {"10.0.1.1", static_cast<std::uint16_t>(100 + i)},
                      .dataCentre = DataCentreName(i % 2 == 0 ? "buda-a" : "pest-b"),
                      .checksFencing = !options.mixedFencing || i % 2 == 0,
-                     .memoryBytes = EngineMemory});
+                     .memoryBytes = EngineUnits * options.unitBytes});
   hosts.resize(static_cast<std::size_t>(options.hosts));
   for (std::size_t i = 0; i < hosts.size(); ++i) {
     auto n = static_cast<std::uint16_t>(i + 1);
@@ -77,12 +78,11 @@
 }
 
 void Cluster::putLists(std::uint64_t revision, const std::string &editId) {
-  world.putObject("config/lists",
-                  listsDocument(revision, editId, options.models, options.adapters));
+  world.putObject("config/lists", listsDocument(revision, editId, options));
 }
 
-std::string Cluster::plansDocument(int concurrency) {
-  return json::serialize(plansOf(concurrency));
+std::string Cluster::plansDocument(int concurrency) const {
+  return json::serialize(plansOf(concurrency, options.unitBytes));
 }
 
 void Cluster::start(std::size_t host) {
--- a/tests/cluster_p.h
+++ b/tests/cluster_p.h
@@ -15,8 +15,9 @@
   int hosts = 4;
   int engines = 4;
   int models = 6;
-  int adapters = 0;         ///< of model 0
-  bool mixedFencing = true; ///< every second engine ignores fencing tokens
+  int adapters = 0;            ///< of model 0
+  std::uint64_t unitBytes = 1; ///< a model has 30 units, an engine 100
+  bool mixedFencing = true;    ///< every second engine ignores fencing tokens
   Guards guards;
 };
 
@@ -48,7 +49,7 @@
   void ensure(std::size_t host, const ModelName &model, Duration remaining,
               std::function<void(const EnsureReply &)> done = {});
   /// The list of plans, with the grant's concurrency.
-  static std::string plansDocument(int concurrency);
+  std::string plansDocument(int concurrency) const;
   /// Writes lists as an operator would, directly in the platform.
   void putLists(std::uint64_t revision, const std::string &editId);
   void setHostListed(std::size_t host, Liveness liveness, Duration lag);
--- a/tests/golden_test.cpp
+++ b/tests/golden_test.cpp
@@ -17,6 +17,8 @@
 using namespace std::chrono_literals;
 
 constexpr Duration LongDeadline = 60s;
+// Models of 30 GB, so that estimates and the log show the order of a real cold start.
+constexpr std::uint64_t UnitBytes = 1'000'000'000;
 
 bool isNumber(const std::string &text) {
   return !text.empty() && std::all_of(text.begin(), text.end(),
@@ -138,7 +140,7 @@
 }
 
 std::string morningStart() {
-  Session s({.seed = 1, .hosts = 8, .engines = 3, .models = 10});
+  Session s({.seed = 1, .hosts = 8, .engines = 3, .models = 10, .unitBytes = UnitBytes});
   EXPECT_TRUE(s.cluster.startAll());
   for (int i = 0; i < 3; ++i)
     s.askEverywhere(Cluster::model(i));
@@ -155,7 +157,8 @@
 }
 
 std::string feastDayDeparture() {
-  Session s({.seed = 2, .hosts = 8, .engines = 4, .models = 4, .adapters = 8});
+  Session s(
+      {.seed = 2, .hosts = 8, .engines = 4, .models = 4, .adapters = 8, .unitBytes = UnitBytes});
   EXPECT_TRUE(s.cluster.startAll());
   s.askEverywhere(Cluster::model(0));
   s.say("at once each host asks for an adapter of its own");
@@ -174,14 +177,14 @@
 }
 
 std::string outageDuringEdit() {
-  Session s({.seed = 3, .hosts = 4, .engines = 4});
+  Session s({.seed = 3, .hosts = 4, .engines = 4, .unitBytes = UnitBytes});
   EXPECT_TRUE(s.cluster.startAll());
   s.ask(0, Cluster::model(0));
   s.run(10s);
   auto edit = [&](std::size_t host, std::uint64_t revision, int concurrency) {
     s.say("an operator sets the concurrency to " + std::to_string(concurrency));
     s.cluster.hosts[host].control->config().edit(
-        ListKind::Plans, Cluster::plansDocument(concurrency), revision, [&](const EditResult &r) {
+        ListKind::Plans, s.cluster.plansDocument(concurrency), revision, [&](const EditResult &r) {
           s.say("the edit is answered " + std::string(toString(r.outcome)) + ", revision " +
                 std::to_string(r.revision));
         });
@@ -233,7 +236,7 @@
 }
 
 std::string rollingReplacement() {
-  Session s({.seed = 4, .hosts = 8, .engines = 4});
+  Session s({.seed = 4, .hosts = 8, .engines = 4, .unitBytes = UnitBytes});
   EXPECT_TRUE(s.cluster.startAll());
   s.ask(0, Cluster::model(0));
   s.run(10s);
--- a/tests/promise_control_test.cpp
+++ b/tests/promise_control_test.cpp
@@ -155,5 +155,10 @@
   EXPECT_EQ(runSeeds("control", runControlSeed, 1, Seeds), std::vector<std::uint64_t>{});
 }
 
+// Guards against a scenario too tame to notice that a safety mechanism is gone.
+TEST(PromiseControl, RemovedGuardIsCaught) {
+  EXPECT_TRUE(isCaught(runControlSeed, Seeds, {.recordIntentBeforeOrder = false}));
+}
+
 } // namespace
 } // namespace catkin::harness
