Save the history again soon after a conflict

Cause: HistoryStore.LostRepliesAndFormerPlanners still failed: a former planner that saved five seconds before its successor in every period made each of the successor's saves conflict.

--- a/src/history_store.cpp
+++ b/src/history_store.cpp
@@ -74,6 +74,7 @@
   std::uint64_t session = 0; ///< tells calls of an ended term apart
   bool leading = false;
   bool wasRestored = false;
+  bool retryScheduled = false;
   std::map<std::string, std::uint64_t> versions;
   std::uint64_t saves = 0;
 
@@ -144,6 +145,18 @@
                        });
   }
 
+  /// Saves again soon: waiting for the next period could lose to the same former planner each time.
+  void retryAfterRefresh(const std::string &key, std::uint64_t version) {
+    versions[key] = version;
+    if (std::exchange(retryScheduled, true))
+      return;
+    env.after(config::HistoryRetryInterval, [self = shared_from_this(), s = session] {
+      self->retryScheduled = false;
+      if (self->current(s))
+        self->writeParts();
+    });
+  }
+
   /// After a lost reply or a conflict the version is read again. A save of a newer planner must not
   /// be replaced by this one; a save of a former planner that does not know of its end must.
   void refreshVersion(const std::string &key) {
@@ -153,7 +166,7 @@
       if (!self->current(s) || status != StoreStatus::Ok || !parse(object.value, part))
         return;
       if (part.term <= self->term)
-        self->versions[key] = object.version;
+        return self->retryAfterRefresh(key, object.version);
     });
   }
 };
