Refuse a non-idempotent call whose claim stays unknown in an outage

Cause: when the platform cuts connections, the reply to a claim's create is lost and its fate unknown. Change: a claim still unknown after twice the platform timeout is settled as at its deadline: the call is refused as not run, the record is still looked for and abandoned. Claims that wait for another attempt's record are not affected.

--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -229,7 +229,8 @@
     if (status == StoreStatus::Unknown) {
       if (!options.guards.recogniseOwnWrite)
         return onCreated(c, 0);
-      c->uncertain = true;
+      if (!std::exchange(c->uncertain, true))
+        giveUpLater(c);
       return inspect(c);
     }
     if (status == StoreStatus::Conflict) {
@@ -242,6 +243,15 @@
     settle(c, {.outcome = ClaimOutcome::Unavailable, .retryAfter = config::CallRetryAfter});
   }
 
+  /// Refuses a call whose claim stays unknown, so that its caller need not wait for its deadline
+  /// during an outage. The record is still looked for and abandoned, as after a deadline.
+  void giveUpLater(const ClaimPtr &c) {
+    env.after(2 * config::PlatformTimeout, [self = shared_from_this(), c] {
+      if (c->uncertain && !c->sawOther)
+        self->onDeadline(c);
+    });
+  }
+
   /// Reads the record: it may be this attempt's own, another's, or gone.
   void inspect(const ClaimPtr &c) {
     if (c->settled && !c->uncertain)
