--- a/tests/process_cluster_helper.cpp
+++ b/tests/process_cluster_helper.cpp
@@ -197,6 +197,7 @@
                            std::vector<std::string> flags) {
   flags.insert(flags.begin(), binary(program));
   std::vector<char *> argv;
+  argv.reserve(flags.size() + 1);
   for (auto &it : flags)
     argv.push_back(it.data());
   argv.push_back(nullptr);
