--- a/tests/promise_admission_test.cpp
+++ b/tests/promise_admission_test.cpp
@@ -94,9 +94,9 @@
   }
 
   void arrive() {
-    static const std::vector<std::string> models{"warm", "late", "never"};
+    static const std::vector<std::string> Models{"warm", "late", "never"};
     PlanName plan(pick(2) == 0 ? "a" : "b");
-    ModelName model(models[pick(models.size())]);
+    ModelName model(Models[pick(Models.size())]);
     auto deadline = now + seconds(0.5, 20);
     seen.push_back({.deadline = deadline});
     auto *mine = &seen.back();
--- a/tests/promise_replicas_test.cpp
+++ b/tests/promise_replicas_test.cpp
@@ -180,6 +180,10 @@
   const char *expected; ///< part of the violation
 };
 
+// Without it the test's name in ctest would hold the addresses in GuardCase.
+// NOLINTNEXTLINE(readability-identifier-naming): the name is GoogleTest's.
+void PrintTo(const GuardCase &it, std::ostream *out) { *out << it.name; }
+
 class PromiseReplicasGuard : public ::testing::TestWithParam<GuardCase> {};
 
 // With the guard off some seed is caught by a checker, and that seed passes with it on.
