--- a/tests/gateway_fixture_p.h
+++ b/tests/gateway_fixture_p.h
@@ -30,7 +30,7 @@
 /// Platform in memory; everything else is the real Env, or unused.
 class TestEnv : public RealEnv, public Platform {
 public:
-  TestEnv(Strand strand, DecisionLog &log) : RealEnv(strand, {}, log), strand(strand) {}
+  TestEnv(const Strand &strand, DecisionLog &log) : RealEnv(strand, {}, log), strand(strand) {}
   Platform &platform() override { return *this; }
 
   void get(const std::string &key, StoreGetDone done) override {
