--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,6 +1,7 @@
 #include "control_p.h"
 
 #include "config.h"
+#include "history_store_p.h"
 #include "json_p.h"
 #include "operator_state_p.h"
 
@@ -61,6 +62,7 @@
   Planner planner;
   ShareTable shares;
   ConfigSync config;
+  HistoryStore history;
 
   bool stopped = false;
   // As the planner.
@@ -93,7 +95,10 @@
             [this](auto &, auto &former) { onLeaseAcquired(former); }, [this] { onLeaseLost(); }),
         planner(env, withGuards(options)), shares(env, options.guards),
         config(env, {.peers = options.peers, .guards = options.guards},
-               [this](ListsPtr lists) { onLists(lists); }) {}
+               [this](ListsPtr lists) { onLists(lists); }),
+        history(
+            env, [this] { return planner.saveHistory(); },
+            [this](std::string_view text) { planner.restoreHistory(text); }) {}
 
   static PlannerOptions withGuards(const ControlOptions &options) {
     auto out = options.planner;
@@ -163,6 +168,7 @@
     planner.setOrderLimit(lease.validUntil());
     planner.lead(lease.newest().term, formerEnded);
     shares.lead(lease.newest().term);
+    history.lead(lease.newest().term);
     readDrains();
   }
 
@@ -229,6 +235,7 @@
     leadPending = false;
     planner.resign();
     shares.resign();
+    history.resign();
     for (auto &it : std::exchange(waiters, {}))
       it.done(notPlanner());
   }
@@ -254,15 +261,13 @@
   /// Shares of ended processes return; the former planner's orders are settled once it has ended.
   void noteEndedHosts() {
     auto now = env.now();
-    for (auto it = hostViews.begin(); it != hostViews.end();) {
-      if (membership.ended(it->first, it->second.incarnation, now)) {
-        shares.onEnded({it->first, it->second.incarnation});
-        uses.erase(it->first);
-        it = hostViews.erase(it);
-      } else {
-        ++it;
-      }
-    }
+    std::erase_if(hostViews,
+                  [&](auto &it) { return membership.ended(it.first, it.second.incarnation, now); });
+    std::erase_if(uses, [&](auto &it) { return !hostViews.contains(it.first); });
+    // Also holders that died before they reported to this planner.
+    for (auto &it : shares.holders())
+      if (membership.ended(it.host, it.incarnation, now))
+        shares.onEnded(it);
     if (!formerEnded && membership.ended(formerHolder.holder, formerHolder.incarnation, now)) {
       formerEnded = true;
       planner.formerHolderEnded();
@@ -305,8 +310,6 @@
       return done(notPlanner()); // delayed message of a process that has been replaced
     auto &view = hostViews[request.self.host];
     if (view.incarnation != request.self.incarnation) {
-      if (view.incarnation != 0)
-        shares.onEnded({request.self.host, view.incarnation});
       view = {.incarnation = request.self.incarnation, .acknowledgedTable = 0, .sentShares = {}};
     }
     if (request.tableTerm == planner.term())
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -31,7 +31,7 @@
 };
 
 const std::vector<Spec> &specs() {
-  static const std::vector<Spec> table{
+  static const std::vector<Spec> Table{
       {"host", "name of this host", &Settings::host, true},
       {"data-centre", "data centre of this host", &Settings::dataCentre, true},
       {"listen", "ip:port of the callers' API", &Settings::listen, true},
@@ -74,7 +74,7 @@
       {"max-connections", "callers' connections", &Settings::maxConnections, false, 1, 100000},
       {"max-body-bytes", "longest request body", &Settings::maxBodyBytes, false, 1024, 1 << 28},
   };
-  return table;
+  return Table;
 }
 
 std::string environmentName(std::string_view flag) {
@@ -186,10 +186,12 @@
   }
 }
 
-void readOperatorKey(SettingsResult &result) {
+void readOperatorKey(SettingsResult &result, const std::string &given) {
   auto &s = result.settings;
   const char *fromEnvironment = std::getenv("CATKIN_OPERATOR_KEY");
-  if (fromEnvironment)
+  if (!given.empty())
+    s.operatorKey = given;
+  else if (fromEnvironment)
     s.operatorKey = fromEnvironment;
   else if (!s.operatorKeyFile.empty()) {
     std::ifstream file(s.operatorKeyFile);
@@ -270,7 +272,7 @@
 
 } // namespace
 
-SettingsResult readSettings(int argc, const char *const *argv) {
+SettingsResult readSettings(int argc, const char *const *argv, const std::string &operatorKey) {
   SettingsResult result;
   CLI::App app{"catkind, the host daemon of catkinthread"};
   app.set_help_flag();
@@ -299,7 +301,7 @@
   for (auto &[spec, option] : options)
     readValue(*spec, *option, result);
   listUnknown(app.remaining(), result.faults);
-  readOperatorKey(result);
+  readOperatorKey(result, operatorKey);
   checkTogether(result);
   return result;
 }
--- a/tests/gateway_fixture_p.h
+++ b/tests/gateway_fixture_p.h
@@ -183,8 +183,8 @@
     hooks.nodesListed(nodes);
   }
 
-  static HttpRequest post(std::string target, std::string body) {
-    auto request = makeRequest(http::verb::post, std::move(target), std::move(body));
+  static HttpRequest post(const std::string &target, std::string body) {
+    auto request = makeRequest(http::verb::post, target, std::move(body));
     request.set(http::field::authorization, "Bearer key-a");
     return request;
   }
