Remember every former planner that may still send orders

Cause: a planner knew only its immediate predecessor. With a paused planner of term 1 and a dead one of term 2, the planner of term 3 took all earlier orders for settled and released memory that the paused one then filled on waking. Ruled out: waiting for a fixed time, since a pause has no bound. Change: the lease record lists every former holder that is neither known to have ended nor to have resigned; a planned stop lists itself, because its last orders may be on their way.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -72,9 +72,9 @@
   std::set<EndpointName> drained;
   std::vector<Member> publishedMembers;
   std::uint64_t membersVersion = 0;
-  LeaseRecord formerHolder;
-  bool formerEnded = false;
-  bool leadPending = false; ///< holds the lease, but the term has not started
+  std::vector<LeaseHolder> formers;  ///< earlier planners that may still send orders
+  std::vector<LeaseHolder> resigned; ///< of these, those whose last orders are being waited out
+  bool leadPending = false;          ///< holds the lease, but the term has not started
   // As any host.
   RouteTable table;
   std::uint64_t tableTerm = 0;
@@ -92,7 +92,7 @@
             {.host = options.self.host,
              .incarnation = options.self.incarnation,
              .address = options.self.peerAddress},
-            [this](auto &, auto &former) { onLeaseAcquired(former); }, [this] { onLeaseLost(); }),
+            [this](auto &mine) { onLeaseAcquired(mine); }, [this] { onLeaseLost(); }),
         planner(env, withGuards(options)), shares(env, options.guards),
         config(env, {.peers = options.peers, .guards = options.guards},
                [this](ListsPtr lists) { onLists(lists); }),
@@ -149,12 +149,12 @@
 
   // ---- Planner side ----------------------------------------------------------------------------
 
-  void onLeaseAcquired(const LeaseRecord &former) {
+  void onLeaseAcquired(const LeaseRecord &mine) {
     membership.startObserving(env.now());
     hostViews.clear();
     publishedMembers.clear();
-    formerHolder = former;
-    formerEnded = former.holder.empty() || former.holder == options.self.host;
+    formers = mine.formers;
+    resigned.clear();
     leadPending = true;
     leadWhenInformed();
   }
@@ -166,7 +166,7 @@
       return;
     leadPending = false;
     planner.setOrderLimit(lease.validUntil());
-    planner.lead(lease.newest().term, formerEnded);
+    planner.lead(lease.newest().term, formers.empty());
     shares.lead(lease.newest().term);
     history.lead(lease.newest().term);
     readDrains();
@@ -268,10 +268,16 @@
     for (auto &it : shares.holders())
       if (membership.ended(it.host, it.incarnation, now))
         shares.onEnded(it);
-    if (!formerEnded && membership.ended(formerHolder.holder, formerHolder.incarnation, now)) {
-      formerEnded = true;
+    dropFormers([&](auto &it) { return membership.ended(it.host, it.incarnation, now); });
+  }
+
+  /// Forgets former planners that cannot send orders any more.
+  template <class Ended> void dropFormers(Ended ended) {
+    if (std::erase_if(formers, ended) == 0)
+      return;
+    lease.setFormers(formers);
+    if (formers.empty())
       planner.formerHolderEnded();
-    }
   }
 
   void updateMembers() {
@@ -326,17 +332,17 @@
       answerWaiters();
   }
 
-  /// The former holder reports under the new term, so it has resigned. Orders that it had already
-  /// sent can be on their way for as long as an order may take.
+  /// A former planner that reports under the new term has resigned. Orders that it had already sent
+  /// can be on their way for as long as an order may take.
   void noteFormerHolder(const SyncRequest &request) {
-    if (formerEnded || request.self.host != formerHolder.holder ||
-        request.self.incarnation != formerHolder.incarnation || request.term < planner.term())
+    LeaseHolder holder{request.self.host, request.self.incarnation};
+    auto contains = [&](auto &list) { return std::count(list.begin(), list.end(), holder) > 0; };
+    if (request.term < planner.term() || !contains(formers) || contains(resigned))
       return;
-    formerEnded = true;
-    auto term = planner.term();
-    env.after(2 * config::OrderTimeout, [self = shared_from_this(), term] {
+    resigned.push_back(holder);
+    env.after(2 * config::OrderTimeout, [self = shared_from_this(), holder, term = planner.term()] {
       if (self->planner.leading() && self->planner.term() == term)
-        self->planner.formerHolderEnded();
+        self->dropFormers([&](auto &it) { return it == holder; });
     });
   }
 
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -19,12 +19,16 @@
 constexpr Duration OutsiderDelay = std::chrono::milliseconds(2000);
 
 std::string format(const LeaseRecord &r) {
+  json::array formers;
+  for (auto &it : r.formers)
+    formers.push_back(json::object{{"host", it.host.value}, {"incarnation", it.incarnation}});
   return json::serialize(json::object{{"holder", r.holder.value},
                                       {"incarnation", r.incarnation},
                                       {"address", r.address.empty() ? "" : r.address.toString()},
                                       {"term", r.term},
                                       {"renewal", r.renewal},
-                                      {"write_id", r.writeId}});
+                                      {"write_id", r.writeId},
+                                      {"formers", formers}});
 }
 
 std::optional<LeaseRecord> parse(const std::string &text) {
@@ -37,7 +41,11 @@
                 .address = in.address("address"),
                 .term = in.unsignedInt("term"),
                 .renewal = in.unsignedInt("renewal"),
-                .writeId = in.text("write_id")};
+                .writeId = in.text("write_id"),
+                .formers = {}};
+  in.objects("formers", [&](JsonReader &it) {
+    r.formers.push_back({it.name<HostName>("host"), it.unsignedInt("incarnation")});
+  });
   return in.ok ? std::optional(r) : std::nullopt;
 }
 
@@ -60,6 +68,7 @@
   bool busy = false; ///< a platform call is under way
   Instant valid;
   std::uint64_t writes = 0;
+  std::vector<LeaseHolder> formers;    ///< written with the next renewal
   std::map<std::string, Instant> sent; ///< own writes of unknown fate, with the time of sending
 
   Impl(Env &env, LeaseOptions options, Acquired acquired, Lost lost)
@@ -145,7 +154,7 @@
       valid = std::max(valid, validity(it->second));
     sent.clear();
     if (!holding)
-      become(record, LeaseRecord{});
+      become(record);
   }
 
   bool mayAcquire(const LeaseRecord &record) const {
@@ -182,33 +191,52 @@
         });
   }
 
-  void acquire(const LeaseRecord &former, std::uint64_t version) {
+  /// Former holders of the next record: those of the last one, and its holder. A process of this
+  /// same host has ended, since this one has replaced it.
+  std::vector<LeaseHolder> formersAfter(const LeaseRecord &last) const {
+    auto formers = last.formers;
+    LeaseHolder holder{last.holder, last.incarnation};
+    if (!holder.host.empty() && std::count(formers.begin(), formers.end(), holder) == 0)
+      formers.push_back(holder);
+    std::erase_if(formers, [this](auto &it) { return it.host == options.host; });
+    return formers;
+  }
+
+  void acquire(const LeaseRecord &last, std::uint64_t version) {
     LeaseRecord mine{.holder = options.host,
                      .incarnation = options.incarnation,
                      .address = options.address,
-                     .term = std::max(former.term, newest.term) + 1};
-    write(mine, version, [self = shared_from_this(), mine, former](StoreStatus s, auto &) {
+                     .term = std::max(last.term, newest.term) + 1,
+                     .renewal = 0,
+                     .writeId = {},
+                     .formers = formersAfter(last)};
+    write(mine, version, [self = shared_from_this(), mine](StoreStatus s, auto &) {
       if (self->stopped)
         return self->giveBack(1, [] {});
       if (s == StoreStatus::Ok)
-        self->become(mine, former);
+        self->become(mine);
       // Conflict: another host was first. Unknown: the next read tells.
     });
   }
 
-  void become(const LeaseRecord &mine, const LeaseRecord &former) {
+  void become(const LeaseRecord &mine) {
     holding = true;
     newest = mine;
+    formers = mine.formers;
+    std::vector<std::string> names;
+    for (auto &it : mine.formers)
+      names.push_back(it.host.value);
     env.decision({.kind = DecisionKind::Lease,
                   .chosen = options.host.value,
-                  .alternatives = {former.holder.value},
+                  .alternatives = std::move(names),
                   .reason = "acquired term " + std::to_string(mine.term)});
-    acquired(mine, former);
+    acquired(mine);
   }
 
   void renew() {
     auto record = stored;
     ++record.renewal;
+    record.formers = formers;
     write(record, storedVersion, [self = shared_from_this()](StoreStatus s, auto &) {
       if (s == StoreStatus::Conflict || s == StoreStatus::Unknown)
         self->readStored();
@@ -236,6 +264,9 @@
     if (busy)
       return env.after(config::LeaseReleaseRetry, again);
     auto record = stored;
+    // Orders that it has already sent may still be on their way.
+    record.formers = formers;
+    record.formers.push_back({options.host, options.incarnation});
     record.holder = HostName();
     record.address = Address{};
     write(record, storedVersion, [self = shared_from_this(), again, done](StoreStatus s, auto &) {
@@ -263,6 +294,8 @@
   impl->step();
 }
 
+void Lease::setFormers(std::vector<LeaseHolder> formers) { impl->formers = std::move(formers); }
+
 void Lease::setPlannerLost(bool lost) { impl->plannerLost = lost; }
 
 void Lease::release(std::function<void()> done) {
--- a/src/lease_p.h
+++ b/src/lease_p.h
@@ -5,10 +5,18 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 /// The planner lease: object planner/lease {holder, incarnation, address, term, renewal}.
 namespace catkin {
 
+/// A host process that held the lease.
+struct LeaseHolder {
+  HostName host;
+  std::uint64_t incarnation = 0;
+  friend auto operator<=>(const LeaseHolder &, const LeaseHolder &) = default;
+};
+
 struct LeaseRecord {
   HostName holder; ///< empty: released
   std::uint64_t incarnation = 0;
@@ -16,6 +24,9 @@
   std::uint64_t term = 0;
   std::uint64_t renewal = 0; ///< grows with each renewal
   std::string writeId;       ///< recognises one's own write when its reply was lost
+  /// Former holders, of any earlier term, that are not known to have ended or to have resigned. A
+  /// paused one may still send an order, however many terms later.
+  std::vector<LeaseHolder> formers;
 };
 
 struct LeaseOptions {
@@ -27,7 +38,7 @@
 class Lease {
 public:
   /// Called when this host becomes the holder.
-  using Acquired = std::function<void(const LeaseRecord &mine, const LeaseRecord &former)>;
+  using Acquired = std::function<void(const LeaseRecord &mine)>;
   /// Called when another holder was seen or the lease was released.
   using Lost = std::function<void()>;
 
@@ -38,6 +49,8 @@
   void setCandidates(std::vector<HostName> hosts);
   /// Starts observing, and acquiring if this host is a candidate.
   void start();
+  /// Former holders still to be recorded; written with the next renewal. Holder only.
+  void setFormers(std::vector<LeaseHolder> formers);
   /// The planner does not answer this host: observe the lease even if not a candidate.
   void setPlannerLost(bool lost);
   /// Gives the lease up so that the next candidate can take it at once. No more acquiring.
--- a/tests/promise_control_test.cpp
+++ b/tests/promise_control_test.cpp
@@ -75,6 +75,36 @@
   EXPECT_LE(c.world.now() - start, Duration(2100ms)) << "one polling interval and the writes";
 }
 
+// Guards against forgetting a paused planner after a second failover: its last order, sent on
+// waking to an endpoint that ignores fencing, must still find its memory reserved.
+TEST(PromiseControl, PausedPlannerIsRememberedOverTwoFailovers) {
+  Cluster c({.engines = 1});
+  auto engine = Cluster::engineName(0);
+  c.world.engine(engine).checksFencing = false;
+  ASSERT_TRUE(c.startAll());
+  auto first = static_cast<std::size_t>(c.plannerIndex());
+  c.world.freezeAtNextOrder(c.hosts[first].process);
+  c.ensure((first + 1) % c.hosts.size(), Cluster::model(0), LongDeadline);
+  ASSERT_TRUE(c.world.runUntil(
+      [&] { return c.plannerIndex() >= 0 && c.plannerIndex() != static_cast<int>(first); }, 20s));
+  c.world.run(10s);
+  auto second = static_cast<std::size_t>(c.plannerIndex());
+  c.kill(second);
+  c.setHostListed(second, Liveness::Gone, Duration(0));
+  ASSERT_TRUE(c.world.runUntil(
+      [&] { return c.plannerIndex() >= 0 && c.plannerIndex() != static_cast<int>(second); }, 20s));
+  // Enough other models to need the memory of the first, for long enough that it would be released.
+  for (int round = 0; round < 20; ++round) {
+    for (int i = 1; i <= 4; ++i)
+      c.ensure(static_cast<std::size_t>(c.plannerIndex()), Cluster::model(i), LongDeadline);
+    c.world.run(5s);
+  }
+  c.world.thaw(c.hosts[first].process);
+  c.world.run(10s);
+  for (auto &it : c.world.history())
+    EXPECT_NE(it.kind, EventKind::Overcommit) << it.model << " ordered by " << it.host;
+}
+
 // Guards against callers being sent to a host that is leaving.
 TEST(PromiseControl, LeavingHostIsLeftOutOfAddresses) {
   Cluster c({});
