Do not refuse in place of a planner that may have taken over

Ruled out: the claims after a pause; they only delay the answer. Change: while the lease has run out and no renewal has failed since, an ensure is sent back as not-the-planner and asked again. In an outage renewals fail, so the last planner goes on as before.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -513,8 +513,10 @@
       self->env.after(config::SyncRetry,
                       [self, request, deadline, done] { self->ensure(request, deadline, done); });
     };
-    if (planner.leading())
+    if (mayAnswerEnsure())
       return planner.ensure(attempt, onReply);
+    if (lease.held())
+      return onReply({.outcome = EnsureOutcome::NotPlanner});
     auto to = lease.newest().address;
     if (to.empty())
       return onReply({.outcome = EnsureOutcome::NotPlanner});
@@ -526,6 +528,10 @@
                      });
   }
 
+  /// After a pause the answer waits until the lease is known to be held still: a planner that may
+  /// be replaced would refuse, without cause, what only endpoints without fencing could serve.
+  bool mayAnswerEnsure() const { return planner.leading() && !lease.uncertain(); }
+
   static EnsureReply withoutPlanner() {
     return {.outcome = EnsureOutcome::Refused,
             .retryAfter = config::LeaseTtl + config::RpcTimeout,
@@ -545,7 +551,7 @@
     auto request = decodeEnsureRequest(params);
     if (!request)
       return done({});
-    if (!planner.leading())
+    if (!mayAnswerEnsure())
       return done(encode(EnsureReply{.outcome = EnsureOutcome::NotPlanner}));
     planner.ensure(*request, [done](const EnsureReply &reply) { done(encode(reply)); });
   }
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -63,6 +63,7 @@
   Instant storedChanged; ///< when storedVersion was first seen
   bool everRead = false;
   bool holding = false;
+  bool renewalFailed = false; ///< the newest attempt was not answered
   bool stopped = false;
   bool plannerLost = false;
   bool busy = false; ///< a platform call is under way
@@ -182,6 +183,7 @@
         LeaseKey, format(record), version,
         [self = shared_from_this(), record, sentAt, done](StoreStatus s, const StoreObject &o) {
           self->busy = false;
+          self->renewalFailed = s == StoreStatus::Unreachable || s == StoreStatus::Unknown;
           if (s == StoreStatus::Ok) {
             self->sent.clear();
             self->valid = self->validity(sentAt);
@@ -309,6 +311,10 @@
 
 bool Lease::held() const { return impl->holding; }
 
+bool Lease::uncertain() const {
+  return impl->holding && impl->env.now() >= impl->valid && !impl->renewalFailed;
+}
+
 Instant Lease::validUntil() const { return impl->valid; }
 
 const LeaseRecord &Lease::newest() const { return impl->newest; }
--- a/src/lease_p.h
+++ b/src/lease_p.h
@@ -57,6 +57,9 @@
   void release(std::function<void()> done);
 
   bool held() const; ///< a newer term has not been seen, whether or not the TTL has run out
+  /// The TTL has run out although no renewal has failed: this process was paused, and another may
+  /// have taken over. Ends with the next answer of the platform, or with its failure to answer.
+  bool uncertain() const;
   Instant validUntil() const;        ///< by this host's clock, margin subtracted; holder only
   const LeaseRecord &newest() const; ///< newest record seen from anywhere
   /// A record or term learned from another host.
--- a/tests/promise_control_test.cpp
+++ b/tests/promise_control_test.cpp
@@ -75,6 +75,25 @@
   EXPECT_LE(c.world.now() - start, Duration(2100ms)) << "one polling interval and the writes";
 }
 
+// Guards against a planner that wakes up after its lease and refuses a request that its successor
+// serves: seen with real processes as "no endpoint has room" while another host placed the model.
+TEST(PromiseControl, PlannerThatWakesUpDoesNotRefuseInPlaceOfItsSuccessor) {
+  Cluster c({.engines = 2});
+  for (auto &[name, it] : c.world.engines())
+    it.checksFencing = false;
+  ASSERT_TRUE(c.startAll());
+  auto first = static_cast<std::size_t>(c.plannerIndex());
+  c.world.freeze(c.hosts[first].process);
+  ASSERT_TRUE(c.world.runUntil(
+      [&] { return c.plannerIndex() >= 0 && c.plannerIndex() != static_cast<int>(first); }, 20s));
+  c.world.thaw(c.hosts[first].process);
+  auto outcome = EnsureOutcome::Count;
+  c.ensure(first, Cluster::model(0), LongDeadline, [&](auto &reply) { outcome = reply.outcome; });
+  ASSERT_TRUE(c.world.runUntil([&] { return outcome != EnsureOutcome::Count; }, 20s));
+  EXPECT_NE(outcome, EnsureOutcome::Refused);
+  EXPECT_TRUE(waitLoaded(c, first, Cluster::model(0), 30s));
+}
+
 // Guards against forgetting a paused planner after a second failover: its last order, sent on
 // waking to an endpoint that ignores fencing, must still find its memory reserved.
 TEST(PromiseControl, PausedPlannerIsRememberedOverTwoFailovers) {
