Mend lint findings in control, lease and tests

Cause: a full lint run found callbacks that are copied and only read, and containers that grow in loops. Change: callbacks by const reference; capacities reserved.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -95,7 +95,7 @@
             [this](auto &mine) { onLeaseAcquired(mine); }, [this] { onLeaseLost(); }),
         planner(env, withGuards(options)), shares(env, options.guards),
         config(env, {.peers = options.peers, .guards = options.guards},
-               [this](ListsPtr lists) { onLists(lists); }),
+               [this](const ListsPtr &lists) { onLists(lists); }),
         history(
             env, [this] { return planner.saveHistory(); },
             [this](std::string_view text) { planner.restoreHistory(text); }) {}
@@ -203,7 +203,7 @@
 
   /// Reads, changes and writes the record of drained endpoints; conflicts are tried again.
   void recordDrain(const EndpointName &endpoint, bool on, int attempts,
-                   std::function<void(bool)> done) {
+                   const std::function<void(bool)> &done) {
     if (attempts == 0)
       return done(false);
     env.platform().get(DrainsKey, [self = shared_from_this(), endpoint, on, attempts,
@@ -307,7 +307,7 @@
     return lowest;
   }
 
-  void onSync(const SyncRequest &request, std::function<void(const SyncReply &)> done) {
+  void onSync(const SyncRequest &request, const std::function<void(const SyncReply &)> &done) {
     lease.observe(request.term, HostName(), Address{});
     if (!lease.held())
       return done(notPlanner());
@@ -325,9 +325,8 @@
     uses[request.self.host] = request.plans;
     shares.onSync({request.self.host, request.self.incarnation}, request.plans);
     config.onRevisionSeen(request.self.revision, request.self.peerAddress);
-    waiters.push_back({request,
-                       env.now() + std::min<Duration>(request.maxWait, config::SyncMaxWait),
-                       std::move(done)});
+    waiters.push_back(
+        {request, env.now() + std::min<Duration>(request.maxWait, config::SyncMaxWait), done});
     if (request.maxWait <= Duration(0))
       answerWaiters();
   }
@@ -422,7 +421,7 @@
   }
 
   /// One sync with the planner, wherever it is; `done` gets whether the planner answered.
-  void sync(Duration maxWait, std::function<void(bool)> done) {
+  void sync(Duration maxWait, const std::function<void(bool)> &done) {
     lease.setPlannerLost(plannerLost());
     if (lease.held()) {
       onSync(makeRequest(maxWait), [self = shared_from_this(), done](const SyncReply &reply) {
@@ -500,7 +499,7 @@
   }
 
   void ensure(const EnsureRequest &request, Instant deadline,
-              std::function<void(const EnsureReply &)> done) {
+              const std::function<void(const EnsureReply &)> &done) {
     auto remaining = deadline - env.now();
     if (remaining <= Duration(0) ||
         env.now() - plannerHeard > Duration(config::RefuseWithoutPlannerAfter))
@@ -540,14 +539,14 @@
 
   // ---- Calls from other hosts -------------------------------------------------------------------
 
-  void callSync(const std::string &params, std::function<void(std::string)> done) {
+  void callSync(const std::string &params, const std::function<void(std::string)> &done) {
     auto request = decodeSyncRequest(params);
     if (!request)
       return done({});
     onSync(*request, [done](const SyncReply &reply) { done(encode(reply)); });
   }
 
-  void callEnsure(const std::string &params, std::function<void(std::string)> done) {
+  void callEnsure(const std::string &params, const std::function<void(std::string)> &done) {
     auto request = decodeEnsureRequest(params);
     if (!request)
       return done({});
@@ -556,12 +555,12 @@
     planner.ensure(*request, [done](const EnsureReply &reply) { done(encode(reply)); });
   }
 
-  void callLists(const std::string &, std::function<void(std::string)> done) {
+  void callLists(const std::string &, const std::function<void(std::string)> &done) {
     done(config.document());
   }
 
   /// Parameters {"on":bool}: this host leaves or comes back.
-  void callDrain(const std::string &params, std::function<void(std::string)> done) {
+  void callDrain(const std::string &params, const std::function<void(std::string)> &done) {
     json::object object;
     if (!parseObject(params, object))
       return done({});
@@ -574,7 +573,7 @@
   }
 
   /// Parameters {"endpoint","on"}; answered by the planner only.
-  void callDrainEndpoint(const std::string &params, std::function<void(std::string)> done) {
+  void callDrainEndpoint(const std::string &params, const std::function<void(std::string)> &done) {
     json::object object;
     if (!parseObject(params, object) || !planner.leading())
       return done({});
@@ -588,7 +587,7 @@
   }
 
   /// Parameters {"view"}; answered by the planner only.
-  void callView(const std::string &params, std::function<void(std::string)> done) {
+  void callView(const std::string &params, const std::function<void(std::string)> &done) {
     json::object object;
     if (!parseObject(params, object) || !planner.leading())
       return done({});
@@ -605,10 +604,11 @@
 
   /// Calls a method on the planner, wherever it is; empty text on failure.
   void callPlanner(const std::string &method, const std::string &params,
-                   void (Impl::*local)(const std::string &, std::function<void(std::string)>),
-                   std::function<void(std::string)> done) {
+                   void (Impl::*local)(const std::string &,
+                                       const std::function<void(std::string)> &),
+                   const std::function<void(std::string)> &done) {
     if (planner.leading())
-      return (this->*local)(params, std::move(done));
+      return (this->*local)(params, done);
     if (lease.newest().address.empty())
       return done({});
     env.peers().call(lease.newest().address, method, params, config::RpcTimeout,
@@ -626,7 +626,7 @@
     sync(Duration(0), [](bool) {});
   }
 
-  void stop(std::function<void()> done) {
+  void stop(const std::function<void()> &done) {
     options.self.liveness = Liveness::Gone;
     lease.release([self = shared_from_this(), done] {
       self->sync(Duration(0), [self, done](bool) {
@@ -646,13 +646,13 @@
 
 void Control::setLeaving(bool on) { impl->setLeaving(on); }
 
-void Control::stop(std::function<void()> done) { impl->stop(std::move(done)); }
+void Control::stop(const std::function<void()> &done) { impl->stop(done); }
 
 void Control::onCall(const std::string &method, const std::string &paramsJson,
-                     std::function<void(std::string)> done) {
+                     const std::function<void(std::string)> &done) {
   struct Method {
     std::string_view name;
-    void (Impl::*handle)(const std::string &, std::function<void(std::string)>);
+    void (Impl::*handle)(const std::string &, const std::function<void(std::string)> &);
   };
   static constexpr std::array Methods{Method{"sync", &Impl::callSync},
                                       Method{"ensure", &Impl::callEnsure},
@@ -662,12 +662,13 @@
                                       Method{"view", &Impl::callView}};
   for (auto &it : Methods)
     if (it.name == method)
-      return ((*impl).*it.handle)(paramsJson, std::move(done));
+      return ((*impl).*it.handle)(paramsJson, done);
   done({});
 }
 
-void Control::ensure(const EnsureRequest &request, std::function<void(const EnsureReply &)> done) {
-  impl->ensure(request, impl->env.now() + request.remaining, std::move(done));
+void Control::ensure(const EnsureRequest &request,
+                     const std::function<void(const EnsureReply &)> &done) {
+  impl->ensure(request, impl->env.now() + request.remaining, done);
 }
 
 void Control::poke() {
@@ -678,18 +679,18 @@
   impl->sync(Duration(0), [](bool) {});
 }
 
-void Control::operatorView(const std::string &name, std::function<void(std::string)> done) {
-  impl->callPlanner("view", json::serialize(json::object{{"view", name}}), &Impl::callView,
-                    std::move(done));
+void Control::operatorView(const std::string &name, const std::function<void(std::string)> &done) {
+  impl->callPlanner("view", json::serialize(json::object{{"view", name}}), &Impl::callView, done);
 }
 
-void Control::drainEndpoint(const EndpointName &endpoint, bool on, std::function<void(bool)> done) {
+void Control::drainEndpoint(const EndpointName &endpoint, bool on,
+                            const std::function<void(bool)> &done) {
   impl->callPlanner(
       "drain_endpoint", json::serialize(json::object{{"endpoint", endpoint.value}, {"on", on}}),
       &Impl::callDrainEndpoint, [done](const std::string &result) { done(!result.empty()); });
 }
 
-void Control::drainHost(const HostName &host, bool on, std::function<void(bool)> done) {
+void Control::drainHost(const HostName &host, bool on, const std::function<void(bool)> &done) {
   if (host == impl->options.self.host) {
     impl->setLeaving(on);
     return done(true);
--- a/src/control_p.h
+++ b/src/control_p.h
@@ -46,25 +46,25 @@
   void setLeaving(bool on);
   /// Last step of a graceful stop, after all requests have ended: reports the host as gone, so that
   /// its shares return at once. `done` once the process may exit.
-  void stop(std::function<void()> done);
+  void stop(const std::function<void()> &done);
 
   /// Handles a call from another host (methods sync, ensure, lists). `done` gets the result JSON,
   /// empty for an unknown method or malformed parameters.
   void onCall(const std::string &method, const std::string &paramsJson,
-              std::function<void(std::string)> done);
+              const std::function<void(std::string)> &done);
 
   /// Asks the planner for a replica, wherever the planner is. Answers by `deadline` at the latest.
-  void ensure(const EnsureRequest &request, std::function<void(const EnsureReply &)> done);
+  void ensure(const EnsureRequest &request, const std::function<void(const EnsureReply &)> &done);
   /// Something in the host's report changed (first arrival, more waiting): sync soon.
   void poke();
 
   /// A view of operator_state_p.h, from the planner. Empty if no planner answers or the name is
   /// unknown.
-  void operatorView(const std::string &name, std::function<void(std::string)> done);
+  void operatorView(const std::string &name, const std::function<void(std::string)> &done);
   /// Keeps new work off an endpoint, or allows it again. Recorded, so that it outlives the planner.
-  void drainEndpoint(const EndpointName &endpoint, bool on, std::function<void(bool)> done);
+  void drainEndpoint(const EndpointName &endpoint, bool on, const std::function<void(bool)> &done);
   /// Makes another host leave, or come back; true if it confirmed.
-  void drainHost(const HostName &host, bool on, std::function<void(bool)> done);
+  void drainHost(const HostName &host, bool on, const std::function<void(bool)> &done);
 
   bool ready() const; ///< lists and a routing table are known
   bool isPlanner() const;
--- a/src/host.cpp
+++ b/src/host.cpp
@@ -40,6 +40,7 @@
 SettingsResult toSettings(const Init &init) {
   auto arguments = toArguments(init);
   std::vector<const char *> argv;
+  argv.reserve(arguments.size());
   for (auto &it : arguments)
     argv.push_back(it.c_str());
   return readSettings(static_cast<int>(argv.size()), argv.data(), init.operatorKey);
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -174,7 +174,7 @@
   }
 
   void write(LeaseRecord record, std::uint64_t version,
-             std::function<void(StoreStatus, const StoreObject &)> done) {
+             const std::function<void(StoreStatus, const StoreObject &)> &done) {
     record.writeId = nextWriteId();
     auto sentAt = env.now();
     sent[record.writeId] = sentAt;
--- a/src/operator_state.cpp
+++ b/src/operator_state.cpp
@@ -145,6 +145,7 @@
 
 std::vector<std::string> operatorViewNames() {
   std::vector<std::string> names;
+  names.reserve(Views.size() + 1);
   for (auto &it : Views)
     names.emplace_back(it.name);
   names.emplace_back("config");
--- a/tests/docs_test.cpp
+++ b/tests/docs_test.cpp
@@ -36,7 +36,7 @@
   ASSERT_FALSE(flags.empty());
   auto page = readFile("docs/settings.md");
   EXPECT_EQ(findAll(page, R"(\n\| `(--[a-z-]+)`)"), flags);
-  for (auto it : flags) {
+  for (auto &it : flags) {
     auto variable = "CATKIN_" + it.substr(2);
     std::transform(variable.begin(), variable.end(), variable.begin(), [](unsigned char c) {
       return c == '-' ? '_' : static_cast<char>(std::toupper(c));
--- a/tests/list_diff_test.cpp
+++ b/tests/list_diff_test.cpp
@@ -9,6 +9,7 @@
   std::vector<DiffLine> found;
   EXPECT_TRUE(diffLists(before, after, found));
   std::vector<std::string> out;
+  out.reserve(found.size());
   for (auto &it : found)
     out.push_back(formatDiff(it));
   return out;
--- a/tests/operator_client_test.cpp
+++ b/tests/operator_client_test.cpp
@@ -29,7 +29,8 @@
 const OperatorResponse LostReply{.reached = false, .sent = true};
 
 OperatorResponse ok(std::uint64_t revision, std::string body = {}) {
-  return {.reached = true, .sent = true, .status = 200, .revision = revision, .body = body};
+  return {
+      .reached = true, .sent = true, .status = 200, .revision = revision, .body = std::move(body)};
 }
 
 OperatorResponse conflict(std::uint64_t revision) {
