--- a/tests/config_scenario_helper.cpp
+++ b/tests/config_scenario_helper.cpp
@@ -65,6 +65,12 @@
       start(i);
   }
 
+  // The handlers hold their hosts.
+  ~ConfigRun() {
+    for (auto &[i, it] : hosts)
+      it->process->onCall(nullptr);
+  }
+
   Violations run() {
     world.run(2s);
     Violations found;
--- a/tests/quota_scenario_helper.cpp
+++ b/tests/quota_scenario_helper.cpp
@@ -53,6 +53,12 @@
     watch();
   }
 
+  // The handlers hold their hosts.
+  ~QuotaRun() {
+    for (auto &[i, it] : hosts)
+      it->process->onCall(nullptr);
+  }
+
   Violations run() {
     world.run(3s);
     for (int i = 0; i < 14; ++i) {
