--- a/src/guards_p.h
+++ b/src/guards_p.h
@@ -17,7 +17,6 @@
   bool matchAnswerId = true;           ///< an answer must echo the attempt id
   bool refuseWhenLate = true;          ///< a request that cannot be served in time is refused
   bool skipLeavingEndpoints = true;    ///< no new work for a leaving endpoint
-  bool finishBeforeExit = true;        ///< a planned stop waits for requests in progress
 };
 
 } // namespace catkin
--- a/src/planner_impl_p.h
+++ b/src/planner_impl_p.h
@@ -275,6 +275,8 @@
   void cancelRelease(Endpoint &ep, Replica &r);
   void continueRelease(Endpoint &ep, Replica &r);
   void sendUnload(Endpoint &ep, Replica &r);
+  using OrderAnswer = void (Impl::*)(Endpoint &, Replica &, OrderStatus, const EndpointReport &);
+  void sendOrder(Endpoint &ep, Replica &r, OrderKind kind, OrderAnswer onAnswer);
   void onUnloadAnswer(Endpoint &ep, Replica &r, OrderStatus status, const EndpointReport &report);
   void noteContact(Endpoint &ep, bool reached);
   void poll(Endpoint &ep);
--- a/src/planner_orders.cpp
+++ b/src/planner_orders.cpp
@@ -173,42 +173,48 @@
   sendLoad(ep, *r);
 }
 
-void Planner::Impl::sendLoad(Endpoint &ep, Replica &r) {
-  if (ep.departing() && options.guards.skipLeavingEndpoints) {
-    if (!r.everSent)
-      dropReplica(ep, r.model, "endpoint is leaving", true);
-    return;
-  }
-  if (!mayOrder(ep))
-    return;
-  // A former planner's order that gives way to what was loaded during an outage, without a record.
-  if (ep.committedBytes() > ep.report.memoryBytes) {
-    if (ep.fencing())
-      dropReplica(ep, r.model, "its memory is taken", true);
-    return;
-  }
-  r.orderInFlight = r.everSent = true;
+/// Sends an order for a replica. The answer goes to `onAnswer` if the replica is still the same
+/// then.
+void Planner::Impl::sendOrder(Endpoint &ep, Replica &r, OrderKind kind, OrderAnswer onAnswer) {
   r.sentAt = env.now();
   ++ep.orderEpoch;
-  EngineOrder order{.kind = OrderKind::Load,
+  EngineOrder order{.kind = kind,
                     .term = currentTerm,
                     .orderId = r.orderId,
                     .model = r.model,
                     .base = r.base,
                     .bytes = r.bytes};
-  auto done = [name = ep.name, model = r.model, id = r.orderId](Impl &self, OrderStatus status,
-                                                                const EndpointReport &report) {
+  auto done = [name = ep.name, model = r.model, id = r.orderId,
+               onAnswer](Impl &self, OrderStatus status, const EndpointReport &report) {
     auto *it = self.find(name);
     if (it)
       ++it->orderEpoch;
     if (auto *replica = self.find(name, model, id))
-      self.onLoadAnswer(*it, *replica, status, report);
+      (self.*onAnswer)(*it, *replica, status, report);
     else if (status == OrderStatus::StaleTerm)
       self.onStaleTerm();
   };
   send(ep, order, inSession(done));
 }
 
+void Planner::Impl::sendLoad(Endpoint &ep, Replica &r) {
+  if (ep.departing() && options.guards.skipLeavingEndpoints) {
+    if (!r.everSent)
+      dropReplica(ep, r.model, "endpoint is leaving", true);
+    return;
+  }
+  if (!mayOrder(ep))
+    return;
+  // A former planner's order that gives way to what was loaded during an outage, without a record.
+  if (ep.committedBytes() > ep.report.memoryBytes) {
+    if (ep.fencing())
+      dropReplica(ep, r.model, "its memory is taken", true);
+    return;
+  }
+  r.orderInFlight = r.everSent = true;
+  sendOrder(ep, r, OrderKind::Load, &Impl::onLoadAnswer);
+}
+
 void Planner::Impl::onLoadAnswer(Endpoint &ep, Replica &r, OrderStatus status,
                                  const EndpointReport &report) {
   auto now = env.now();
@@ -336,25 +342,7 @@
   if (!mayOrder(ep))
     return;
   r.orderInFlight = true;
-  r.sentAt = env.now();
-  ++ep.orderEpoch;
-  EngineOrder order{.kind = OrderKind::Unload,
-                    .term = currentTerm,
-                    .orderId = r.orderId,
-                    .model = r.model,
-                    .base = r.base,
-                    .bytes = r.bytes};
-  auto done = [name = ep.name, model = r.model, id = r.orderId](Impl &self, OrderStatus status,
-                                                                const EndpointReport &report) {
-    auto *it = self.find(name);
-    if (it)
-      ++it->orderEpoch;
-    if (auto *replica = self.find(name, model, id))
-      self.onUnloadAnswer(*it, *replica, status, report);
-    else if (status == OrderStatus::StaleTerm)
-      self.onStaleTerm();
-  };
-  send(ep, order, inSession(done));
+  sendOrder(ep, r, OrderKind::Unload, &Impl::onUnloadAnswer);
 }
 
 void Planner::Impl::onUnloadAnswer(Endpoint &ep, Replica &r, OrderStatus status,
--- a/tests/cluster_helper.cpp
+++ b/tests/cluster_helper.cpp
@@ -179,7 +179,7 @@
                       .host = it.self.host,
                       .dataCentre = it.self.dataCentre,
                       .remaining = remaining},
-                     std::move(done));
+                     done);
 }
 
 } // namespace catkin::harness
