--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,5 +1,7 @@
 #include "settings_p.h"
 
+#include "file_p.h"
+
 #include "policy_p.h"
 
 #include <CLI/CLI.hpp>
@@ -194,10 +196,12 @@
   else if (fromEnvironment)
     s.operatorKey = fromEnvironment;
   else if (!s.operatorKeyFile.empty()) {
-    std::ifstream file(s.operatorKeyFile);
-    std::getline(file, s.operatorKey);
-    if (!file && s.operatorKey.empty())
-      return addFault(result.faults, "operator-key-file", "cannot be read or is empty");
+    std::string fault;
+    if (!readTextFile(s.operatorKeyFile, s.operatorKey, fault))
+      return addFault(result.faults, "operator-key-file", fault);
+    s.operatorKey.erase(std::min(s.operatorKey.find_first_of("\r\n"), s.operatorKey.size()));
+    if (s.operatorKey.empty())
+      return addFault(result.faults, "operator-key-file", "is empty");
   }
   constexpr std::size_t MinKeyLength = 16;
   if (s.operatorKey.size() < MinKeyLength)
--- a/src/share_table.cpp
+++ b/src/share_table.cpp
@@ -22,7 +22,7 @@
 // A host's demand is remembered for a few reports, so that a short pause does not move its share.
 constexpr double DemandDecay = 0.8;
 // A giver that has not lowered its use after this time is no longer counted on.
-constexpr auto LoweringPatience = std::chrono::seconds(2);
+constexpr auto LoweringTimeout = std::chrono::seconds(2);
 // While more hosts ask than there are units, the units go round at this interval.
 constexpr auto RotationInterval = std::chrono::seconds(2);
 // Token rates that differ less are left as they are.
@@ -449,7 +449,7 @@
   }
 
   bool countsAsComing(const HolderId &id, const Holding &it) const {
-    return it.acknowledged || (isLive(id) && env.now() - it.loweredAt < LoweringPatience);
+    return it.acknowledged || (isLive(id) && env.now() - it.loweredAt < LoweringTimeout);
   }
 
   void lower(const PlanName &plan, const HolderId &id, Holding &it, const Amount &amount) {
--- a/tools/catkinctl.cpp
+++ b/tools/catkinctl.cpp
@@ -1,3 +1,4 @@
+#include "file_p.h"
 #include "operator_client_p.h"
 
 #include <CLI/CLI.hpp>
@@ -5,11 +6,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
-#include <iostream>
-#include <iterator>
 #include <optional>
-#include <sstream>
 #include <thread>
 
 namespace {
@@ -62,23 +59,11 @@
   bool undo = false;
 };
 
-bool readFile(const std::string &path, std::string &out) {
-  if (path == "-") {
-    out.assign(std::istreambuf_iterator<char>(std::cin), {});
-    return true;
-  }
-  std::ifstream in(path, std::ios::binary);
-  if (!in)
-    return false;
-  out.assign(std::istreambuf_iterator<char>(in), {});
-  return true;
-}
-
 /// The operators' key, from CATKIN_OPERATOR_KEY or a file; never from a flag, which others can see.
-std::string readKey(const Options &options) {
+std::string readKey(const Options &options, std::string &fault) {
   std::string key;
   if (!options.keyFile.empty())
-    readFile(options.keyFile, key);
+    readTextFile(options.keyFile, key, fault);
   else if (auto *it = std::getenv("CATKIN_OPERATOR_KEY"))
     key = it;
   while (!key.empty() && (key.back() == '\n' || key.back() == '\r'))
@@ -178,12 +163,13 @@
       return finish({CtlExit::Usage, {}, "--hosts: \"" + it + "\" is not ip:port"});
     hosts.push_back(*address);
   }
-  auto key = readKey(options);
+  std::string fault = "no operator key: set CATKIN_OPERATOR_KEY or --key-file";
+  auto key = readKey(options, fault);
   if (key.empty())
-    return finish({CtlExit::Usage, {}, "no operator key: set CATKIN_OPERATOR_KEY or --key-file"});
+    return finish({CtlExit::Usage, {}, fault});
   std::string document;
-  if (!options.file.empty() && !readFile(options.file, document))
-    return finish({CtlExit::Usage, {}, "cannot read " + options.file});
+  if (!options.file.empty() && !readTextFile(options.file, document, fault))
+    return finish({CtlExit::Usage, {}, fault});
 
   auto send = httpOperatorTransport(hosts, key);
   if (get->parsed())
