Let callers leave kept connections before a host stops

The host closed its kept connections as soon as no request was in progress, at the moment a caller sent on one of them. Ruled out: the bound of the stop, which was not reached, and the ledger. Change: a stopping host goes on answering with refusals that end the connection, until no caller's connection is left or 6 s have passed, one more than the addresses are kept by callers. Stops under load take up to 6 s longer.

--- a/src/config.h
+++ b/src/config.h
@@ -112,7 +112,8 @@
 constexpr double RetryBurst = 30.0; // enough to resume the streams of one lost endpoint at once
 constexpr std::size_t MaxWaitingPerPlan = 1024;
 constexpr auto AddressesMaxAge = 5s;
-constexpr auto GracefulStopTimeout = 130s; // longer than the longest request
+constexpr auto StopLinger = AddressesMaxAge + 1s; // callers ask for addresses again before
+constexpr auto GracefulStopTimeout = 130s;        // longer than the longest request
 
 // Non-idempotent calls.
 constexpr std::size_t MaxStoredAnswerBytes = 64 * 1024;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -141,6 +141,7 @@
   HttpServer operators;
   asio::signal_set signals;
   bool stopping = false;
+  Instant lingerUntil; ///< of a stop: callers have left kept connections by then
   std::atomic<bool> lastReady = false;
   std::atomic<bool> lastPlanner = false;
 };
@@ -227,13 +228,17 @@
   }
   logLine(LogLevel::Info, "stopping", {{"active", gateway.active()}});
   gateway.beginStop();
+  callers.drainConnections();
+  lingerUntil = env.now() + config::StopLinger;
   control.setLeaving(true);
   awaitDrain(env.now() + settings.stopTimeout);
 }
 
 /// Waits for requests and for answers of non-idempotent calls that are still to be stored.
 void Daemon::awaitDrain(Instant limit) {
-  bool idle = gateway.active() == 0 && ledger.open() == 0;
+  // Closing a kept connection at the moment a caller sends on it would cut that request off.
+  bool quiet = callers.connections() == 0 || env.now() >= lingerUntil;
+  bool idle = gateway.active() == 0 && ledger.open() == 0 && quiet;
   if (!idle && env.now() < limit)
     return env.after(DrainCheckInterval, [this, limit] { awaitDrain(limit); });
   if (!idle)
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -80,6 +80,9 @@
   /// Binds and starts accepting. Empty on success, otherwise the reason.
   std::string start();
   Address address() const; ///< with the port actually bound
+  /// Goes on accepting and answering, but each connection ends with its next response, which says
+  /// so.
+  void drainConnections();
   /// Stops accepting; connections without a request in progress are closed.
   void stopAccepting();
   std::size_t connections() const;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -88,6 +88,7 @@
   const HttpServerOptions options;
   const HttpHandler handler;
   ByteBudget bodies;
+  std::atomic<bool> draining{false}; ///< connections end with their next response
   std::atomic<bool> stopping{false};
   std::atomic<std::size_t> rejecting{0};
   std::atomic<std::uint64_t> accepted{0};
@@ -238,7 +239,7 @@
 private:
   template <class Message> void setConnection(Message &message) {
     keepAlive = keepAlive && message.keep_alive() && connection.request.keep_alive() &&
-                !connection.shared->stopping;
+                !connection.shared->draining && !connection.shared->stopping;
     message.version(connection.request.version());
     message.keep_alive(keepAlive);
   }
@@ -544,6 +545,8 @@
 
 Address HttpServer::address() const { return impl->bound; }
 
+void HttpServer::drainConnections() { impl->shared->draining = true; }
+
 void HttpServer::stopAccepting() {
   impl->shared->stopping = true;
   asio::post(impl->acceptor.get_executor(), [self = impl] {
