Restart silent watches, wait as long as callers of streams do, retry plain answers

Ruled out: keep-alive probes (the silent store still acknowledges).

Change: the configuration's watch is short and, when lost, restarts the others; after a failure lists are tried, which answer at once. Waits end before the caller leaves; Retry-After names the load time.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -131,6 +131,7 @@
   asio::awaitable<void> pause(Duration d);
   bool loadableInTime() const;
   Duration fastestLoad() const;
+  Duration retryAfter() const;
   const EndpointState *choose();
   asio::awaitable<Attempt> attempt(const FleetEndpoint &to);
   asio::awaitable<Attempt> relayWhole(HttpStream &stream, const AnswerHead &head);
@@ -158,7 +159,8 @@
   std::uint64_t configVersion = 0;
   FleetRoute route; ///< a copy, since the configuration may change meanwhile
   ServiceName service;
-  Duration limit{};
+  Duration limit{};   ///< for the whole answer
+  Duration firstBy{}; ///< for its beginning; the caller leaves then
   HttpStream *current = nullptr;
   std::set<EndpointName> sentTo;      ///< may have received the request
   std::set<EndpointName> unreachable; ///< no connection
@@ -197,6 +199,7 @@
     return false;
   route = *found;
   limit = std::min(caller.deadline.value_or(route.timeout), route.timeout);
+  firstBy = route.kind == CallKind::Stream ? std::min(limit, streamPatience(route)) : limit;
   status = 400;
   reason = caller.fault;
   if (!caller.fault.empty())
@@ -277,7 +280,10 @@
 
 const EndpointState *Relay::choose() {
   std::set<EndpointName> excluded = unreachable;
-  excluded.insert(failedAt.begin(), failedAt.end());
+  // A plain answer that failed at as many endpoints as allowed may be tried there once more.
+  bool again = route.kind == CallKind::Idempotent && endpointsUsedUp();
+  if (!again)
+    excluded.insert(failedAt.begin(), failedAt.end());
   // Once it has been at as many endpoints as allowed, only those that did not run it are left.
   if (endpointsUsedUp())
     for (auto &[name, it] : g.view.endpoints())
@@ -295,11 +301,16 @@
 /// none in time.
 asio::awaitable<const EndpointState *> Relay::findEndpoint() {
   auto *chosen = choose();
-  if (chosen || caller.model.empty() || exchange.callerGone() || endpointsUsedUp() ||
-      !loadableInTime())
+  if (chosen || caller.model.empty() || exchange.callerGone() || endpointsUsedUp())
     co_return chosen;
+  if (!loadableInTime()) {
+    // The caller is told to come back; the load begins meanwhile.
+    g.hooks.needChanged(service, caller.model, 1);
+    g.hooks.needChanged(service, caller.model, -1);
+    co_return nullptr;
+  }
   const Instant until =
-      std::max(arrivedAt + fromSeconds(toSeconds(limit) * WaitShare), g.hooks.now());
+      std::max(arrivedAt + fromSeconds(toSeconds(firstBy) * WaitShare), g.hooks.now());
   g.hooks.needChanged(service, caller.model, 1);
   const Instant since = g.hooks.now();
   while (!chosen && !exchange.callerGone()) {
@@ -360,8 +371,8 @@
 }
 
 bool Relay::loadableInTime() const {
-  auto d = fastestLoad();
-  return d < fromSeconds(toSeconds(left()) * WaitShare);
+  auto waitable = fromSeconds(toSeconds(firstBy) * WaitShare) - (g.hooks.now() - arrivedAt);
+  return fastestLoad() < waitable;
 }
 
 HttpTimeouts Relay::timeouts() const {
@@ -559,9 +570,7 @@
       status, notRun ? RunOutcome::NotRun : RunOutcome::MayHaveRun, reason);
   if (status == 503) {
     ++g.counters.refused;
-    Duration after = caller.model.empty() ? Duration(config::FleetRetryAfterMin)
-                                          : Duration(config::FleetRetryAfterMin) * 2;
-    response.set(http::field::retry_after, secondsText(after));
+    response.set(http::field::retry_after, secondsText(retryAfter()));
   } else {
     ++g.counters.failed;
   }
@@ -570,6 +579,15 @@
   (void)delivered; // a caller that has gone needs no answer
 }
 
+/// When the model should be loaded, as far as the caller has the time to come back then.
+Duration Relay::retryAfter() const {
+  if (!config || caller.model.empty() || sends > 0)
+    return config::FleetRetryAfterMin;
+  auto loaded = fastestLoad();
+  auto latest = std::max<Duration>(left() / 3, config::FleetRetryAfterMin);
+  return loaded >= latest ? latest : loaded + config::FleetRetryAfterMin;
+}
+
 void Relay::logAttempt(const FleetEndpoint &to) {
   logLine(LogLevel::Info, "attempt failed",
           {{"request", caller.id},
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -13,6 +13,10 @@
 constexpr auto HostKind = "catkin-hosts";
 constexpr Duration RegisterRetry = std::chrono::milliseconds(300);
 constexpr Duration MaxWatch = std::chrono::seconds(15);
+// The watch of the configuration is short: when it goes silent, so may have the others have.
+constexpr Duration ConfigWatch = std::chrono::milliseconds(2000);
+// Holdings come faster from the planner; endpoints that leave may be used for two seconds more.
+constexpr Duration EndpointBatchPause = std::chrono::milliseconds(700);
 // Hosts that start together are seen in one answer; nothing is urgent here.
 constexpr Duration HostBatchPause = std::chrono::milliseconds(500);
 
@@ -33,6 +37,7 @@
   std::map<std::pair<ServiceName, ModelRef>, int> needs;
   std::set<EndpointName> loaded; ///< endpoints with requests of other hosts at the last count
   bool stopping = false;
+  bool everConnected = false;
 
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
       : options(std::move(o)), adapter(std::move(a)), env(*adapter.env), peers(options.self),
@@ -53,10 +58,13 @@
                      [this](auto &service, auto &model, int change) {
                        onNeedChanged(service, model, change);
                      }}),
-        configFollower(env, *adapter.feed, {.kind = options.configKind, .maxWait = MaxWatch},
+        configFollower(env, *adapter.feed, {.kind = options.configKind, .maxWait = ConfigWatch},
                        {.changed = [this](auto &it) { onConfig(it); },
-                        .connection = [this](bool on) { onConnection("config", on); }}),
-        endpointFollower(env, *adapter.feed, {.kind = options.endpointKind, .maxWait = MaxWatch},
+                        .connection = [this](bool on) { onConfigConnection(on); }}),
+        endpointFollower(env, *adapter.feed,
+                         {.kind = options.endpointKind,
+                          .maxWait = MaxWatch,
+                          .batchPause = EndpointBatchPause},
                          {.changed = [this](auto &it) { onEndpoint(it); },
                           .connection = [this](bool on) { onRegistry(on); }}),
         hostFollower(
@@ -116,6 +124,16 @@
     planner.setHosts(peers.hosts());
   }
 
+  /// The other watches go to the same store and would notice its silence much later.
+  void onConfigConnection(bool connected) {
+    bool first = !std::exchange(everConnected, true);
+    onConnection("config", connected);
+    if (first)
+      return;
+    endpointFollower.restart();
+    hostFollower.restart();
+  }
+
   void onRegistry(bool connected) {
     view.setRegistryConnected(connected, env.now());
     onConnection("endpoints", connected);
--- a/src/fleet_types.cpp
+++ b/src/fleet_types.cpp
@@ -29,6 +29,11 @@
   return best;
 }
 
+Duration streamPatience(const FleetRoute &route) {
+  constexpr Duration Least = std::chrono::seconds(2);
+  return std::max({Least, 4 * route.objective, 8 * route.eventGap});
+}
+
 const ServiceName &pickService(const FleetRoute &route, std::uint64_t random) {
   double total = 0;
   for (auto &it : route.services)
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -29,6 +29,7 @@
   CallKind kind = CallKind::Idempotent;
   Duration timeout{};   ///< longest time that a request is kept
   Duration objective{}; ///< latency objective: to the answer, or to the first event of a stream
+  Duration eventGap{};  ///< longest pause between events of a stream that is still on time
   int priority = 0;     ///< 0 is the most urgent
   int maxEndpoints = 1; ///< one request is sent to at most this many endpoints
   bool resumable = false;
@@ -118,6 +119,9 @@
 const FleetRoute *findRoute(const FleetConfig &config, std::string_view host,
                             std::string_view target);
 
+/// How long a caller of a stream waits for its first event or between two events before it leaves.
+Duration streamPatience(const FleetRoute &route);
+
 /// Picks a service by weight; `random` is any number.
 const ServiceName &pickService(const FleetRoute &route, std::uint64_t random);
 
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -17,18 +17,26 @@
   bool everSynced = false;
   bool isConnected = false;
   bool stopped = false;
+  std::uint64_t epoch = 0; ///< answers to calls of an earlier one are ignored
 
   Impl(CoreEnv &env, ObjectFeed &feed, FollowerOptions options, Hooks hooks)
       : env(env), feed(feed), options(std::move(options)), hooks(std::move(hooks)) {}
 
+  bool wanted(std::uint64_t callEpoch) const { return !stopped && callEpoch == epoch; }
+
+  void restart() {
+    ++epoch;
+    startList();
+  }
+
   void setConnected(bool now) {
     if (std::exchange(isConnected, now) != now && hooks.connection)
       hooks.connection(now);
   }
 
   void later(Duration d, void (Impl::*step)()) {
-    env.after(d, [self = shared_from_this(), step] {
-      if (!self->stopped)
+    env.after(d, [self = shared_from_this(), step, epoch = epoch] {
+      if (self->wanted(epoch))
         (self.get()->*step)();
     });
   }
@@ -39,8 +47,8 @@
   }
 
   void listPage(const std::string &after) {
-    feed.list(options.kind, after, [self = shared_from_this()](const FeedPage &page) {
-      if (!self->stopped)
+    feed.list(options.kind, after, [self = shared_from_this(), epoch = epoch](const FeedPage &page) {
+      if (self->wanted(epoch))
         self->onList(page);
     });
   }
@@ -90,8 +98,8 @@
 
   void startWatch() {
     feed.watch(options.kind, revision, options.maxWait,
-               [self = shared_from_this()](const FeedPage &page) {
-                 if (!self->stopped)
+               [self = shared_from_this(), epoch = epoch](const FeedPage &page) {
+                 if (self->wanted(epoch))
                    self->onWatch(page);
                });
   }
@@ -101,7 +109,8 @@
       return startList();
     if (page.status != FeedStatus::Ok) {
       setConnected(false);
-      return later(options.retryPause, &Impl::startWatch);
+      // A list is answered at once, so that the end of an outage is noticed sooner than by a watch.
+      return later(options.retryPause, &Impl::startList);
     }
     setConnected(true);
     for (auto &it : page.objects)
@@ -118,6 +127,8 @@
 
 void ObjectFollower::start() { impl->startList(); }
 
+void ObjectFollower::restart() { impl->restart(); }
+
 bool ObjectFollower::synced() const { return impl->everSynced; }
 
 bool ObjectFollower::connected() const { return impl->isConnected; }
--- a/src/object_follower_p.h
+++ b/src/object_follower_p.h
@@ -60,8 +60,8 @@
 
 class ObjectFollower {
 public:
-  /// `changed` gets each new or changed object, and each that has gone with `removed` set. `synced`
-  /// is called whenever a list or watch has been answered, with the objects known then.
+  /// `changed` gets each new or changed object, and each that has gone with `removed` set.
+  /// `connection` is called when the store is lost or regained.
   struct Hooks {
     std::function<void(const FeedObject &)> changed;
     std::function<void(bool connected)> connection;
@@ -70,6 +70,8 @@
   ObjectFollower(CoreEnv &env, ObjectFeed &feed, FollowerOptions options, Hooks hooks);
   ~ObjectFollower();
   void start();
+  /// Starts again from a list. For a watch that may have gone silent.
+  void restart();
   bool synced() const; ///< a whole list has been read since the start
   /// True while the newest call has been answered, or waits as a watch does.
   bool connected() const;
