--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -27,8 +27,10 @@
 constexpr Duration MinResumeSilence = std::chrono::milliseconds(1500);
 // An endpoint that ends work at the deadline says so a little after it.
 constexpr Duration AnswerGrace = std::chrono::milliseconds(60);
-constexpr Duration RefusedPause = std::chrono::milliseconds(40);
-constexpr int MaxSends = 4; // of one request, counting refused ones
+// An engine that loads or drops a model refuses its requests for some tens of milliseconds, or for
+// longer while runs of the model end. Doubles with each refusal.
+constexpr Duration RefusedPause = std::chrono::milliseconds(30);
+constexpr int MaxSends = 6; // of one request, counting refused ones
 
 /// Forwards the whole events of a stream and keeps back an event that has not arrived whole, so
 /// that a resumed stream goes on after the last event that the caller has.
@@ -92,7 +94,7 @@
   HttpClient client;
   RetryBudget budget;
   FleetCounters counters;
-  std::map<std::pair<ServiceName, ModelRef>, int> arrivals;
+  DemandMeter demand;
   std::map<std::pair<EndpointName, ModelName>, int> running;
   int active = 0;
 
@@ -228,7 +230,7 @@
     co_return;
   }
   if (!caller.model.empty())
-    ++g.arrivals[{service, caller.model}];
+    g.demand.onRequest(service, caller.model, arrivedAt);
   g.budget.onRequest(service, arrivedAt);
   state.idempotent = route.kind == CallKind::Idempotent || route.resumable;
   state.streaming = route.kind == CallKind::Stream;
@@ -252,7 +254,7 @@
       co_return;
     }
     if (failure == AttemptFailure::Refused)
-      co_await pause(RefusedPause);
+      co_await pause(RefusedPause * (1 << sends));
   }
 }
 
@@ -634,9 +636,7 @@
   co_await relay.run();
 }
 
-std::map<std::pair<ServiceName, ModelRef>, int> FleetGateway::takeArrivals() {
-  return std::exchange(impl->arrivals, {});
-}
+DemandMeter &FleetGateway::demand() { return impl->demand; }
 
 const std::map<std::pair<EndpointName, ModelName>, int> &FleetGateway::running() const {
   return impl->running;
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "demand_meter_p.h"
 #include "fleet_view_p.h"
 #include "http_p.h"
 #include "retry_budget_p.h"
@@ -84,8 +85,7 @@
 
   asio::awaitable<void> handle(HttpExchange &exchange);
 
-  /// Arrivals by service and model since the last call.
-  std::map<std::pair<ServiceName, ModelRef>, int> takeArrivals();
+  DemandMeter &demand();
   /// Requests in progress by endpoint and model.
   const std::map<std::pair<EndpointName, ModelName>, int> &running() const;
   const FleetCounters &counters() const;
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -249,13 +249,15 @@
 
   void reportDemand() {
     env.after(config::FleetDemandInterval, [self = shared_from_this()] { self->reportDemand(); });
-    DemandReport m{.host = options.self.host, .uses = {}, .running = {}, .failing = {}};
-    for (auto &[key, n] : gateway.takeArrivals())
-      m.uses.push_back({key.first, key.second, n});
+    auto now = env.now();
+    DemandReport m{.host = options.self.host,
+                   .observed = gateway.demand().observed(now),
+                   .uses = gateway.demand().rates(now),
+                   .running = {},
+                   .failing = {}};
     for (auto &[key, n] : gateway.running())
       if (!key.second.empty())
         m.running.push_back({key.first, key.second, n});
-    auto now = env.now();
     for (auto &[name, it] : view.endpoints())
       if (now < it.avoidUntil)
         m.failing.push_back(name);
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -18,7 +18,7 @@
   json::array uses;
   for (auto &it : m.uses)
     uses.push_back(json::object{
-        {"s", it.service.value}, {"m", toText(it.model)}, {"n", it.arrivals}});
+        {"s", it.service.value}, {"m", toText(it.model)}, {"r", it.perSecond}});
   json::array running;
   for (auto &it : m.running)
     running.push_back(json::object{
@@ -28,6 +28,7 @@
     failing.push_back(json::object{{"e", it.value}});
   return {{"type", "demand"},
           {"host", m.host.value},
+          {"observed_us", m.observed.count()},
           {"uses", std::move(uses)},
           {"running", std::move(running)},
           {"failing", std::move(failing)}};
@@ -70,10 +71,14 @@
 }
 
 DemandReport readDemand(JsonReader &in) {
-  DemandReport m{.host = in.name<HostName>("host"), .uses = {}, .running = {}, .failing = {}};
+  DemandReport m{.host = in.name<HostName>("host"),
+                 .observed = in.micros("observed_us"),
+                 .uses = {},
+                 .running = {},
+                 .failing = {}};
   in.objects("uses", [&](JsonReader &it) {
     m.uses.push_back(
-        {it.name<ServiceName>("s"), parseModelRef(it.text("m")), it.integer("n")});
+        {it.name<ServiceName>("s"), parseModelRef(it.text("m")), it.number("r")});
   });
   in.objects("running", [&](JsonReader &it) {
     m.running.push_back(
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -30,7 +30,7 @@
 struct ModelUse {
   ServiceName service;
   ModelRef model;
-  int arrivals = 0; ///< requests since the last report
+  double perSecond = 0; ///< moving average of this host's requests
 };
 
 struct RunningModel {
@@ -42,6 +42,7 @@
 /// Sent to the planner: what callers of this host ask for and what runs where.
 struct DemandReport {
   HostName host;
+  Duration observed{}; ///< since the first request; averages over a short time say little
   std::vector<ModelUse> uses;
   std::vector<RunningModel> running;
   std::vector<EndpointName> failing; ///< endpoints that this host avoids at present
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -12,12 +12,14 @@
 
 namespace {
 
-constexpr double DemandTimeConstant = 6; // seconds of the moving average of arrivals
 constexpr Duration NeedLifetime = 3 * config::FleetNeedRepeat;
 constexpr Duration DemandSettles = std::chrono::seconds(3);
 // An adapter is loaded within about ten milliseconds; a request that comes too early is refused
 // without having run.
 constexpr Duration AdapterLoadTime = std::chrono::milliseconds(25);
+// A load from a local copy takes as long as the configuration says; reports show it later.
+constexpr Duration LocalLoadMargin = std::chrono::milliseconds(20);
+constexpr Duration UnloadTime = std::chrono::milliseconds(15); // without runs to wait for
 constexpr int StatusFailuresUnreachable = 2;
 constexpr int CommandSends = 4; // of one order whose answers are lost
 constexpr Duration RefusedPause = std::chrono::milliseconds(400);
@@ -57,8 +59,7 @@
 };
 
 struct HostDemand {
-  std::vector<RunningModel> running;
-  std::vector<EndpointName> failing;
+  DemandReport report;
   Instant at;
 };
 
@@ -79,13 +80,10 @@
   Broadcast broadcast;
   std::unique_ptr<Lease> lease;
   std::map<EndpointName, EngineRecord> records;
-  std::map<std::pair<ServiceName, ModelName>, double> rates;
   std::map<NeedKey, std::map<HostName, OpenNeed>> needs;
   std::map<HostName, HostDemand> demands;
   std::deque<Instant> remoteLoads; ///< begun within the ceiling's window
   Instant acquiredAt;
-  std::optional<Instant> firstDemandAt;
-  Instant decayedAt;
   std::uint64_t fencedTerm = 0; ///< an engine has seen a higher one
   bool stopped = false;
 
@@ -104,11 +102,8 @@
   void onAcquired(const LeaseRecord &mine) {
     logLine(LogLevel::Info, "planner lease acquired", {{"term", mine.term}});
     records.clear();
-    rates.clear();
     demands.clear();
-    firstDemandAt.reset();
     acquiredAt = env.now();
-    decayedAt = acquiredAt;
   }
 
   void tick() {
@@ -117,7 +112,6 @@
     env.after(config::FleetPlanTick, [self = shared_from_this()] { self->tick(); });
     if (!active())
       return;
-    decayRates();
     syncRecords();
     for (auto &[name, record] : records)
       pollStatus(record);
@@ -126,13 +120,6 @@
     sendNotices();
   }
 
-  void decayRates() {
-    double factor = std::exp(-toSeconds(env.now() - decayedAt) / DemandTimeConstant);
-    decayedAt = env.now();
-    for (auto &it : rates)
-      it.second *= factor;
-  }
-
   /// Follows the registrations: new engines, restarted ones and those that have gone.
   void syncRecords() {
     std::erase_if(records, [&](auto &it) { return !view.find(it.first); });
@@ -247,17 +234,13 @@
     while (!remoteLoads.empty() && now - remoteLoads.front() > options.ceilingWindow)
       remoteLoads.pop_front();
     PlacementInput input{.now = now, .spec = &service.engine};
-    input.demandKnown = firstDemandAt && now - *firstDemandAt >= DemandSettles;
     input.remoteLoadsInWindow = static_cast<int>(remoteLoads.size());
     input.remoteLoadsAllowed = static_cast<int>(
         std::floor(service.engine.loadsPerSecond * toSeconds(options.ceilingWindow)));
     for (auto &[name, record] : records)
       if (record.entry.service == service.name)
         input.engines.push_back(describe(record, input));
-    addRunning(input);
-    for (auto &[key, rate] : rates)
-      if (key.first == service.name)
-        input.demand[key.second].perSecond = rate;
+    addDemand(service.name, input);
     addNeeds(service.name, input);
     return input;
   }
@@ -296,22 +279,35 @@
   bool avoided(const EndpointName &name) const {
     int failing = 0;
     for (auto &[host, demand] : demands)
-      failing += static_cast<int>(std::count(demand.failing.begin(), demand.failing.end(), name));
+      failing += static_cast<int>(std::count(demand.report.failing.begin(),
+                                             demand.report.failing.end(), name));
     return failing * 2 > static_cast<int>(demands.size()) && failing >= 2;
   }
 
-  void addRunning(PlacementInput &input) {
+  void addDemand(const ServiceName &service, PlacementInput &input) {
     std::erase_if(demands, [&](auto &it) {
       return env.now() - it.second.at > 4 * config::FleetDemandInterval;
     });
     std::map<EndpointName, std::map<ModelName, int>> running;
-    for (auto &[host, demand] : demands)
-      for (auto &it : demand.running)
+    for (auto &[host, demand] : demands) {
+      input.demandKnown = input.demandKnown || demand.report.observed >= DemandSettles;
+      for (auto &it : demand.report.running)
         running[it.endpoint][it.model] += it.inFlight;
+      for (auto &it : demand.report.uses)
+        if (it.service == service)
+          addUse(it, input);
+    }
     for (auto &it : input.engines)
       it.inFlight = running[it.name];
   }
 
+  static void addUse(const ModelUse &use, PlacementInput &input) {
+    auto &demand = input.demand[use.model.model];
+    demand.perSecond += use.perSecond;
+    if (!use.model.adapter.empty())
+      demand.adapterPerSecond += use.perSecond;
+  }
+
   void addNeeds(const ServiceName &service, PlacementInput &input) {
     for (auto it = needs.begin(); it != needs.end();) {
       auto &hosts = it->second;
@@ -449,21 +445,66 @@
     }
     record.busy = true;
     record.active = order;
+    if (order.order.action == PlacementAction::Unload)
+      after(UnloadTime, record, [this](EngineRecord &it) { onUnloadDue(it); });
+    else if (!order.order.remote)
+      after(order.dueAt + LocalLoadMargin - now, record, [this](EngineRecord &it) {
+        sendNotice(it);
+      });
+  }
+
+  /// Runs `step` later if the engine is still the same.
+  void after(Duration d, const EngineRecord &record, std::function<void(EngineRecord &)> step) {
+    auto self = shared_from_this();
+    auto name = record.entry.name;
+    auto incarnation = record.entry.incarnation;
+    env.after(d, [self, name, incarnation, step = std::move(step)] {
+      auto it = self->records.find(name);
+      if (it != self->records.end() && it->second.entry.incarnation == incarnation)
+        step(it->second);
+    });
+  }
+
+  /// The same order again shows whether the unload is complete, sooner than a report would.
+  void onUnloadDue(EngineRecord &record) {
+    if (!record.active || record.active->order.action != PlacementAction::Unload ||
+        record.sending || !mayOrder())
+      return;
+    auto name = record.entry.name;
+    auto self = shared_from_this();
+    auto incarnation = record.entry.incarnation;
+    EngineCommand command{.action = PlacementAction::Unload,
+                          .model = record.active->order.model,
+                          .term = term(),
+                          .holder = options.host,
+                          .expectedOrderCount = record.holdings.orderCount};
+    engines.command(record.entry, command, [self, name, incarnation](CommandResult result) {
+      auto it = self->records.find(name);
+      if (it != self->records.end() && it->second.entry.incarnation == incarnation)
+        self->onUnloadAsked(it->second, result);
+    });
+  }
+
+  void onUnloadAsked(EngineRecord &record, CommandResult result) {
+    if (!record.active || record.active->order.action != PlacementAction::Unload)
+      return;
+    // While runs of the model end, its reports tell.
+    if (result != CommandResult::AlreadyHolds)
+      return;
+    dropFromHoldings(record, record.active->order.model);
+    record.active.reset();
+    record.busy = false;
+    if (mayOrder())
+      placeAll();
   }
 
   /// Adapters load within milliseconds and do not make the engine busy.
   void finishAdapter(EngineRecord &record, const PlacementOrder &order) {
     if (order.action == PlacementAction::Unload)
       return;
-    auto self = shared_from_this();
-    auto name = record.entry.name;
-    auto incarnation = record.entry.incarnation;
     record.unresolved.push_back(ActiveOrder{.order = order, .expected = UINT64_MAX});
-    env.after(AdapterLoadTime, [self, name, incarnation, order] {
-      auto it = self->records.find(name);
-      if (it == self->records.end() || it->second.entry.incarnation != incarnation)
-        return;
-      self->onAdapterReady(it->second, order.model);
+    after(AdapterLoadTime, record, [this, model = order.model](EngineRecord &it) {
+      onAdapterReady(it, model);
     });
   }
 
@@ -484,12 +525,24 @@
 
   HoldingsNotice makeNotice(EngineRecord &record) {
     record.noticedAt = env.now();
-    record.noticed = record.holdings.models;
+    record.noticed = available(record);
     return {.endpoint = record.entry.name,
             .incarnation = record.entry.incarnation,
             .term = term(),
             .number = ++record.noticeNumber,
-            .models = record.holdings.models};
+            .models = record.noticed};
+  }
+
+  /// What an engine holds, with a model whose load should be complete. A request that comes too
+  /// early is refused without having run.
+  std::vector<HeldModel> available(const EngineRecord &record) const {
+    auto models = record.holdings.models;
+    auto &active = record.active;
+    bool loaded = active && active->order.action == PlacementAction::Load &&
+                  !active->order.remote && env.now() >= active->dueAt + LocalLoadMargin;
+    if (loaded && !holds(models, active->order.model))
+      models.push_back({active->order.model.model, {}});
+    return models;
   }
 
   void sendNotice(EngineRecord &record) {
@@ -501,7 +554,7 @@
   void sendNotices() {
     HoldingsNotices message;
     for (auto &[name, record] : records) {
-      bool changed = record.noticed != record.holdings.models;
+      bool changed = record.noticed != available(record);
       if (!record.known || (!changed && env.now() - record.noticedAt < NoticeInterval))
         continue;
       message.notices.push_back(makeNotice(record));
@@ -529,21 +582,20 @@
   void onDemand(const DemandReport &report) {
     if (!active())
       return;
-    auto now = env.now();
-    for (auto &it : report.uses) {
-      rates[{it.service, it.model.model}] += it.arrivals / DemandTimeConstant;
-      if (!firstDemandAt)
-        firstDemandAt = now;
+    for (auto &it : report.uses)
       if (!it.model.adapter.empty())
-        noteAdapterUse(it.model);
-    }
-    demands[report.host] = {report.running, report.failing, now};
+        noteAdapterUse(it);
+    demands[report.host] = {report, env.now()};
   }
 
-  void noteAdapterUse(const ModelRef &ref) {
+  /// The average falls with the time since the last use, so that it ranks adapters by it.
+  void noteAdapterUse(const ModelUse &use) {
+    constexpr double JustUsed = 0.1; // requests a second
+    if (use.perSecond < JustUsed)
+      return;
     for (auto &[name, record] : records)
-      if (holds(record.holdings.models, ref))
-        record.adapterUsedAt[ref] = env.now();
+      if (holds(record.holdings.models, use.model))
+        record.adapterUsedAt[use.model] = env.now();
   }
 };
 
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -29,8 +29,9 @@
   }
 
   std::vector<PlacementOrder> run() {
-    loadWaitingModels();
+    // Adapters go first: they take milliseconds, and no engine loads one beside a model.
     loadWaitingAdapters();
+    loadWaitingModels();
     addReplicas();
     fillSpareRoom();
     return std::move(orders);
@@ -140,7 +141,8 @@
       auto drop = victims(it, model.megabytes, worth);
       if (!drop)
         continue;
-      double cost = toSeconds(loadTime(source, model));
+      double seconds = toSeconds(loadTime(source, model));
+      double cost = seconds + adapterRate(it) * seconds;
       for (auto &victim : *drop)
         cost += 0.1 + valueOf(victim);
       if (!best || cost < best->cost)
@@ -149,6 +151,17 @@
     return best;
   }
 
+  /// Requests a second that need adapters on an engine. It loads none while it loads a model.
+  double adapterRate(const PlacementEngine &engine) const {
+    double rate = 0;
+    for (auto &held : engine.models) {
+      auto it = in.demand.find(held.model);
+      if (it != in.demand.end())
+        rate += it->second.adapterPerSecond / std::max(1, replicas(held.model));
+    }
+    return rate;
+  }
+
   static Duration loadTime(Source source, const ModelSpec &model) {
     switch (source) {
     case Source::Memory:
@@ -239,7 +252,7 @@
         continue;
       if (holds(it.models, ref) || holds(it.pending, ref))
         return;
-      if (inTransit(it) >= AdaptersInTransit)
+      if (!it.idle || inTransit(it) >= AdaptersInTransit)
         continue;
       if (!best || adapterPlacesUsed(it) < adapterPlacesUsed(*best))
         best = &it;
@@ -252,6 +265,7 @@
                 freeMegabytes(*best) >= spec->second.adapterMegabytes;
     if (!room)
       return dropAdapter(*best);
+    best->idle = false;
     best->pending.push_back({ref.model, {ref.adapter}});
     orders.push_back(
         {best->name, PlacementAction::Load, ref, PlacementReason::Adapter, false});
@@ -279,6 +293,7 @@
       return;
     orders.push_back(
         {engine.name, PlacementAction::Unload, *oldest, PlacementReason::MakeRoom, false});
+    engine.idle = false;
     for (auto &held : engine.models)
       if (held.model == oldest->model)
         std::erase(held.adapters, oldest->adapter);
--- a/src/model_placement_p.h
+++ b/src/model_placement_p.h
@@ -30,7 +30,8 @@
 
 /// Demand for one model over all hosts.
 struct ModelDemand {
-  double perSecond = 0; ///< moving average of arrivals
+  double perSecond = 0;        ///< moving average of requests
+  double adapterPerSecond = 0; ///< of these, with an adapter
   int waiting = 0;      ///< requests that wait because no engine holds it
 };
 
