--- a/src/demand_meter.cpp
+++ b/src/demand_meter.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr double TimeConstant = 6;    // seconds of the moving average
+constexpr double TimeConstant = 10;   // seconds of the moving average
 constexpr double Negligible = 0.002;  // requests a second
 
 } // namespace
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -282,10 +282,7 @@
 
 const EndpointState *Relay::choose() {
   std::set<EndpointName> excluded = unreachable;
-  // A plain answer that failed at as many endpoints as allowed may be tried there once more.
-  bool again = route.kind == CallKind::Idempotent && endpointsUsedUp();
-  if (!again)
-    excluded.insert(failedAt.begin(), failedAt.end());
+  excluded.insert(failedAt.begin(), failedAt.end());
   // Once it has been at as many endpoints as allowed, only those that did not run it are left.
   if (endpointsUsedUp())
     for (auto &[name, it] : g.view.endpoints())
@@ -486,7 +483,7 @@
   response.base() = g.codec.answerHead(stream.head());
   response.body() = std::move(body);
   fallback = std::move(response);
-  if (failed && state.idempotent) {
+  if (failed && state.idempotent && head.status != 504) {
     failure = AttemptFailure::Broken; // another endpoint may do better
     co_return Attempt::Failed;
   }
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -11,14 +11,20 @@
 namespace {
 
 // Requests a second that one replica serves without its prompts delaying each other much.
-constexpr double RequestsPerReplica = 2.0;
+constexpr double RequestsPerReplica = 2.5;
 // From this rate on, a second replica pays for itself when the first is lost.
 constexpr double SecondReplicaRate = 0.8;
 // A model is not dropped sooner after its load, so that the requests that waited for it run.
-constexpr Duration MinResidence = std::chrono::milliseconds(1500);
+constexpr Duration MinResidence = std::chrono::milliseconds(2500);
 // Loads from the store that slow each other little.
 constexpr int RemoteLoadsAtOnce = 4;
 constexpr int AdaptersInTransit = 4; // that an engine accepts
+constexpr int ReplicasBeforeDemand = 3;
+// Of a request's worth, what is lost when it waits for a load from disk, and what when it finds one
+// replica less.
+constexpr double LastReplicaShare = 0.5;
+constexpr double FurtherReplicaShare = 0.1;
+constexpr double SeldomRate = 0.05; // requests a second
 
 /// One round of planning over a copy of the engines, which each order changes.
 class Round {
@@ -79,12 +85,29 @@
     return remoteUnderWay < atOnce && remoteInWindow < in.remoteLoadsAllowed;
   }
 
-  /// What is lost when one replica of a model goes: little while others remain.
+  int wanted(const ModelName &model) const {
+    // Before the demand is known, the replicas that busy models began with are kept in part.
+    if (!in.demandKnown)
+      return ReplicasBeforeDemand;
+    return wantedReplicas(demandOf(model), static_cast<int>(engines.size()));
+  }
+
+  /// What is lost when one replica of a model goes: little while others remain. The last replica
+  /// is worth the requests that would wait for a load, also of models that are asked for so seldom
+  /// that the average has forgotten it.
   double valueOf(const ModelName &model) const {
     int n = std::max(1, replicas(model));
     double rate = demandOf(model);
-    bool surplus = n > wantedReplicas(rate, static_cast<int>(engines.size()));
-    return surplus ? rate * SurplusShare : rate / n + SurplusWorth;
+    if (n == 1)
+      return std::max(rate, SeldomRate) * LastReplicaShare;
+    return n > wanted(model) ? rate * SurplusShare : rate / n * FurtherReplicaShare;
+  }
+
+  /// What one more replica of a model gains that has `have` of them.
+  double gainOf(const ModelName &model, int have) const {
+    double rate = demandOf(model);
+    double overload = std::max(0.0, rate / have - RequestsPerReplica);
+    return rate / (have + 1) * FurtherReplicaShare + overload * LastReplicaShare;
   }
 
   bool evictable(const PlacementEngine &engine, const ModelName &model) const {
@@ -115,8 +138,7 @@
       missing -= usedMegabytes(*in.spec, {*held});
       out.push_back(held->model);
     }
-    bool tooEarly = !out.empty() && !in.demandKnown && worth < 1;
-    if (missing > 0 || lost >= worth || tooEarly)
+    if (missing > 0 || lost >= worth)
       return std::nullopt;
     return out;
   }
@@ -204,16 +226,16 @@
   }
 
   void addReplicas() {
-    auto n = static_cast<int>(engines.size());
+    if (!in.demandKnown)
+      return;
     for (auto &[name, demand] : in.demand) {
       auto spec = in.spec->models.find(name);
       if (spec == in.spec->models.end())
         continue;
       int have = replicas(name);
-      if (have == 0 || have >= wantedReplicas(demand.perSecond, n))
+      if (have == 0 || have >= wanted(name))
         continue;
-      double worth = demand.perSecond / (have + 1);
-      if (auto option = bestOption(spec->second, worth, RemoteLoadsAtOnce))
+      if (auto option = bestOption(spec->second, gainOf(name, have), RemoteLoadsAtOnce))
         order(*option, name, PlacementReason::MoreReplicas);
     }
   }
