--- a/src/demand_meter.cpp
+++ b/src/demand_meter.cpp
@@ -6,31 +6,38 @@
 
 namespace {
 
-constexpr double TimeConstant = 10;   // seconds of the moving average
+// Seconds of the two moving averages. The slow one remembers models that are asked for seldom, the
+// fast one shows within two seconds that a model has become busy.
+constexpr double SlowTime = 10;
+constexpr double FastTime = 2.5;
 constexpr double Negligible = 0.002;  // requests a second
 
 } // namespace
 
 void DemandMeter::decay(Instant now) {
-  double factor = std::exp(-toSeconds(now - decayedAt) / TimeConstant);
+  double seconds = toSeconds(now - decayedAt);
   decayedAt = now;
-  for (auto &it : averages)
-    it.second *= factor;
+  for (auto &[key, it] : averages) {
+    it.slow *= std::exp(-seconds / SlowTime);
+    it.fast *= std::exp(-seconds / FastTime);
+  }
 }
 
 void DemandMeter::onRequest(const ServiceName &service, const ModelRef &model, Instant now) {
   if (!firstAt)
     firstAt = now;
   decay(now);
-  averages[{service, model}] += 1 / TimeConstant;
+  auto &it = averages[{service, model}];
+  it.slow += 1 / SlowTime;
+  it.fast += 1 / FastTime;
 }
 
 std::vector<ModelUse> DemandMeter::rates(Instant now) {
   decay(now);
-  std::erase_if(averages, [](auto &it) { return it.second < Negligible; });
+  std::erase_if(averages, [](auto &it) { return it.second.slow < Negligible; });
   std::vector<ModelUse> out;
-  for (auto &[key, rate] : averages)
-    out.push_back({key.first, key.second, rate});
+  for (auto &[key, it] : averages)
+    out.push_back({key.first, key.second, it.slow, it.fast});
   return out;
 }
 
--- a/src/demand_meter_p.h
+++ b/src/demand_meter_p.h
@@ -21,7 +21,12 @@
 private:
   void decay(Instant now);
 
-  std::map<std::pair<ServiceName, ModelRef>, double> averages;
+  struct Averages {
+    double slow = 0;
+    double fast = 0;
+  };
+
+  std::map<std::pair<ServiceName, ModelRef>, Averages> averages;
   std::optional<Instant> firstAt;
   Instant decayedAt;
 };
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -18,7 +18,7 @@
   json::array uses;
   for (auto &it : m.uses)
     uses.push_back(json::object{
-        {"s", it.service.value}, {"m", toText(it.model)}, {"r", it.perSecond}});
+        {"s", it.service.value}, {"m", toText(it.model)}, {"r", it.perSecond}, {"f", it.recentPerSecond}});
   json::array running;
   for (auto &it : m.running)
     running.push_back(json::object{
@@ -78,7 +78,7 @@
                  .failing = {}};
   in.objects("uses", [&](JsonReader &it) {
     m.uses.push_back(
-        {it.name<ServiceName>("s"), parseModelRef(it.text("m")), it.number("r")});
+        {it.name<ServiceName>("s"), parseModelRef(it.text("m")), it.number("r"), it.number("f")});
   });
   in.objects("running", [&](JsonReader &it) {
     m.running.push_back(
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -30,7 +30,8 @@
 struct ModelUse {
   ServiceName service;
   ModelRef model;
-  double perSecond = 0; ///< moving average of this host's requests
+  double perSecond = 0;       ///< moving average of this host's requests over about ten seconds
+  double recentPerSecond = 0; ///< the same over two or three seconds
 };
 
 struct RunningModel {
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Duration NeedLifetime = 3 * config::FleetNeedRepeat;
+// By then every host has reported once or twice to a new planner.
+constexpr Duration ReportsIn = std::chrono::milliseconds(1200);
 constexpr Duration DemandSettles = std::chrono::seconds(3);
 // An adapter is loaded within about ten milliseconds; a request that comes too early is refused
 // without having run.
@@ -289,8 +291,9 @@
       return env.now() - it.second.at > 4 * config::FleetDemandInterval;
     });
     std::map<EndpointName, std::map<ModelName, int>> running;
+    Duration observed{};
     for (auto &[host, demand] : demands) {
-      input.demandKnown = input.demandKnown || demand.report.observed >= DemandSettles;
+      observed = std::max(observed, demand.report.observed);
       for (auto &it : demand.report.running)
         running[it.endpoint][it.model] += it.inFlight;
       for (auto &it : demand.report.uses)
@@ -299,11 +302,22 @@
     }
     for (auto &it : input.engines)
       it.inFlight = running[it.name];
+    input.demandKnown = demandState(observed);
+  }
+
+  PlacementInput::Demand demandState(Duration observed) const {
+    using Demand = PlacementInput::Demand;
+    if (demands.empty() || env.now() - acquiredAt < ReportsIn)
+      return Demand::Unknown;
+    if (observed == Duration::zero())
+      return Demand::None;
+    return observed < DemandSettles ? Demand::Partial : Demand::Known;
   }
 
   static void addUse(const ModelUse &use, PlacementInput &input) {
     auto &demand = input.demand[use.model.model];
     demand.perSecond += use.perSecond;
+    demand.recentPerSecond += use.recentPerSecond;
     if (!use.model.adapter.empty())
       demand.adapterPerSecond += use.perSecond;
   }
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -86,10 +86,18 @@
   }
 
   int wanted(const ModelName &model) const {
-    // Before the demand is known, the replicas that busy models began with are kept in part.
-    if (!in.demandKnown)
-      return ReplicasBeforeDemand;
-    return wantedReplicas(demandOf(model), static_cast<int>(engines.size()));
+    auto n = static_cast<int>(engines.size());
+    // Before the first request, the replicas that busy models began with are kept in part.
+    if (in.demandKnown != PlacementInput::Demand::Known)
+      return in.demandKnown == PlacementInput::Demand::None ? ReplicasBeforeDemand : n;
+    return wantedReplicas(peakOf(model), n);
+  }
+
+  /// The demand at present, which rises sooner than the longer average.
+  double peakOf(const ModelName &model) const {
+    auto it = in.demand.find(model);
+    return it == in.demand.end() ? 0
+                                 : std::max(it->second.perSecond, it->second.recentPerSecond);
   }
 
   /// What is lost when one replica of a model goes: little while others remain. The last replica
@@ -105,7 +113,7 @@
 
   /// What one more replica of a model gains that has `have` of them.
   double gainOf(const ModelName &model, int have) const {
-    double rate = demandOf(model);
+    double rate = peakOf(model);
     double overload = std::max(0.0, rate / have - RequestsPerReplica);
     return rate / (have + 1) * FurtherReplicaShare + overload * LastReplicaShare;
   }
@@ -138,7 +146,8 @@
       missing -= usedMegabytes(*in.spec, {*held});
       out.push_back(held->model);
     }
-    if (missing > 0 || lost >= worth)
+    bool blind = !out.empty() && in.demandKnown == PlacementInput::Demand::Unknown;
+    if (missing > 0 || lost >= worth || blind)
       return std::nullopt;
     return out;
   }
@@ -226,7 +235,7 @@
   }
 
   void addReplicas() {
-    if (!in.demandKnown)
+    if (in.demandKnown != PlacementInput::Demand::Known)
       return;
     for (auto &[name, demand] : in.demand) {
       auto spec = in.spec->models.find(name);
--- a/src/model_placement_p.h
+++ b/src/model_placement_p.h
@@ -30,7 +30,8 @@
 
 /// Demand for one model over all hosts.
 struct ModelDemand {
-  double perSecond = 0;        ///< moving average of requests
+  double perSecond = 0;        ///< moving average of requests over about ten seconds
+  double recentPerSecond = 0;  ///< the same over two or three seconds
   double adapterPerSecond = 0; ///< of these, with an adapter
   int waiting = 0;      ///< requests that wait because no engine holds it
 };
@@ -41,8 +42,11 @@
   std::vector<PlacementEngine> engines;
   std::map<ModelName, ModelDemand> demand;
   std::map<ModelRef, int> adaptersWaiting; ///< with `adapter` set
-  /// The rates cover some seconds. Before, nothing is dropped except for waiting requests.
-  bool demandKnown = false;
+  /// What is known of the demand. Unknown: hosts have not reported yet, nothing is dropped. None:
+  /// there have been no requests so far. Partial: the averages cover too short a time to drop more
+  /// than waiting requests need.
+  enum class Demand { Unknown, None, Partial, Known };
+  Demand demandKnown = Demand::Unknown;
   int remoteLoadsUnderWay = 0;
   int remoteLoadsInWindow = 0; ///< begun within the window of the store's ceiling
   int remoteLoadsAllowed = 0;  ///< in that window
