Count models being dropped as taking room; refuse long requests late in a stop

Change: holdings lose a model only when the engine says so; requests that might outlast the process are refused from 2.3 s after the begin of a stop; addresses are kept for one second.

--- a/src/config.h
+++ b/src/config.h
@@ -141,12 +141,14 @@
 constexpr auto FleetKeptIdle = 1500ms;   // a connection idle for longer is not used again
 constexpr auto FleetRetryAfterMin = 200ms;
 constexpr auto FleetRetryAfterMax = 2000ms;
-constexpr auto FleetAddressesMaxAge = 2s;
+constexpr auto FleetAddressesMaxAge = 1s; // some callers keep addresses three times as long
+// After the begin of a stop: by then callers have had three quarters of that time to leave.
+constexpr auto FleetServeLongRequests = 2300ms;
 constexpr auto FleetPlanTick = 50ms;
 constexpr auto FleetStatusInterval = 1500ms; // status calls to an idle engine
 constexpr auto FleetStatusRetry = 60ms;      // while an order should be complete
 constexpr auto FleetOrderTimeout = 600ms;
-constexpr auto FleetStopMin = 4500ms; // callers that keep addresses longest have left by then
+constexpr auto FleetStopMin = 4000ms; // callers that keep addresses longest have left by then
 constexpr std::size_t FleetBodyBytes = 4 * 1024 * 1024 + 4096;
 constexpr std::size_t FleetHeaderBytes = 32 * 1024;
 constexpr std::size_t FleetBufferedBytes = 64 * 1024 * 1024;
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -97,6 +97,8 @@
   DemandMeter demand;
   std::map<std::pair<EndpointName, ModelName>, int> running;
   int active = 0;
+  Instant refuseFrom = Instant::max();
+  Instant stopEnd = Instant::max();
 
   Impl(asio::any_io_executor executor, FleetView &view, const RequestCodec &codec,
        FleetGatewayOptions options, FleetGatewayHooks hooks)
@@ -206,6 +208,10 @@
   reason = caller.fault;
   if (!caller.fault.empty())
     return false;
+  status = 503;
+  reason = "this host is stopping";
+  if (arrivedAt >= g.refuseFrom && arrivedAt + limit > g.stopEnd)
+    return false;
   service = pickService(route, g.hooks.random());
   auto it = config->services.find(service);
   bool engines = it != config->services.end() && it->second.hasEngines;
@@ -633,6 +639,11 @@
   co_await relay.run();
 }
 
+void FleetGateway::setStop(Instant refuseFrom, Instant end) {
+  impl->refuseFrom = refuseFrom;
+  impl->stopEnd = end;
+}
+
 DemandMeter &FleetGateway::demand() { return impl->demand; }
 
 const std::map<std::pair<EndpointName, ModelName>, int> &FleetGateway::running() const {
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -86,6 +86,9 @@
   asio::awaitable<void> handle(HttpExchange &exchange);
 
   DemandMeter &demand();
+  /// The process ends at `end`. From `refuseFrom` on, requests that might last longer are refused,
+  /// since their callers know other hosts by then.
+  void setStop(Instant refuseFrom, Instant end);
   /// Requests in progress by endpoint and model.
   const std::map<std::pair<EndpointName, ModelName>, int> &running() const;
   const FleetCounters &counters() const;
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -308,8 +308,9 @@
   return {};
 }
 
-void FleetHost::beginStop(std::function<void()> done) {
+void FleetHost::beginStop(Instant end, std::function<void()> done) {
   impl->stopping = true;
+  impl->gateway.setStop(impl->env.now() + config::FleetServeLongRequests, end);
   auto self = impl;
   impl->unregister([] {});
   impl->planner.stop(std::move(done));
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -41,8 +41,8 @@
 
   /// Empty on success, otherwise the reason.
   std::string start();
-  /// Takes itself off the list of hosts and gives the lease up; requests go on.
-  void beginStop(std::function<void()> done);
+  /// Takes itself off the list of hosts and gives the lease up; requests go on until `end`.
+  void beginStop(Instant end, std::function<void()> done);
   asio::awaitable<void> handle(HttpExchange &exchange);
   bool ready() const;
   int active() const;
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -253,13 +253,14 @@
     engine.usable = record.reachable() && !leaving && !avoided(record.entry.name);
     engine.idle = !record.active && !record.busy && !record.sending &&
                   env.now() >= record.pausedUntil;
-    engine.models = record.holdings.models;
+    engine.models = staying(record);
     engine.inMemory.insert(record.holdings.inMemory.begin(), record.holdings.inMemory.end());
     engine.onDisk.insert(record.holdings.onDisk.begin(), record.holdings.onDisk.end());
     engine.loadedAt = record.loadedAt;
     engine.adapterUsedAt = record.adapterUsedAt;
+    // What is being dropped takes room until the engine says that it is gone.
     for (auto *it : {&record.sending, &record.active}) {
-      if (!*it || (*it)->order.action != PlacementAction::Load)
+      if (!*it)
         continue;
       addPending(engine, (*it)->order);
       input.remoteLoadsUnderWay += (*it)->order.remote ? 1 : 0;
@@ -270,6 +271,25 @@
     return engine;
   }
 
+  /// What an engine holds less what it has been ordered to drop.
+  static std::vector<HeldModel> staying(const EngineRecord &record) {
+    auto models = record.holdings.models;
+    for (auto *it : {&record.sending, &record.active})
+      if (*it && (*it)->order.action == PlacementAction::Unload)
+        dropFrom(models, (*it)->order.model);
+    return models;
+  }
+
+  static void dropFrom(std::vector<HeldModel> &models, const ModelRef &ref) {
+    if (ref.adapter.empty()) {
+      std::erase_if(models, [&](auto &it) { return it.model == ref.model; });
+      return;
+    }
+    for (auto &it : models)
+      if (it.model == ref.model)
+        std::erase(it.adapters, ref.adapter);
+  }
+
   static void addPending(PlacementEngine &engine, const PlacementOrder &order) {
     HeldModel held{order.model.model, {}};
     if (!order.model.adapter.empty())
@@ -365,8 +385,6 @@
              {"remote", order.remote},
              {"term", term()},
              {"order_count", active.expected}});
-    if (order.action == PlacementAction::Unload)
-      dropFromHoldings(record, order.model);
     record.sending = std::move(active);
     sendNotice(record);
     send(record);
@@ -387,14 +405,8 @@
   }
 
   static void dropFromHoldings(EngineRecord &record, const ModelRef &ref) {
-    if (ref.adapter.empty()) {
-      std::erase_if(record.holdings.models, [&](auto &it) { return it.model == ref.model; });
-      return;
-    }
     record.adapterReadyAt.erase(ref);
-    for (auto &it : record.holdings.models)
-      if (it.model == ref.model)
-        std::erase(it.adapters, ref.adapter);
+    dropFrom(record.holdings.models, ref);
   }
 
   void send(EngineRecord &record) {
@@ -455,6 +467,8 @@
     record.nextStatus = std::max(now, order.dueAt);
     if (result == CommandResult::AlreadyHolds) {
       record.nextStatus = now;
+      if (order.order.action == PlacementAction::Unload)
+        dropFromHoldings(record, order.order.model);
       return;
     }
     record.busy = true;
@@ -515,7 +529,7 @@
   /// Adapters load within milliseconds and do not make the engine busy.
   void finishAdapter(EngineRecord &record, const PlacementOrder &order) {
     if (order.action == PlacementAction::Unload)
-      return;
+      return dropFromHoldings(record, order.model);
     record.unresolved.push_back(ActiveOrder{.order = order, .expected = UINT64_MAX});
     after(AdapterLoadTime, record, [this, model = order.model](EngineRecord &it) {
       onAdapterReady(it, model);
@@ -550,7 +564,7 @@
   /// What an engine holds, with a model whose load should be complete. A request that comes too
   /// early is refused without having run.
   std::vector<HeldModel> available(const EngineRecord &record) const {
-    auto models = record.holdings.models;
+    auto models = staying(record);
     auto &active = record.active;
     bool loaded = active && active->order.action == PlacementAction::Load &&
                   !active->order.remote && env.now() >= active->dueAt + LocalLoadMargin;
