--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -21,10 +21,12 @@
 constexpr Duration AdapterLoadTime = std::chrono::milliseconds(25);
 // A load from a local copy takes as long as the configuration says; reports show it later.
 constexpr Duration LocalLoadMargin = std::chrono::milliseconds(20);
-constexpr Duration UnloadTime = std::chrono::milliseconds(15); // without runs to wait for
+constexpr Duration UnloadTime = std::chrono::milliseconds(40); // without runs to wait for
+constexpr int UnloadAsks = 4;
 constexpr int StatusFailuresUnreachable = 2;
 constexpr int CommandSends = 4; // of one order whose answers are lost
 constexpr Duration RefusedPause = std::chrono::milliseconds(400);
+constexpr Duration ReservationTime = std::chrono::seconds(3); // runs of a dropped model may end late
 constexpr Duration NoticeInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t NoticesPerMessage = 4;
 
@@ -33,6 +35,7 @@
   PlacementOrder order;
   std::uint64_t expected = 0; ///< order count before it
   int sends = 0;
+  int asks = 0; ///< whether an unload is complete
   Instant startedAt;
   Instant dueAt; ///< when it should be complete
 };
@@ -43,6 +46,8 @@
   bool known = false; ///< a status has been read in this incarnation
   EngineHoldings holdings;
   bool busy = false;
+  std::optional<ModelName> reservedFor; ///< the load for which models are being dropped
+  Instant reservedAt;
   std::optional<ActiveOrder> sending; ///< sent and not answered
   std::optional<ActiveOrder> active;  ///< of a model, accepted and being carried out
   std::vector<ActiveOrder> unresolved; ///< orders given up that may still be carried out
@@ -253,6 +258,8 @@
     engine.usable = record.reachable() && !leaving && !avoided(record.entry.name);
     engine.idle = !record.active && !record.busy && !record.sending &&
                   env.now() >= record.pausedUntil;
+    if (env.now() - record.reservedAt < ReservationTime)
+      engine.reservedFor = record.reservedFor;
     engine.models = staying(record);
     engine.inMemory.insert(record.holdings.inMemory.begin(), record.holdings.inMemory.end());
     engine.onDisk.insert(record.holdings.onDisk.begin(), record.holdings.onDisk.end());
@@ -377,6 +384,8 @@
     active.dueAt = now + expectedTime(record, order, spec);
     if (order.remote)
       remoteLoads.push_back(now);
+    if (ofModel)
+      reserve(record, order);
     logLine(LogLevel::Info, "order",
             {{"endpoint", record.entry.name.value},
              {"action", toString(order.action)},
@@ -390,6 +399,14 @@
     send(record);
   }
 
+  void reserve(EngineRecord &record, const PlacementOrder &order) {
+    record.reservedFor.reset();
+    if (order.action != PlacementAction::Unload || order.purpose.empty())
+      return;
+    record.reservedFor = order.purpose;
+    record.reservedAt = env.now();
+  }
+
   static Duration expectedTime(const EngineRecord &record, const PlacementOrder &order,
                                const EngineSpec &spec) {
     auto it = spec.models.find(order.model.model);
@@ -516,9 +533,16 @@
   void onUnloadAsked(EngineRecord &record, CommandResult result) {
     if (!record.active || record.active->order.action != PlacementAction::Unload)
       return;
-    // While runs of the model end, its reports tell.
-    if (result != CommandResult::AlreadyHolds)
+    if (result != CommandResult::AlreadyHolds) {
+      // While runs of the model end, its reports tell.
+      if (result == CommandResult::Busy && ++record.active->asks < UnloadAsks)
+        after(UnloadTime, record, [this](EngineRecord &it) { onUnloadDue(it); });
       return;
+    }
+    logLine(LogLevel::Info, "unload confirmed",
+            {{"endpoint", record.entry.name.value},
+             {"model", toText(record.active->order.model)},
+             {"took_ms", toMillis(env.now() - record.active->startedAt)}});
     dropFromHoldings(record, record.active->order.model);
     record.active.reset();
     record.busy = false;
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -25,6 +25,10 @@
 constexpr double LastReplicaShare = 0.5;
 constexpr double FurtherReplicaShare = 0.1;
 constexpr double SeldomRate = 0.05; // requests a second
+constexpr double ManyWaiting = 3;   // requests
+constexpr double ReservedWorth = 1; // of a load that models have been dropped for
+// A request that waits for an adapter costs more than the load that holds it up saves.
+constexpr double AdapterBlockWeight = 3;
 
 /// One round of planning over a copy of the engines, which each order changes.
 class Round {
@@ -37,6 +41,7 @@
   std::vector<PlacementOrder> run() {
     // Adapters go first: they take milliseconds, and no engine loads one beside a model.
     loadWaitingAdapters();
+    continueReserved();
     loadWaitingModels();
     addReplicas();
     fillSpareRoom();
@@ -55,7 +60,8 @@
 
   int replicas(const ModelName &model) const {
     auto n = std::count_if(engines.begin(), engines.end(), [&](auto &it) {
-      return it.usable && (holdsModel(it.models, model) || holdsModel(it.pending, model));
+      return it.usable && (holdsModel(it.models, model) || holdsModel(it.pending, model) ||
+                           it.reservedFor == model);
     });
     return static_cast<int>(n);
   }
@@ -163,7 +169,7 @@
   std::optional<Option> bestOption(const ModelSpec &model, double worth, int remoteAtOnce) {
     std::optional<Option> best;
     for (auto &it : engines) {
-      if (!it.usable || !it.idle || holdsModel(it.models, model.name) ||
+      if (!it.usable || !it.idle || it.reservedFor || holdsModel(it.models, model.name) ||
           holdsModel(it.pending, model.name))
         continue;
       auto source = sourceOf(it, model.name);
@@ -173,7 +179,7 @@
       if (!drop)
         continue;
       double seconds = toSeconds(loadTime(source, model));
-      double cost = seconds + adapterRate(it) * seconds;
+      double cost = seconds + adapterRate(it) * seconds * AdapterBlockWeight;
       for (auto &victim : *drop)
         cost += 0.1 + valueOf(victim);
       if (!best || cost < best->cost)
@@ -211,7 +217,8 @@
     option.engine->pending.push_back({model, {}});
     if (!option.drop.empty()) {
       orders.push_back({option.engine->name, PlacementAction::Unload,
-                        {option.drop.front(), {}}, PlacementReason::MakeRoom, false});
+                        {option.drop.front(), {}}, PlacementReason::MakeRoom, false, model});
+      option.engine->reservedFor = model;
       return;
     }
     remoteUnderWay += option.remote ? 1 : 0;
@@ -220,6 +227,31 @@
                       option.remote});
   }
 
+  /// Engines that have dropped models go on with the load that these made room for.
+  void continueReserved() {
+    for (auto &it : engines) {
+      if (!it.reservedFor || !it.idle || !it.usable)
+        continue;
+      auto spec = in.spec->models.find(*it.reservedFor);
+      if (spec == in.spec->models.end() || holdsModel(it.models, spec->first))
+        continue;
+      auto source = sourceOf(it, spec->first);
+      auto drop = victims(it, spec->second.megabytes, ReservedWorth);
+      bool allowed = source != Source::Remote || remoteAllowed(RemoteLoadsAtOnce + 2);
+      if (!drop || !allowed)
+        continue;
+      order({&it, std::move(*drop), source == Source::Remote, 0}, spec->first,
+            PlacementReason::Waiting);
+    }
+  }
+
+  /// Loads from the store block an engine for seconds. Few requests must not block so many engines
+  /// that a model that many ask for finds none.
+  int remoteLimit(double waiting) const {
+    int some = std::max(1, static_cast<int>(engines.size()) / 3);
+    return waiting >= ManyWaiting ? RemoteLoadsAtOnce + 2 : std::min(RemoteLoadsAtOnce, some);
+  }
+
   /// Models with waiting requests, most first.
   void loadWaitingModels() {
     std::vector<std::pair<double, const ModelSpec *>> wanted;
@@ -230,7 +262,7 @@
     }
     std::sort(wanted.begin(), wanted.end(), [](auto &a, auto &b) { return a.first > b.first; });
     for (auto &[weight, spec] : wanted)
-      if (auto option = bestOption(*spec, weight + 1, RemoteLoadsAtOnce + 2))
+      if (auto option = bestOption(*spec, weight + 1, remoteLimit(weight)))
         order(*option, spec->name, PlacementReason::Waiting);
   }
 
@@ -244,7 +276,7 @@
       int have = replicas(name);
       if (have == 0 || have >= wanted(name))
         continue;
-      if (auto option = bestOption(spec->second, gainOf(name, have), RemoteLoadsAtOnce))
+      if (auto option = bestOption(spec->second, gainOf(name, have), remoteLimit(gainOf(name, have))))
         order(*option, name, PlacementReason::MoreReplicas);
     }
   }
@@ -258,7 +290,7 @@
     std::stable_sort(absent.begin(), absent.end(),
                      [](auto &a, auto &b) { return a.first > b.first; });
     for (auto &[rate, spec] : absent) {
-      auto option = bestOption(*spec, SurplusWorth, RemoteLoadsAtOnce);
+      auto option = bestOption(*spec, SurplusWorth, remoteLimit(0));
       if (option)
         order(*option, spec->name, PlacementReason::Spare);
     }
--- a/src/model_placement_p.h
+++ b/src/model_placement_p.h
@@ -3,6 +3,7 @@
 #include "fleet_types_p.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +24,9 @@
   std::vector<HeldModel> pending;
   std::set<ModelName> inMemory;
   std::set<ModelName> onDisk;
+  /// The load for which the engine drops models. It is carried through, so that what was dropped
+  /// is not loaded again instead.
+  std::optional<ModelName> reservedFor;
   std::map<ModelName, int> inFlight;
   std::map<ModelName, Instant> loadedAt; ///< of models loaded by this planner
   std::map<ModelRef, Instant> adapterUsedAt;
@@ -69,6 +73,7 @@
   ModelRef model;
   PlacementReason reason = PlacementReason::Waiting;
   bool remote = false; ///< a load from the weight store
+  ModelName purpose;   ///< of an unload: the model to be loaded next
 };
 
 /// At most one model order an engine, and any number of adapter orders.
