Confirm unloads after 90 ms; silence ends an answer only where another endpoint is left

Cause: 40 ms were too short for an unload, so that only reports (250 ms) ended it; idempotent requests of routes with one endpoint were ended at 40% of their time.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -385,7 +385,11 @@
   t.connect = std::min<Duration>(config::FleetConnectTimeout, left());
   t.total = left() + AnswerGrace;
   t.silence = t.total;
-  if (route.kind == CallKind::Idempotent)
+  // Silence alone ends an answer only where another endpoint may give a better one.
+  bool elsewhere = static_cast<int>(sentTo.size()) + 1 < route.maxEndpoints && sends + 1 < MaxSends;
+  if (!elsewhere)
+    t.silence = t.total;
+  else if (route.kind == CallKind::Idempotent)
     t.silence = std::min(t.total, fromSeconds(toSeconds(limit) * SilentShare));
   else if (route.resumable)
     t.silence = std::min(
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -21,7 +21,7 @@
 constexpr Duration AdapterLoadTime = std::chrono::milliseconds(25);
 // A load from a local copy takes as long as the configuration says; reports show it later.
 constexpr Duration LocalLoadMargin = std::chrono::milliseconds(20);
-constexpr Duration UnloadTime = std::chrono::milliseconds(40); // without runs to wait for
+constexpr Duration UnloadTime = std::chrono::milliseconds(90); // without runs to wait for
 constexpr int UnloadAsks = 4;
 constexpr int StatusFailuresUnreachable = 2;
 constexpr int CommandSends = 4; // of one order whose answers are lost
