--- /dev/null
+++ b/tests/object_follower_test.cpp
@@ -0,0 +1,131 @@
+#include "fleet_world_p.h"
+#include "object_follower_p.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace catkin::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A feed that answers from a script and keeps watches waiting when it is empty.
+class ScriptedFeed : public ObjectFeed {
+public:
+  explicit ScriptedFeed(FakeEnv &env) : env(env) {}
+  void list(const std::string &, const std::string &after, FeedDone done) override {
+    ++lists;
+    auto page = after.empty() ? listPage : lastPage;
+    env.after(1ms, [done, page] { done(page); });
+  }
+  void watch(const std::string &, std::uint64_t revision, Duration maxWait,
+             FeedDone done) override {
+    watchedFrom.push_back(revision);
+    if (watches.empty()) {
+      // A watch without changes is answered when its time has passed, unless it has gone silent.
+      if (!silent)
+        env.after(maxWait, [done, revision] {
+          done(FeedPage{.status = FeedStatus::Ok, .objects = {}, .revision = revision});
+        });
+      return;
+    }
+    auto page = watches.front();
+    watches.pop_front();
+    env.after(1ms, [done, page] { done(page); });
+  }
+
+  FeedPage listPage;
+  FeedPage lastPage;
+  std::deque<FeedPage> watches;
+  std::vector<std::uint64_t> watchedFrom;
+  int lists = 0;
+  bool silent = false;
+
+private:
+  FakeEnv &env;
+};
+
+class ObjectFollowerTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    follower = std::make_unique<ObjectFollower>(
+        env, feed, FollowerOptions{.kind = "k"},
+        ObjectFollower::Hooks{.changed =
+                                  [this](const FeedObject &it) {
+                                    if (it.removed)
+                                      known.erase(it.name);
+                                    else
+                                      known[it.name] = it.revision;
+                                  },
+                              .connection = [this](bool on) { connected = on; }});
+  }
+
+  static FeedPage page(std::vector<FeedObject> objects, std::uint64_t revision) {
+    return {.status = FeedStatus::Ok, .objects = std::move(objects), .revision = revision};
+  }
+
+  FakeEnv env;
+  ScriptedFeed feed{env};
+  std::unique_ptr<ObjectFollower> follower;
+  std::map<std::string, std::uint64_t> known;
+  bool connected = false;
+};
+
+TEST_F(ObjectFollowerTest, ReadsAllPagesThenWatches) {
+  feed.listPage = page({{.name = "a", .revision = 3}}, 9);
+  feed.listPage.nextAfter = "a";
+  feed.lastPage = page({{.name = "b", .revision = 4}}, 10);
+  follower->start();
+  env.run(1s);
+  EXPECT_EQ(known.size(), 2U);
+  EXPECT_EQ(feed.watchedFrom.front(), 10U);
+  EXPECT_TRUE(follower->synced());
+}
+
+// Guards against an object that is kept for ever because its removal was in the lost history.
+TEST_F(ObjectFollowerTest, LostHistoryBringsANewList) {
+  feed.listPage = page({{.name = "a", .revision = 3}, {.name = "b", .revision = 4}}, 4);
+  feed.watches.push_back({.status = FeedStatus::HistoryGone});
+  follower->start();
+  env.run(1ms);
+  feed.listPage = page({{.name = "b", .revision = 4}, {.name = "c", .revision = 7}}, 8);
+  env.run(1s);
+  EXPECT_EQ(known.count("a"), 0U);
+  EXPECT_EQ(known.count("c"), 1U);
+}
+
+// Guards against a late answer that brings back an older state.
+TEST_F(ObjectFollowerTest, OlderStatesAreIgnored) {
+  feed.listPage = page({{.name = "a", .revision = 9}}, 9);
+  feed.watches.push_back(page({{.name = "a", .revision = 5}}, 10));
+  follower->start();
+  env.run(1s);
+  EXPECT_EQ(known["a"], 9U);
+}
+
+TEST_F(ObjectFollowerTest, FailureIsReportedAndRetried) {
+  feed.listPage = {.status = FeedStatus::Failed};
+  follower->start();
+  env.run(1s);
+  EXPECT_FALSE(connected);
+  feed.listPage = page({}, 1);
+  env.run(1s);
+  EXPECT_TRUE(connected);
+  EXPECT_GT(feed.lists, 2);
+}
+
+// Guards against a watch that went silent in an outage and hides all later changes.
+TEST_F(ObjectFollowerTest, RestartLeavesASilentWatch) {
+  feed.listPage = page({{.name = "a", .revision = 1}}, 1);
+  feed.silent = true;
+  follower->start();
+  env.run(1min);
+  feed.listPage = page({{.name = "a", .revision = 2}}, 2);
+  follower->restart();
+  env.run(1s);
+  EXPECT_EQ(known["a"], 2U);
+}
+
+} // namespace
+} // namespace catkin::fleet
--- /dev/null
+++ b/tests/platform_decode_test.cpp
@@ -0,0 +1,182 @@
+#include "decode_p.h"
+#include "node_settings_p.h"
+#include "request_codec_p.h"
+
+#include <gtest/gtest.h>
+
+namespace catkin::platform {
+namespace {
+
+FeedObject entryOf(const std::string &json) {
+  return {.name = "i-1", .revision = 1, .content = json::parse(json)};
+}
+
+constexpr auto GoodEntry =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,)"
+    R"("state":"ready","cold_left_ms":0,"stage":"both","models":[{"name":"m","version":1,)"
+    R"("adapters":["a1"]}],"sequence":4,"born":1789175362622,)"
+    R"("at_hand":{"in_memory":["m"],"on_disk":["m","n"]}})";
+
+TEST(PlatformDecode, ReadsAnEndpoint) {
+  auto e = decodeEndpoint(entryOf(GoodEntry));
+  ASSERT_TRUE(e.has_value());
+  EXPECT_EQ(e->name, EndpointName("i-1"));
+  EXPECT_EQ(e->incarnation, 1789175362622U);
+  EXPECT_EQ(e->holdings.orderCount, 4U);
+  EXPECT_TRUE(holds(e->holdings.models, {ModelName("m"), "a1"}));
+  EXPECT_EQ(e->holdings.onDisk.size(), 2U);
+  EXPECT_EQ(e->liveness, Liveness::Live);
+}
+
+// Guards against sending requests to an entry that another writer has spoilt.
+TEST(PlatformDecode, SpoiltEntriesNameNoEndpoint) {
+  const std::string good = GoodEntry;
+  auto with = [&](const std::string &from, const std::string &to) {
+    auto text = good;
+    text.replace(text.find(from), from.size(), to);
+    return decodeEndpoint(entryOf(text)).has_value();
+  };
+  EXPECT_FALSE(with("\"ready\"", "\"resting\""));
+  EXPECT_FALSE(with("\"ready\"", "7"));
+  EXPECT_FALSE(with("\"10.0.0.9:80\"", "\"nowhere\""));
+  EXPECT_FALSE(with("\"slots\":64", "\"slots\":\"64\""));
+  EXPECT_FALSE(with("\"service\":\"s\"", "\"service\":null"));
+  EXPECT_FALSE(with("1789175362622", "1.5"));
+  EXPECT_FALSE(decodeEndpoint({.name = "i-1", .content = json::value("text")}).has_value());
+}
+
+TEST(PlatformDecode, ReadsAConfiguration) {
+  auto config = decodeConfig(entryOf(
+      R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","kind":"streaming",)"
+      R"("timeout_ms":17000,"objective_ms":2500,"priority":1,"traffic_split":[)"
+      R"({"service":"a","weight":90},{"service":"b","weight":10}],"max_attempts":2,)"
+      R"("resumable":true,"gap_aim_ms":400}],"services":[{"name":"a","health_path":"/health",)"
+      R"("connection_cap":370,"engine":{"slots":64,"weights_mb":200000.0,"adapter_slots":8,)"
+      R"("loads_per_s":2.1,"models":[{"name":"m","weights_mb":65500.0,"load_s":6.0,"adapters":4,)"
+      R"("adapter_mb":40.0,"warm_s":0.38,"disk_s":0.76}]}},{"name":"b"}]})"));
+  ASSERT_TRUE(config.has_value());
+  EXPECT_EQ(config->version, 7U);
+  auto &route = config->routes[0];
+  EXPECT_EQ(route.kind, CallKind::Stream);
+  EXPECT_TRUE(route.resumable);
+  EXPECT_EQ(route.maxEndpoints, 2);
+  EXPECT_EQ(route.services.size(), 2U);
+  auto &engine = config->services.at(ServiceName("a")).engine;
+  EXPECT_EQ(engine.models.at(ModelName("m")).diskLoad, std::chrono::milliseconds(760));
+  EXPECT_FALSE(config->services.at(ServiceName("b")).hasEngines);
+}
+
+TEST(PlatformDecode, AdaptersOnTheirWayTakePlaces) {
+  json::object body;
+  ASSERT_TRUE(parseObject(R"({"models":[{"name":"m","adapters":[]}],"sequence":2,"born":5,)"
+                          R"("busy":true,"coming":["m/a3@1"]})",
+                          body));
+  auto status = decodeStatus(body);
+  ASSERT_TRUE(status.has_value());
+  EXPECT_TRUE(status->busy);
+  EXPECT_TRUE(holds(status->holdings.models, {ModelName("m"), "a3"}));
+}
+
+HttpRequest makeCall() {
+  HttpRequest request{http::verb::post, "/p/x", 11};
+  request.set("Host", "h.example");
+  request.set("Request-Id", "id1");
+  request.set("Model", "m/a1");
+  request.set("Prompt-Prefix", "5c:800,91:410,e4:250");
+  request.set("Deadline-Ms", "6000");
+  return request;
+}
+
+TEST(RequestCodecTest, ReadsACall) {
+  HeaderCodec codec;
+  auto call = codec.decode(makeCall());
+  EXPECT_EQ(call.fault, "");
+  EXPECT_EQ(call.model, (ModelRef{ModelName("m"), "a1"}));
+  EXPECT_EQ(*call.deadline, std::chrono::seconds(6));
+  auto other = makeCall();
+  other.set("Prompt-Prefix", "5c:800,91:410,ff:99");
+  EXPECT_EQ(codec.decode(other).affinity, call.affinity);
+}
+
+TEST(RequestCodecTest, NamesFaults) {
+  HeaderCodec codec;
+  auto call = makeCall();
+  call.erase("Request-Id");
+  EXPECT_NE(codec.decode(call).fault, "");
+  for (const char *it : {"soon", "-5", "nan", "1e400"}) {
+    auto bad = makeCall();
+    bad.set("Deadline-Ms", it);
+    EXPECT_NE(codec.decode(bad).fault, "") << it;
+  }
+}
+
+// Guards against callers who set what only the system may set, and against headers of one
+// connection that travel on.
+TEST(RequestCodecTest, ForwardsOnlyWhatBelongsToTheRequest) {
+  HeaderCodec codec;
+  auto call = makeCall();
+  for (const char *it : {"Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Expect-Instance", "X-Hop"})
+    call.set(it, "1");
+  call.set("Connection", "close, X-Hop");
+  call.set("X-Kept", "1");
+  FleetEndpoint to{.name = EndpointName("i-9")};
+  auto out = codec.forward(call, {.to = &to, .timeLeft = std::chrono::milliseconds(1500),
+                                  .priority = 2, .resumeAfter = "17"});
+  for (const char *it : {"Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "X-Hop", "Connection"})
+    EXPECT_EQ(out.find(it), out.end()) << it;
+  EXPECT_EQ(out["Expect-Instance"], "i-9");
+  EXPECT_EQ(out["Deadline-Ms"], "1500");
+  EXPECT_EQ(out["Last-Event-Id"], "17");
+  EXPECT_EQ(out["Request-Id"], "id1");
+  EXPECT_EQ(out["X-Kept"], "1");
+}
+
+// Guards against giving a caller the answer to another request.
+TEST(RequestCodecTest, TellsAnswersApart) {
+  HeaderCodec codec;
+  CallerRequest call{.id = "id1"};
+  FleetEndpoint from{.name = EndpointName("i-9")};
+  HttpResponse answer{http::status::ok, 11};
+  answer.set("Request-Id", "id2");
+  EXPECT_TRUE(codec.readHead(answer.base(), call, from).otherRequest);
+  answer.set("Request-Id", "id1");
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).otherRequest);
+  answer.result(421);
+  answer.set("Instance", "i-2");
+  EXPECT_TRUE(codec.readHead(answer.base(), call, from).otherEndpoint);
+  EXPECT_TRUE(codec.readHead(answer.base(), call, from).notRun);
+}
+
+constexpr auto GoodSettings = "node_name=front-a-1\nip_address=10.1.0.38\nzone=z\n"
+                              "listen_addresses.front=10.1.0.38:8149\n"
+                              "listen_addresses.ready=10.1.0.38:8141\n"
+                              "listen_addresses.directory=10.1.0.38:8143\n"
+                              "internal_ports=7380,7395\nplatform.address=10.200.1.7:8142\n"
+                              "bounds.budget_slack=56\nbounds.require_fencing=true\n"
+                              "some.new.key=anything\n";
+
+TEST(NodeSettingsTest, ReadsTheFile) {
+  auto s = readNodeSettings(GoodSettings, 3);
+  EXPECT_TRUE(s.faults.empty());
+  EXPECT_EQ(s.host.self.peerAddress, (Address{"10.1.0.38", 7380}));
+  EXPECT_EQ(s.host.budget.allowance, 56);
+  EXPECT_EQ(s.host.firstOrderDelay, Duration::zero());
+}
+
+// Guards against orders that follow too soon on another planner's where engines check no terms.
+TEST(NodeSettingsTest, WaitsForTheFormerPlannerWithoutFencing) {
+  std::string text = GoodSettings;
+  text.replace(text.find("fencing=true"), 12, "fencing=false");
+  EXPECT_GE(readNodeSettings(text, 3).host.firstOrderDelay, std::chrono::seconds(3));
+}
+
+TEST(NodeSettingsTest, ListsAllFaultsAtOnce) {
+  EXPECT_GE(readNodeSettings("", 3).faults.size(), 7U);
+  std::string text = GoodSettings;
+  text += "bounds.grace_s=soon\nbounds.budget_ratio=-1\nhalf a li";
+  auto s = readNodeSettings(text, 3);
+  EXPECT_EQ(s.faults.size(), 3U);
+}
+
+} // namespace
+} // namespace catkin::platform
