--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -20,5 +20,5 @@
 }
 export -f lint_unit
 # shellcheck disable=SC2016  # the inner shell expands these
-git ls-files 'src/*.cpp' 'tools/*.cpp' 'tests/*.cpp' 'standins/*.cpp' 'bench/*.cpp' 'examples/*.cpp' |
+git ls-files 'src/*.cpp' 'platform/*.cpp' 'tools/*.cpp' 'tests/*.cpp' 'standins/*.cpp' 'bench/*.cpp' 'examples/*.cpp' |
   xargs -P "${JOBS:-$(nproc)}" -I{} bash -c 'lint_unit "$1" "$2" "$3"' _ {} "$build" "$cache"
--- a/src/config.h
+++ b/src/config.h
@@ -133,12 +133,12 @@
 // Endpoints are back in the registry within about two seconds of its return.
 constexpr auto FleetReturnTime = 2500ms;
 constexpr auto FleetHeartbeat = 500ms;
-constexpr auto FleetPeerSilentAfter = 1800ms; // three heartbeats and some delay
+constexpr auto FleetPeerSilentAfter = 1800ms;    // three heartbeats and some delay
 constexpr std::size_t FleetDatagramBytes = 1200; // one packet on any usual link
-constexpr auto FleetNeedRepeat = 250ms;      // a waiting request asks the planner again
+constexpr auto FleetNeedRepeat = 250ms;          // a waiting request asks the planner again
 constexpr auto FleetDemandInterval = 500ms;
 constexpr auto FleetConnectTimeout = 400ms;
-constexpr auto FleetKeptIdle = 1500ms;   // a connection idle for longer is not used again
+constexpr auto FleetKeptIdle = 1500ms; // a connection idle for longer is not used again
 constexpr auto FleetRetryAfterMin = 200ms;
 constexpr auto FleetRetryAfterMax = 2000ms;
 constexpr auto FleetAddressesMaxAge = 1s; // some callers keep addresses three times as long
--- a/src/demand_meter.cpp
+++ b/src/demand_meter.cpp
@@ -10,7 +10,7 @@
 // fast one shows within two seconds that a model has become busy.
 constexpr double SlowTime = 10;
 constexpr double FastTime = 2.5;
-constexpr double Negligible = 0.002;  // requests a second
+constexpr double Negligible = 0.002; // requests a second
 
 } // namespace
 
--- a/src/demand_meter_p.h
+++ b/src/demand_meter_p.h
@@ -6,8 +6,8 @@
 #include <optional>
 #include <vector>
 
-/// Moving averages of one host's requests by service, model and adapter. Each host keeps its own, so
-/// that a new planner knows the demand from the first reports on.
+/// Moving averages of one host's requests by service, model and adapter. Each host keeps its own,
+/// so that a new planner knows the demand from the first reports on.
 namespace catkin {
 
 class DemandMeter {
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -5,9 +5,9 @@
 #include "json_p.h"
 #include "log_p.h"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/as_tuple.hpp>
 
 #include <algorithm>
 #include <cstdio>
@@ -392,8 +392,9 @@
   else if (route.kind == CallKind::Idempotent)
     t.silence = std::min(t.total, fromSeconds(toSeconds(limit) * SilentShare));
   else if (route.resumable)
-    t.silence = std::min(
-        t.total, std::max(MinResumeSilence, fromSeconds(toSeconds(route.objective) * ResumeSilence)));
+    t.silence =
+        std::min(t.total, std::max(MinResumeSilence,
+                                   fromSeconds(toSeconds(route.objective) * ResumeSilence)));
   t.keptIdle = route.kind == CallKind::Idempotent ? Duration(config::FleetKeptIdle)
                                                   : Duration(config::FleetKeptIdle) / 4;
   return t;
@@ -575,8 +576,8 @@
 
 asio::awaitable<void> Relay::refuse(unsigned status, std::string_view reason) {
   const bool notRun = status == 503 || status < 500;
-  HttpResponse response = problemResponse(
-      status, notRun ? RunOutcome::NotRun : RunOutcome::MayHaveRun, reason);
+  HttpResponse response =
+      problemResponse(status, notRun ? RunOutcome::NotRun : RunOutcome::MayHaveRun, reason);
   if (status == 503) {
     ++g.counters.refused;
     response.set(http::field::retry_after, secondsText(retryAfter()));
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -21,8 +21,8 @@
   std::string host;
   std::optional<Duration> deadline; ///< how long the caller waits
   ModelRef model;
-  std::uint64_t affinity = 0;   ///< of the prompt parts that requests share; 0 if none
-  std::string fault;            ///< why the request cannot be served; empty if it can
+  std::uint64_t affinity = 0; ///< of the prompt parts that requests share; 0 if none
+  std::string fault;          ///< why the request cannot be served; empty if it can
 };
 
 struct ForwardOptions {
@@ -35,9 +35,9 @@
 /// What the head of an endpoint's answer says.
 struct AnswerHead {
   unsigned status = 0;
-  bool notRun = false;       ///< the endpoint did not run the request
+  bool notRun = false;        ///< the endpoint did not run the request
   bool otherEndpoint = false; ///< the address belongs to another endpoint now
-  bool otherRequest = false; ///< the answer belongs to another request
+  bool otherRequest = false;  ///< the answer belongs to another request
 };
 
 /// Translates between the deployment's headers and the types above.
@@ -46,8 +46,8 @@
   virtual ~RequestCodec() = default;
   virtual CallerRequest decode(const HttpRequest &request) const = 0;
   virtual HttpRequest forward(const HttpRequest &request, const ForwardOptions &options) const = 0;
-  virtual AnswerHead readHead(const http::response_header<> &head,
-                              const CallerRequest &request, const FleetEndpoint &from) const = 0;
+  virtual AnswerHead readHead(const http::response_header<> &head, const CallerRequest &request,
+                              const FleetEndpoint &from) const = 0;
   /// The endpoint's head as the caller gets it: without the headers of one connection.
   virtual http::response_header<> answerHead(const http::response_header<> &head) const = 0;
 };
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -54,23 +54,19 @@
                 {.now = [this] { return env.now(); },
                  .random = [this] { return env.random(); },
                  .hostCount = [this] { return static_cast<int>(peers.hosts().size()); },
-                 .needChanged =
-                     [this](auto &service, auto &model, int change) {
-                       onNeedChanged(service, model, change);
-                     }}),
+                 .needChanged = [this](auto &service, auto &model,
+                                       int change) { onNeedChanged(service, model, change); }}),
         configFollower(env, *adapter.feed, {.kind = options.configKind, .maxWait = ConfigWatch},
                        {.changed = [this](auto &it) { onConfig(it); },
                         .connection = [this](bool on) { onConfigConnection(on); }}),
-        endpointFollower(env, *adapter.feed,
-                         {.kind = options.endpointKind,
-                          .maxWait = MaxWatch,
-                          .batchPause = EndpointBatchPause},
-                         {.changed = [this](auto &it) { onEndpoint(it); },
-                          .connection = [this](bool on) { onRegistry(on); }}),
-        hostFollower(
+        endpointFollower(
             env, *adapter.feed,
-            {.kind = HostKind, .maxWait = MaxWatch, .batchPause = HostBatchPause},
-            {.changed = [this](auto &it) { onHost(it); }, .connection = {}}) {}
+            {.kind = options.endpointKind, .maxWait = MaxWatch, .batchPause = EndpointBatchPause},
+            {.changed = [this](auto &it) { onEndpoint(it); },
+             .connection = [this](bool on) { onRegistry(on); }}),
+        hostFollower(env, *adapter.feed,
+                     {.kind = HostKind, .maxWait = MaxWatch, .batchPause = HostBatchPause},
+                     {.changed = [this](auto &it) { onHost(it); }, .connection = {}}) {}
 
   // ---- What the store says ---------------------------------------------------------------------
 
@@ -177,10 +173,11 @@
             logLine(LogLevel::Warn, "registration not removed", {{"status", toString(s)}});
             return done();
           }
-          self->env.platform().erase(self->hostKey(), o.version, [done](StoreStatus s, const StoreObject &) {
-            logLine(LogLevel::Info, "registration removed", {{"status", toString(s)}});
-            done();
-          });
+          self->env.platform().erase(
+              self->hostKey(), o.version, [done](StoreStatus s, const StoreObject &) {
+                logLine(LogLevel::Info, "registration removed", {{"status", toString(s)}});
+                done();
+              });
         });
   }
 
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -10,19 +10,21 @@
   json::array loads;
   for (auto &it : m.loads)
     loads.push_back(json::object{{"e", it.endpoint.value}, {"n", it.inFlight}});
-  return {{"type", "heartbeat"},       {"host", m.host.value}, {"incarnation", m.incarnation},
-          {"ready", m.ready}, {"leaving", m.leaving}, {"loads", std::move(loads)}};
+  return {{"type", "heartbeat"}, {"host", m.host.value}, {"incarnation", m.incarnation},
+          {"ready", m.ready},    {"leaving", m.leaving}, {"loads", std::move(loads)}};
 }
 
 json::object write(const DemandReport &m) {
   json::array uses;
   for (auto &it : m.uses)
-    uses.push_back(json::object{
-        {"s", it.service.value}, {"m", toText(it.model)}, {"r", it.perSecond}, {"f", it.recentPerSecond}});
+    uses.push_back(json::object{{"s", it.service.value},
+                                {"m", toText(it.model)},
+                                {"r", it.perSecond},
+                                {"f", it.recentPerSecond}});
   json::array running;
   for (auto &it : m.running)
-    running.push_back(json::object{
-        {"e", it.endpoint.value}, {"m", it.model.value}, {"n", it.inFlight}});
+    running.push_back(
+        json::object{{"e", it.endpoint.value}, {"m", it.model.value}, {"n", it.inFlight}});
   json::array failing;
   for (auto &it : m.failing)
     failing.push_back(json::object{{"e", it.value}});
@@ -47,8 +49,8 @@
   for (auto &it : m.notices) {
     json::array models;
     for (auto &held : it.models)
-      models.push_back(json::object{{"m", held.model.value},
-                                    {"a", json::array(held.adapters.begin(), held.adapters.end())}});
+      models.push_back(json::object{
+          {"m", held.model.value}, {"a", json::array(held.adapters.begin(), held.adapters.end())}});
     notices.push_back(json::object{{"e", it.endpoint.value},
                                    {"i", it.incarnation},
                                    {"t", it.term},
@@ -81,11 +83,9 @@
         {it.name<ServiceName>("s"), parseModelRef(it.text("m")), it.number("r"), it.number("f")});
   });
   in.objects("running", [&](JsonReader &it) {
-    m.running.push_back(
-        {it.name<EndpointName>("e"), it.name<ModelName>("m"), it.integer("n")});
+    m.running.push_back({it.name<EndpointName>("e"), it.name<ModelName>("m"), it.integer("n")});
   });
-  in.objects("failing",
-             [&](JsonReader &it) { m.failing.push_back(it.name<EndpointName>("e")); });
+  in.objects("failing", [&](JsonReader &it) { m.failing.push_back(it.name<EndpointName>("e")); });
   return m;
 }
 
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -67,8 +67,8 @@
 }
 
 int FleetPeers::aliveCount(Instant now) const {
-  auto n = std::count_if(peers.begin(), peers.end(),
-                         [&](auto &it) { return alive(it.second, now); });
+  auto n =
+      std::count_if(peers.begin(), peers.end(), [&](auto &it) { return alive(it.second, now); });
   return static_cast<int>(n) + 1;
 }
 
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -26,7 +26,8 @@
 constexpr int StatusFailuresUnreachable = 2;
 constexpr int CommandSends = 4; // of one order whose answers are lost
 constexpr Duration RefusedPause = std::chrono::milliseconds(400);
-constexpr Duration ReservationTime = std::chrono::seconds(3); // runs of a dropped model may end late
+constexpr Duration ReservationTime =
+    std::chrono::seconds(3); // runs of a dropped model may end late
 constexpr Duration NoticeInterval = std::chrono::milliseconds(1000);
 constexpr std::size_t NoticesPerMessage = 4;
 
@@ -48,8 +49,8 @@
   bool busy = false;
   std::optional<ModelName> reservedFor; ///< the load for which models are being dropped
   Instant reservedAt;
-  std::optional<ActiveOrder> sending; ///< sent and not answered
-  std::optional<ActiveOrder> active;  ///< of a model, accepted and being carried out
+  std::optional<ActiveOrder> sending;  ///< sent and not answered
+  std::optional<ActiveOrder> active;   ///< of a model, accepted and being carried out
   std::vector<ActiveOrder> unresolved; ///< orders given up that may still be carried out
   std::map<ModelRef, Instant> adapterReadyAt;
   std::map<ModelRef, Instant> adapterUsedAt;
@@ -168,8 +169,8 @@
 
   void onStatus(EngineRecord &record, const std::optional<EngineStatus> &status) {
     auto now = env.now();
-    record.nextStatus = now + (record.active ? config::FleetStatusRetry
-                                             : Duration(config::FleetStatusInterval));
+    record.nextStatus =
+        now + (record.active ? config::FleetStatusRetry : Duration(config::FleetStatusInterval));
     if (!status || status->incarnation != record.entry.incarnation) {
       if (++record.statusFailures == StatusFailuresUnreachable)
         logLine(LogLevel::Warn, "engine does not answer", {{"endpoint", record.entry.name.value}});
@@ -256,8 +257,8 @@
     PlacementEngine engine{.name = record.entry.name};
     bool leaving = record.entry.liveness != Liveness::Live;
     engine.usable = record.reachable() && !leaving && !avoided(record.entry.name);
-    engine.idle = !record.active && !record.busy && !record.sending &&
-                  env.now() >= record.pausedUntil;
+    engine.idle =
+        !record.active && !record.busy && !record.sending && env.now() >= record.pausedUntil;
     if (env.now() - record.reservedAt < ReservationTime)
       engine.reservedFor = record.reservedFor;
     engine.models = staying(record);
@@ -308,8 +309,8 @@
   bool avoided(const EndpointName &name) const {
     int failing = 0;
     for (auto &[host, demand] : demands)
-      failing += static_cast<int>(std::count(demand.report.failing.begin(),
-                                             demand.report.failing.end(), name));
+      failing += static_cast<int>(
+          std::count(demand.report.failing.begin(), demand.report.failing.end(), name));
     return failing * 2 > static_cast<int>(demands.size()) && failing >= 2;
   }
 
@@ -493,9 +494,8 @@
     if (order.order.action == PlacementAction::Unload)
       after(UnloadTime, record, [this](EngineRecord &it) { onUnloadDue(it); });
     else if (!order.order.remote)
-      after(order.dueAt + LocalLoadMargin - now, record, [this](EngineRecord &it) {
-        sendNotice(it);
-      });
+      after(order.dueAt + LocalLoadMargin - now, record,
+            [this](EngineRecord &it) { sendNotice(it); });
   }
 
   /// Runs `step` later if the engine is still the same.
@@ -555,9 +555,8 @@
     if (order.action == PlacementAction::Unload)
       return dropFromHoldings(record, order.model);
     record.unresolved.push_back(ActiveOrder{.order = order, .expected = UINT64_MAX});
-    after(AdapterLoadTime, record, [this, model = order.model](EngineRecord &it) {
-      onAdapterReady(it, model);
-    });
+    after(AdapterLoadTime, record,
+          [this, model = order.model](EngineRecord &it) { onAdapterReady(it, model); });
   }
 
   void onAdapterReady(EngineRecord &record, const ModelRef &ref) {
--- a/src/fleet_planner_p.h
+++ b/src/fleet_planner_p.h
@@ -35,9 +35,9 @@
   Count
 };
 template <> struct EnumNames<CommandResult> {
-  static constexpr std::array<std::string_view, 8> Table{
-      "accepted",     "already_holds", "busy",     "fenced",
-      "wrong_engine", "invalid",       "not_sent", "unknown"};
+  static constexpr std::array<std::string_view, 8> Table{"accepted", "already_holds", "busy",
+                                                         "fenced",   "wrong_engine",  "invalid",
+                                                         "not_sent", "unknown"};
 };
 
 /// Sends commands to engines and reads their status. Callbacks run later.
--- a/src/fleet_types.cpp
+++ b/src/fleet_types.cpp
@@ -51,8 +51,8 @@
 bool holds(const std::vector<HeldModel> &models, const ModelRef &ref) {
   return std::any_of(models.begin(), models.end(), [&](auto &it) {
     return it.model == ref.model &&
-           (ref.adapter.empty() || std::find(it.adapters.begin(), it.adapters.end(), ref.adapter) !=
-                                       it.adapters.end());
+           (ref.adapter.empty() ||
+            std::find(it.adapters.begin(), it.adapters.end(), ref.adapter) != it.adapters.end());
   });
 }
 
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -80,8 +80,7 @@
 }
 
 void FleetView::expire(Instant now) {
-  std::erase_if(states,
-                [&](auto &it) { return it.second.lapsesAt && now >= *it.second.lapsesAt; });
+  std::erase_if(states, [&](auto &it) { return it.second.lapsesAt && now >= *it.second.lapsesAt; });
 }
 
 void FleetView::applyNotice(const HoldingsNotice &notice, Instant now) {
@@ -166,8 +165,8 @@
   auto usable = [&](const EndpointState &state) {
     return state.entry.service == query.service && state.takesWork() &&
            (!query.excluded || query.excluded->count(state.entry.name) == 0) &&
-           (query.model.empty() || (state.missing.count(query.model) == 0 &&
-                                    holds(state.models(now), query.model)));
+           (query.model.empty() ||
+            (state.missing.count(query.model) == 0 && holds(state.models(now), query.model)));
   };
   auto rank = [](const EndpointState &state, std::uint64_t seed) {
     auto &name = state.entry.name.value;
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -103,9 +103,9 @@
 /// What a request asks of its endpoint.
 struct EndpointQuery {
   ServiceName service;
-  ModelRef model;                          ///< empty for plain services
-  DataCentreName dataCentre;               ///< of this host
-  std::uint64_t affinity = 0;              ///< requests with the same value share prompt parts
+  ModelRef model;             ///< empty for plain services
+  DataCentreName dataCentre;  ///< of this host
+  std::uint64_t affinity = 0; ///< requests with the same value share prompt parts
   const std::set<EndpointName> *excluded = nullptr; ///< already tried
 };
 
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -147,9 +147,9 @@
   asio::awaitable<HttpResult> request(Address to, HttpRequest request, HttpTimeouts timeouts);
   /// `started`, if set, gets the stream before the call goes out, so that it can be cancelled while
   /// the head of the response is awaited; the pointer is valid until the returned one is destroyed.
-  asio::awaitable<std::unique_ptr<HttpStream>>
-  open(Address to, HttpRequest request, HttpTimeouts timeouts,
-       std::function<void(HttpStream *)> started = {});
+  asio::awaitable<std::unique_ptr<HttpStream>> open(Address to, HttpRequest request,
+                                                    HttpTimeouts timeouts,
+                                                    std::function<void(HttpStream *)> started = {});
   /// Closes idle connections to an address, after one of them went silent.
   void dropIdle(const Address &to);
 
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -116,7 +116,8 @@
   std::string leftOutLine(const log4cplus::spi::InternalLoggingEvent &event) const {
     auto time = event.getTimestamp().time_since_epoch();
     auto micros = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
-    auto text = json::serialize(json::object{{"message", "log lines left out"}, {"left_out", leftOut}});
+    auto text =
+        json::serialize(json::object{{"message", "log lines left out"}, {"left_out", leftOut}});
     return formatLogLine(micros, "warn", "catkin", host, text) + "\n";
   }
 
@@ -135,7 +136,8 @@
       if (::poll(&output, 1, 0) <= 0 || (output.revents & POLLOUT) == 0)
         return false;
       // A pipe that polls as writable takes this many bytes without blocking.
-      auto n = ::write(STDOUT_FILENO, unfinished.data(), std::min<std::size_t>(unfinished.size(), PIPE_BUF));
+      auto n = ::write(STDOUT_FILENO, unfinished.data(),
+                       std::min<std::size_t>(unfinished.size(), PIPE_BUF));
       if (n <= 0)
         return false;
       unfinished.erase(0, static_cast<std::size_t>(n));
--- a/src/log_p.h
+++ b/src/log_p.h
@@ -13,8 +13,8 @@
 #include <utility>
 #include <vector>
 
-/// Log lines as JSON objects, one per line, through log4cplus. May be called from any thread. Nothing
-/// is written before startLog().
+/// Log lines as JSON objects, one per line, through log4cplus. May be called from any thread.
+/// Nothing is written before startLog().
 namespace catkin {
 
 enum class LogLevel { Debug, Info, Warn, Error, Count };
@@ -27,7 +27,8 @@
   std::string_view name;
   boost::json::value value;
 
-  template <class T> LogField(std::string_view name, T &&v) : name(name), value(wrap(std::forward<T>(v))) {}
+  template <class T>
+  LogField(std::string_view name, T &&v) : name(name), value(wrap(std::forward<T>(v))) {}
 
 private:
   template <class T> static boost::json::value wrap(T &&v) {
@@ -39,8 +40,8 @@
 };
 using LogFields = std::initializer_list<LogField>;
 
-/// Where log lines go. StandardOutput never blocks: lines beyond a rate, or that the reader does not
-/// take, are left out and counted in the next line, field "left_out".
+/// Where log lines go. StandardOutput never blocks: lines beyond a rate, or that the reader does
+/// not take, are left out and counted in the next line, field "left_out".
 enum class LogTarget { StandardError, StandardOutput };
 
 /// Sets up log4cplus for the process. Lines below `level` are dropped.
--- a/src/model_placement_p.h
+++ b/src/model_placement_p.h
@@ -37,7 +37,7 @@
   double perSecond = 0;        ///< moving average of requests over about ten seconds
   double recentPerSecond = 0;  ///< the same over two or three seconds
   double adapterPerSecond = 0; ///< of these, with an adapter
-  int waiting = 0;      ///< requests that wait because no engine holds it
+  int waiting = 0;             ///< requests that wait because no engine holds it
 };
 
 struct PlacementInput {
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -47,10 +47,11 @@
   }
 
   void listPage(const std::string &after) {
-    feed.list(options.kind, after, [self = shared_from_this(), epoch = epoch](const FeedPage &page) {
-      if (self->wanted(epoch))
-        self->onList(page);
-    });
+    feed.list(options.kind, after,
+              [self = shared_from_this(), epoch = epoch](const FeedPage &page) {
+                if (self->wanted(epoch))
+                  self->onList(page);
+              });
   }
 
   void onList(const FeedPage &page) {
--- a/tests/fleet_world_p.h
+++ b/tests/fleet_world_p.h
@@ -64,7 +64,7 @@
   std::optional<EngineCommand> underWay;
   Instant readyAt;
   bool reachable = true;
-  int loseAnswers = 0;  ///< of the next commands, which are not carried out
+  int loseAnswers = 0;   ///< of the next commands, which are not carried out
   Duration unloadTime{}; ///< runs of the model end meanwhile
   bool overcommitted = false;
   int remoteLoads = 0;
--- /dev/null
+++ b/tests/platform_gateway_test.cpp
@@ -0,0 +1,307 @@
+#include "fleet_gateway_p.h"
+#include "real_env_p.h"
+#include "request_codec_p.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <gtest/gtest.h>
+
+namespace catkin::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+asio::awaitable<void> sleepFor(Duration d) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, d);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+/// An endpoint whose answers a test scripts.
+struct ScriptedEndpoint {
+  std::unique_ptr<HttpServer> server;
+  HttpHandler handler;
+  std::vector<HttpRequest> seen;
+};
+
+/// A gateway on loopback before scripted endpoints e0 and e1.
+class PlatformGatewayTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    FleetConfig config{.version = 1};
+    config.routes = {makeRoute("/safe/", CallKind::Idempotent, 2, false),
+                     makeRoute("/unsafe/", CallKind::NonIdempotent, 2, false),
+                     makeRoute("/resume/", CallKind::Stream, 2, true),
+                     makeRoute("/once/", CallKind::Stream, 1, false)};
+    FleetService service{.name = ServiceName("s")};
+    config.services.emplace(service.name, service);
+    FleetService llm{.name = ServiceName("llm"), .hasEngines = true};
+    ModelSpec model{.name = ModelName("m"),
+                    .megabytes = 1,
+                    .remoteLoad = 6s,
+                    .diskLoad = 800ms,
+                    .memoryLoad = 400ms};
+    llm.engine.models.emplace(model.name, model);
+    config.services.emplace(llm.name, llm);
+    auto models = makeRoute("/model/", CallKind::Stream, 1, false);
+    models.services = {{llm.name, 1}};
+    config.routes.push_back(models);
+    view.setConfig(config);
+    for (std::size_t i = 0; i < endpoints.size(); ++i)
+      startEndpoint(i);
+    gateway = std::make_unique<FleetGateway>(
+        io.get_executor(), view, codec,
+        FleetGatewayOptions{.dataCentre = DataCentreName("x"), .budget = {.allowance = 100}},
+        FleetGatewayHooks{
+            .now = [] { return steadyNow(); },
+            .random = [this] { return ++randoms; },
+            .hostCount = [] { return 1; },
+            .needChanged = [this](auto &, auto &, int n) { needs += n > 0 ? 1 : 0; }});
+    front = std::make_unique<HttpServer>(io.get_executor(),
+                                         HttpServerOptions{.listen = {"127.0.0.1", 0}},
+                                         [this](HttpExchange &it) { return gateway->handle(it); });
+    ASSERT_EQ(front->start(), "");
+  }
+
+  static FleetRoute makeRoute(const char *prefix, CallKind kind, int maxEndpoints, bool resumable) {
+    return {.name = prefix,
+            .host = "h.example",
+            .pathPrefix = prefix,
+            .kind = kind,
+            .timeout = 3s,
+            .objective = 500ms,
+            .eventGap = 100ms,
+            .maxEndpoints = maxEndpoints,
+            .resumable = resumable,
+            .services = {{ServiceName("s"), 1}}};
+  }
+
+  void startEndpoint(std::size_t i) {
+    auto &it = endpoints[i];
+    it.server = std::make_unique<HttpServer>(io.get_executor(),
+                                             HttpServerOptions{.listen = {"127.0.0.1", 0}},
+                                             [&it](HttpExchange &exchange) {
+                                               it.seen.push_back(exchange.request());
+                                               return it.handler(exchange);
+                                             });
+    ASSERT_EQ(it.server->start(), "");
+    FleetEndpoint entry{.name = EndpointName("e" + std::to_string(i)),
+                        .service = ServiceName("s"),
+                        .address = it.server->address(),
+                        .dataCentre = DataCentreName("x"),
+                        .slots = 4,
+                        .incarnation = 1};
+    view.putEndpoint(entry, steadyNow());
+  }
+
+  static HttpRequest makeCall(const std::string &path, http::verb verb = http::verb::post) {
+    HttpRequest request{verb, path, 11};
+    request.set(http::field::host, "h.example");
+    request.set("Request-Id", "id1");
+    request.set("Deadline-Ms", "2000");
+    return request;
+  }
+
+  /// Sends one request to the gateway and reads the answer; a cut answer keeps its pieces in
+  /// `body`.
+  HttpResult call(HttpRequest request) {
+    HttpResult result;
+    bool done = false;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+          HttpClient client(io.get_executor());
+          auto stream = co_await client.open(front->address(), request, {});
+          for (;;) {
+            std::string piece = co_await stream->read();
+            if (piece.empty())
+              break;
+            result.response.body() += piece;
+          }
+          result.status = stream->status();
+          result.response.base() = stream->head();
+          done = true;
+        },
+        asio::detached);
+    while (!done && io.run_one_for(5s) > 0)
+      continue;
+    return result;
+  }
+
+  /// Answers with a body as the endpoint of this request does.
+  static HttpHandler answering(unsigned status, std::string body, bool notRun = false) {
+    return [=](HttpExchange &exchange) -> asio::awaitable<void> {
+      HttpResponse response{static_cast<http::status>(status), 11};
+      response.set("Request-Id", exchange.request()["Request-Id"]);
+      response.set("Server-Stamp", "stamp");
+      if (notRun)
+        response.set("Not-Run", "1");
+      response.body() = body;
+      co_await exchange.respond(std::move(response));
+    };
+  }
+
+  /// Streams the text and then ends the answer, or cuts it.
+  static HttpHandler streaming(std::string text, bool whole) {
+    return [=](HttpExchange &exchange) -> asio::awaitable<void> {
+      HttpResponse head{http::status::ok, 11};
+      head.set("Request-Id", exchange.request()["Request-Id"]);
+      co_await exchange.startStream(std::move(head));
+      co_await exchange.writeChunk(text);
+      if (whole)
+        co_await exchange.endStream();
+      else
+        exchange.abort();
+    };
+  }
+
+  std::size_t arrivals() const { return endpoints[0].seen.size() + endpoints[1].seen.size(); }
+
+  asio::io_context io;
+  FleetView view;
+  HeaderCodec codec;
+  std::array<ScriptedEndpoint, 2> endpoints;
+  std::unique_ptr<FleetGateway> gateway;
+  std::unique_ptr<HttpServer> front;
+  std::uint64_t randoms = 0;
+  int needs = 0;
+};
+
+TEST_F(PlatformGatewayTest, RelaysAWholeAnswer) {
+  for (auto &it : endpoints)
+    it.handler = answering(200, "body");
+  auto result = call(makeCall("/safe/x"));
+  EXPECT_EQ(result.response.result_int(), 200U);
+  EXPECT_EQ(result.response.body(), "body");
+  EXPECT_EQ(result.response["Server-Stamp"], "stamp");
+  EXPECT_EQ(arrivals(), 1U);
+}
+
+// Guards against a call that takes effect twice, and against telling its caller that it did not
+// run.
+TEST_F(PlatformGatewayTest, BrokenNonIdempotentCallIsNotRepeated) {
+  for (auto &it : endpoints)
+    it.handler = [](HttpExchange &exchange) -> asio::awaitable<void> {
+      exchange.abort();
+      co_return;
+    };
+  auto result = call(makeCall("/unsafe/x"));
+  EXPECT_EQ(result.response.result_int(), 502U);
+  EXPECT_EQ(arrivals(), 1U);
+}
+
+TEST_F(PlatformGatewayTest, BrokenIdempotentCallIsTriedElsewhere) {
+  endpoints[0].handler = [](HttpExchange &exchange) -> asio::awaitable<void> {
+    exchange.abort();
+    co_return;
+  };
+  endpoints[1].handler = answering(200, "body");
+  for (int i = 0; i < 6; ++i)
+    EXPECT_EQ(call(makeCall("/safe/x", http::verb::get)).response.result_int(), 200U);
+}
+
+// Guards against replacing an endpoint's own failure by another status.
+TEST_F(PlatformGatewayTest, EndpointsOwnFailureIsDelivered) {
+  for (auto &it : endpoints)
+    it.handler = answering(500, "failed");
+  auto result = call(makeCall("/safe/x"));
+  EXPECT_EQ(result.response.result_int(), 500U);
+  EXPECT_EQ(result.response.body(), "failed");
+  EXPECT_EQ(arrivals(), 2U);
+}
+
+// Guards against a refusal that leaves its caller without a time to come back.
+TEST_F(PlatformGatewayTest, RefusedEverywhereIsNotRun) {
+  for (auto &it : endpoints)
+    it.handler = answering(503, "", true);
+  auto result = call(makeCall("/unsafe/x"));
+  EXPECT_EQ(result.response.result_int(), 503U);
+  EXPECT_EQ(result.response.find("Server-Stamp"), result.response.end());
+  EXPECT_NE(result.response.find(http::field::retry_after), result.response.end());
+}
+
+// Guards against a stream with a piece missing, doubled or cut in the middle of an event.
+TEST_F(PlatformGatewayTest, ResumesAStreamAfterItsLastWholeEvent) {
+  std::string resumedAfter;
+  auto first = streaming("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", false);
+  auto second = streaming("id: 3\ndata: c\n\n", true);
+  for (auto &it : endpoints)
+    it.handler = [&, first, second](HttpExchange &exchange) -> asio::awaitable<void> {
+      auto after = exchange.request()["Last-Event-Id"];
+      resumedAfter.assign(after.data(), after.size());
+      return after.empty() ? first(exchange) : second(exchange);
+    };
+  auto result = call(makeCall("/resume/x"));
+  EXPECT_EQ(result.status, HttpStatus::Ok);
+  EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  EXPECT_EQ(resumedAfter, "2");
+  EXPECT_EQ(endpoints[0].seen.size(), 1U);
+  EXPECT_EQ(endpoints[1].seen.size(), 1U);
+}
+
+// Guards against a cut stream that looks complete, and against a second run of it.
+TEST_F(PlatformGatewayTest, StreamThatCannotBeResumedIsCut) {
+  for (auto &it : endpoints)
+    it.handler = streaming("id: 1\ndata: a\n\nid: 2\nda", false);
+  auto result = call(makeCall("/once/x"));
+  EXPECT_NE(result.status, HttpStatus::Ok);
+  EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\n");
+  EXPECT_EQ(arrivals(), 1U);
+}
+
+// Guards against an answer that belongs to another request.
+TEST_F(PlatformGatewayTest, AnswerToAnotherRequestIsNotDelivered) {
+  for (auto &it : endpoints)
+    it.handler = [](HttpExchange &exchange) -> asio::awaitable<void> {
+      HttpResponse response{http::status::ok, 11};
+      response.set("Request-Id", "other");
+      response.body() = "secret";
+      co_await exchange.respond(std::move(response));
+    };
+  auto result = call(makeCall("/unsafe/x"));
+  EXPECT_EQ(result.response.result_int(), 502U);
+  EXPECT_EQ(result.response.body().find("secret"), std::string::npos);
+}
+
+// Guards against holding a request until its deadline when no engine can have the model by then.
+TEST_F(PlatformGatewayTest, ModelThatCannotBeLoadedInTimeIsRefusedAtOnce) {
+  view.putEndpoint({.name = EndpointName("g"),
+                    .service = ServiceName("llm"),
+                    .address = {"127.0.0.1", 1},
+                    .slots = 4,
+                    .incarnation = 1},
+                   steadyNow());
+  auto request = makeCall("/model/x");
+  request.set("Model", "m");
+  auto began = steadyNow();
+  auto result = call(request);
+  EXPECT_EQ(result.response.result_int(), 503U);
+  EXPECT_LT(steadyNow() - began, 300ms);
+  EXPECT_GE(needs, 1); // the load begins all the same
+}
+
+// Guards against an answer after the route's time.
+TEST_F(PlatformGatewayTest, SilentEndpointEndsWithTheDeadline) {
+  for (auto &it : endpoints)
+    it.handler = [](HttpExchange &) -> asio::awaitable<void> { co_await sleepFor(1500ms); };
+  auto request = makeCall("/unsafe/x");
+  request.set("Deadline-Ms", "400");
+  auto began = steadyNow();
+  auto result = call(request);
+  EXPECT_EQ(result.response.result_int(), 504U);
+  EXPECT_LT(steadyNow() - began, 900ms);
+}
+
+TEST_F(PlatformGatewayTest, UnknownRouteAndMissingIdAreTheCallersFault) {
+  EXPECT_EQ(call(makeCall("/none/x")).response.result_int(), 404U);
+  auto request = makeCall("/safe/x");
+  request.erase("Request-Id");
+  EXPECT_EQ(call(request).response.result_int(), 400U);
+  EXPECT_EQ(arrivals(), 0U);
+}
+
+} // namespace
+} // namespace catkin::platform
