--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -93,14 +93,14 @@
   FleetGatewayHooks hooks;
   HttpClient client;
   RetryBudget budget;
-  FleetCounters counters;
+  FleetMetrics metrics;
   DemandMeter demand;
   std::map<std::pair<EndpointName, ModelName>, int> running;
   int active = 0;
   Instant refuseFrom = Instant::max();
   Instant stopEnd = Instant::max();
 
-  Impl(asio::any_io_executor executor, FleetView &view, const RequestCodec &codec,
+  Impl(const asio::any_io_executor &executor, FleetView &view, const RequestCodec &codec,
        FleetGatewayOptions options, FleetGatewayHooks hooks)
       : executor(executor), view(view), codec(codec), options(std::move(options)),
         hooks(std::move(hooks)), client(executor), budget(this->options.budget) {}
@@ -114,7 +114,6 @@
   Relay(FleetGateway::Impl &gateway, HttpExchange &exchange)
       : g(gateway), exchange(exchange), wakeUp(g.executor), arrivedAt(g.hooks.now()) {
     ++g.active;
-    ++g.counters.requests;
     exchange.onCallerGone([this] { onCallerGone(); });
   }
   ~Relay() {
@@ -180,7 +179,6 @@
 };
 
 void Relay::onCallerGone() {
-  ++g.counters.callersGone;
   wakeUp.cancel();
   if (current)
     current->cancel();
@@ -280,9 +278,6 @@
   bool arrived = why != AttemptFailure::NotConnected;
   if (arrived && !g.budget.take(service, g.hooks.hostCount(), g.hooks.now()))
     return false;
-  if (step == NextStep::Resume)
-    ++g.counters.resumes;
-  ++g.counters.repeats;
   return true;
 }
 
@@ -506,7 +501,6 @@
 asio::awaitable<void> Relay::respondFallback() {
   const unsigned status = fallback->result_int();
   const bool delivered = co_await exchange.respond(std::move(*fallback));
-  ++g.counters.answered;
   logEnd(status, delivered ? "answered" : "caller_gone");
 }
 
@@ -514,6 +508,7 @@
                                            const http::response_header<> &head) {
   if (!state.headersSent) {
     state.headersSent = true;
+    g.metrics.onFirstEvent(g.hooks.now() - arrivedAt);
     HttpResponse response;
     response.base() = g.codec.answerHead(head);
     const bool started = co_await exchange.startStream(std::move(response));
@@ -545,7 +540,6 @@
   delivered = co_await forwardEvents(rest, head);
   if (delivered)
     delivered = co_await exchange.endStream();
-  ++g.counters.answered;
   logEnd(200, delivered ? "answered" : "caller_gone");
   co_return Attempt::Ended;
 }
@@ -562,7 +556,6 @@
     co_return;
   }
   if (state.headersSent) {
-    ++g.counters.failed;
     exchange.abort();
     logEnd(200, "stream_cut");
     co_return;
@@ -578,12 +571,8 @@
   const bool notRun = status == 503 || status < 500;
   HttpResponse response =
       problemResponse(status, notRun ? RunOutcome::NotRun : RunOutcome::MayHaveRun, reason);
-  if (status == 503) {
-    ++g.counters.refused;
+  if (status == 503)
     response.set(http::field::retry_after, secondsText(retryAfter()));
-  } else {
-    ++g.counters.failed;
-  }
   logEnd(status, reason);
   const bool delivered = co_await exchange.respond(std::move(response));
   (void)delivered; // a caller that has gone needs no answer
@@ -599,6 +588,7 @@
 }
 
 void Relay::logAttempt(const FleetEndpoint &to) {
+  g.metrics.onFailedAttempt(toString(failure));
   logLine(LogLevel::Info, "attempt failed",
           {{"request", caller.id},
            {"endpoint", to.name.value},
@@ -611,6 +601,10 @@
 }
 
 void Relay::logEnd(unsigned status, std::string_view outcome) {
+  const Duration took = g.hooks.now() - arrivedAt;
+  g.metrics.onRequest(route.name.empty() ? "none" : toString(route.kind), outcome, took);
+  if (waited > Duration::zero())
+    g.metrics.onModelWait(waited);
   boost::json::array tried;
   for (auto &it : sentTo)
     tried.emplace_back(it.value);
@@ -624,7 +618,7 @@
            {"sends", sends},
            {"limit_ms", toMillis(limit)},
            {"waited_ms", toMillis(waited)},
-           {"took_ms", toMillis(g.hooks.now() - arrivedAt)},
+           {"took_ms", toMillis(took)},
            {"status", status},
            {"outcome", outcome}});
 }
@@ -655,7 +649,7 @@
   return impl->running;
 }
 
-const FleetCounters &FleetGateway::counters() const { return impl->counters; }
+FleetMetrics &FleetGateway::metrics() { return impl->metrics; }
 
 int FleetGateway::active() const { return impl->active; }
 
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -3,6 +3,7 @@
 #include "demand_meter_p.h"
 #include "fleet_view_p.h"
 #include "http_p.h"
+#include "metrics_p.h"
 #include "retry_budget_p.h"
 
 #include <functional>
@@ -66,17 +67,6 @@
   std::function<void(const ServiceName &, const ModelRef &, int change)> needChanged;
 };
 
-/// Counts since the process started, for metrics.
-struct FleetCounters {
-  std::uint64_t requests = 0;
-  std::uint64_t answered = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t failed = 0;
-  std::uint64_t repeats = 0;
-  std::uint64_t resumes = 0;
-  std::uint64_t callersGone = 0;
-};
-
 class FleetGateway {
 public:
   FleetGateway(asio::any_io_executor executor, FleetView &view, const RequestCodec &codec,
@@ -91,7 +81,7 @@
   void setStop(Instant refuseFrom, Instant end);
   /// Requests in progress by endpoint and model.
   const std::map<std::pair<EndpointName, ModelName>, int> &running() const;
-  const FleetCounters &counters() const;
+  FleetMetrics &metrics();
   int active() const; ///< requests in progress
 
   struct Impl;
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -325,6 +325,18 @@
   return impl->peers.callerAddresses(dataCentre, impl->ready(), impl->env.now());
 }
 
-std::string FleetHost::metricsText() const { return {}; }
+std::string FleetHost::metricsText() {
+  auto &host = *impl;
+  auto now = host.env.now();
+  auto *config = host.view.config();
+  FleetGauges gauges{.inFlight = static_cast<double>(host.gateway.active()),
+                     .ready = host.ready() ? 1.0 : 0.0,
+                     .planner = host.planner.active() ? 1.0 : 0.0,
+                     .configVersion = config ? static_cast<double>(config->version) : 0.0,
+                     .endpoints = static_cast<double>(host.view.endpoints().size()),
+                     .peersAlive = static_cast<double>(host.peers.aliveCount(now) - 1),
+                     .storeConnected = host.endpointFollower.connected() ? 1.0 : 0.0};
+  return host.gateway.metrics().text(gauges);
+}
 
 } // namespace catkin
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -48,7 +48,8 @@
   int active() const;
   /// Addresses for a caller in `dataCentre`.
   std::vector<Address> callerAddresses(const DataCentreName &dataCentre) const;
-  std::string metricsText() const;
+  /// Metrics in the text format of Prometheus.
+  std::string metricsText();
 
 private:
   struct Impl;
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -73,7 +73,8 @@
 
 struct OpenNeed {
   int waiting = 0;
-  Instant at;
+  Instant since; ///< of the first message about it
+  Instant at;    ///< of the newest one
 };
 
 using NeedKey = std::pair<ServiceName, ModelRef>;
@@ -261,6 +262,7 @@
         !record.active && !record.busy && !record.sending && env.now() >= record.pausedUntil;
     if (env.now() - record.reservedAt < ReservationTime)
       engine.reservedFor = record.reservedFor;
+    engine.loadsFromStore = record.active && record.active->order.remote;
     engine.models = staying(record);
     engine.inMemory.insert(record.holdings.inMemory.begin(), record.holdings.inMemory.end());
     engine.onDisk.insert(record.holdings.onDisk.begin(), record.holdings.onDisk.end());
@@ -359,19 +361,19 @@
         continue;
       }
       auto &[owner, ref] = it->first;
-      int waiting = 0;
-      for (auto &[host, need] : hosts)
-        waiting += need.waiting;
       if (owner == service)
-        addNeed(ref, waiting, input);
+        for (auto &[host, need] : hosts)
+          addNeed(ref, need, input);
       ++it;
     }
   }
 
-  static void addNeed(const ModelRef &ref, int waiting, PlacementInput &input) {
-    input.demand[ref.model].waiting += waiting;
+  static void addNeed(const ModelRef &ref, const OpenNeed &need, PlacementInput &input) {
+    auto &demand = input.demand[ref.model];
+    demand.waiting += need.waiting;
+    demand.waited = std::max(demand.waited, input.now - need.since);
     if (!ref.adapter.empty())
-      input.adaptersWaiting[ref] += waiting;
+      input.adaptersWaiting[ref] += need.waiting;
   }
 
   // ---- Orders ----------------------------------------------------------------------------------
@@ -621,7 +623,12 @@
   void onNeed(const ModelNeed &need) {
     if (!active())
       return;
-    needs[{need.service, need.model}][need.host] = {need.waiting, env.now()};
+    auto now = env.now();
+    auto &open = needs[{need.service, need.model}]
+                     .try_emplace(need.host, OpenNeed{.waiting = 0, .since = now, .at = now})
+                     .first->second;
+    open.waiting = need.waiting;
+    open.at = now;
     // The host may have missed the notice that tells it where the model is.
     for (auto &[name, record] : records)
       if (record.entry.service == need.service && holds(record.holdings.models, need.model))
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -43,7 +43,7 @@
   /// is pending, unless the caller has sent its next request ahead.
   virtual bool callerGone() const = 0;
   /// Calls `gone` once when that is noticed. An empty function takes the call back.
-  virtual void onCallerGone(std::function<void()> gone) { (void)gone; }
+  virtual void onCallerGone(const std::function<void()> &gone) { (void)gone; }
   /// Closes the connection after this exchange, without ending the stream: the caller sees a cut.
   virtual void abort() = 0;
 };
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -168,9 +168,7 @@
   Address remote() const override { return connection.peer; }
   std::uint64_t connectionId() const override { return connection.id; }
   bool callerGone() const override { return connection.gone; }
-  void onCallerGone(std::function<void()> gone) override {
-    connection.goneHandler = std::move(gone);
-  }
+  void onCallerGone(const std::function<void()> &gone) override { connection.goneHandler = gone; }
   void abort() override { aborted = true; }
 
   asio::awaitable<bool> respond(HttpResponse response) override {
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <sstream>
+#include <tuple>
 #include <utility>
 
 namespace catkin {
@@ -33,6 +34,35 @@
     {"config_revision", &MetricsGauges::configRevision},
 }};
 
+constexpr std::array<std::pair<const char *, double FleetGauges::*>, 7> FleetGaugeTable{{
+    {"in_flight", &FleetGauges::inFlight},
+    {"ready", &FleetGauges::ready},
+    {"planner", &FleetGauges::planner},
+    {"config_version", &FleetGauges::configVersion},
+    {"endpoints", &FleetGauges::endpoints},
+    {"peers_alive", &FleetGauges::peersAlive},
+    {"store_connected", &FleetGauges::storeConnected},
+}};
+
+template <class Table>
+std::array<prometheus::Gauge *, std::tuple_size_v<Table>> addGauges(prometheus::Registry &registry,
+                                                                    const Table &table) {
+  std::array<prometheus::Gauge *, std::tuple_size_v<Table>> gauges{};
+  for (std::size_t i = 0; i < gauges.size(); ++i)
+    gauges[i] = &BuildGauge()
+                     .Name(std::string("catkin_") + table[i].first)
+                     .Help("State of this host")
+                     .Register(registry)
+                     .Add({});
+  return gauges;
+}
+
+std::string serialize(const prometheus::Registry &registry) {
+  std::ostringstream out;
+  prometheus::TextSerializer().Serialize(out, registry.Collect());
+  return out.str();
+}
+
 } // namespace
 
 struct Metrics::Impl {
@@ -68,16 +98,7 @@
                                         .Help("Time between two events of a stream")
                                         .Register(registry)
                                         .Add({}, GapBuckets);
-  std::array<prometheus::Gauge *, Gauges.size()> gauges{};
-
-  Impl() {
-    for (std::size_t i = 0; i < Gauges.size(); ++i)
-      gauges[i] = &BuildGauge()
-                       .Name(std::string("catkin_") + Gauges[i].first)
-                       .Help("State of this host")
-                       .Register(registry)
-                       .Add({});
-  }
+  std::array<prometheus::Gauge *, Gauges.size()> gauges = addGauges(registry, Gauges);
 };
 
 Metrics::Metrics() : impl(std::make_unique<Impl>()) {}
@@ -112,9 +133,58 @@
 std::string Metrics::text(const MetricsGauges &gauges) {
   for (std::size_t i = 0; i < Gauges.size(); ++i)
     impl->gauges[i]->Set(gauges.*Gauges[i].second);
-  std::ostringstream out;
-  prometheus::TextSerializer().Serialize(out, impl->registry.Collect());
-  return out.str();
+  return serialize(impl->registry);
+}
+
+struct FleetMetrics::Impl {
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter> &requests = BuildCounter()
+                                                          .Name("catkin_requests_total")
+                                                          .Help("Requests by kind and outcome")
+                                                          .Register(registry);
+  prometheus::Family<prometheus::Counter> &failures = BuildCounter()
+                                                          .Name("catkin_failed_attempts_total")
+                                                          .Help("Failed attempts by failure")
+                                                          .Register(registry);
+  prometheus::Family<prometheus::Histogram> &durations =
+      BuildHistogram()
+          .Name("catkin_request_seconds")
+          .Help("Time from a request to the end of its answer, by kind")
+          .Register(registry);
+  prometheus::Histogram &firstEvent = BuildHistogram()
+                                          .Name("catkin_first_event_seconds")
+                                          .Help("Time from a request to its first event")
+                                          .Register(registry)
+                                          .Add({}, FirstEventBuckets);
+  prometheus::Histogram &modelWait = BuildHistogram()
+                                         .Name("catkin_model_wait_seconds")
+                                         .Help("Time that a request waited for its model")
+                                         .Register(registry)
+                                         .Add({}, FirstEventBuckets);
+  std::array<prometheus::Gauge *, FleetGaugeTable.size()> gauges =
+      addGauges(registry, FleetGaugeTable);
+};
+
+FleetMetrics::FleetMetrics() : impl(std::make_unique<Impl>()) {}
+FleetMetrics::~FleetMetrics() = default;
+
+void FleetMetrics::onRequest(std::string_view kind, std::string_view outcome, Duration took) {
+  impl->requests.Add({{"kind", std::string(kind)}, {"outcome", std::string(outcome)}}).Increment();
+  impl->durations.Add({{"kind", std::string(kind)}}, FirstEventBuckets).Observe(toSeconds(took));
+}
+
+void FleetMetrics::onFirstEvent(Duration d) { impl->firstEvent.Observe(toSeconds(d)); }
+
+void FleetMetrics::onModelWait(Duration d) { impl->modelWait.Observe(toSeconds(d)); }
+
+void FleetMetrics::onFailedAttempt(std::string_view failure) {
+  impl->failures.Add({{"failure", std::string(failure)}}).Increment();
+}
+
+std::string FleetMetrics::text(const FleetGauges &gauges) {
+  for (std::size_t i = 0; i < FleetGaugeTable.size(); ++i)
+    impl->gauges[i]->Set(gauges.*FleetGaugeTable[i].second);
+  return serialize(impl->registry);
 }
 
 } // namespace catkin
--- a/src/metrics_p.h
+++ b/src/metrics_p.h
@@ -20,6 +20,37 @@
   double configRevision = 0;
 };
 
+/// Values of a fleet host that are read when the metrics are written.
+struct FleetGauges {
+  double inFlight = 0;
+  double ready = 0;
+  double planner = 0;
+  double configVersion = 0;
+  double endpoints = 0;
+  double peersAlive = 0;
+  double storeConnected = 0;
+};
+
+/// Metrics of one host of the fleet.
+class FleetMetrics {
+public:
+  FleetMetrics();
+  ~FleetMetrics();
+
+  /// A request ended; `kind` is that of its route, `outcome` the word of its log line.
+  void onRequest(std::string_view kind, std::string_view outcome, Duration took);
+  /// From the arrival of a stream's request to its first event.
+  void onFirstEvent(Duration d);
+  /// A request waited for its model.
+  void onModelWait(Duration d);
+  void onFailedAttempt(std::string_view failure);
+  std::string text(const FleetGauges &gauges);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> impl;
+};
+
 class Metrics {
 public:
   Metrics();
--- a/src/model_placement_p.h
+++ b/src/model_placement_p.h
@@ -17,8 +17,9 @@
 /// One engine as the planner knows it.
 struct PlacementEngine {
   EndpointName name;
-  bool usable = true; ///< reachable and takes work; what it holds counts as available
-  bool idle = true;   ///< no order is under way
+  bool usable = true;          ///< reachable and takes work; what it holds counts as available
+  bool idle = true;            ///< no order is under way
+  bool loadsFromStore = false; ///< not idle for seconds
   std::vector<HeldModel> models;
   /// Models and adapters of orders whose outcome is open. They take room but are not available.
   std::vector<HeldModel> pending;
@@ -37,6 +38,7 @@
   double perSecond = 0;        ///< moving average of requests over about ten seconds
   double recentPerSecond = 0;  ///< the same over two or three seconds
   double adapterPerSecond = 0; ///< of these, with an adapter
+  Duration waited{};           ///< the longest wait of those that wait now
   int waiting = 0;             ///< requests that wait because no engine holds it
 };
 
