--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -150,6 +150,7 @@
   void onCallerGone();
   void logEnd(unsigned status, std::string_view outcome);
   void logAttempt(const FleetEndpoint &to);
+  boost::json::object describeChoice(const EndpointState &chosen) const;
   Duration left() const { return limit - (g.hooks.now() - arrivedAt); }
   bool late() const { return left() <= Duration::zero(); }
 
@@ -168,6 +169,7 @@
   std::set<EndpointName> sentTo;      ///< may have received the request
   std::set<EndpointName> unreachable; ///< no connection
   std::set<EndpointName> failedAt;    ///< received it and failed
+  boost::json::array choices; ///< for the log: each endpoint chosen, and what was known of it
   AttemptState state;
   AttemptFailure failure = AttemptFailure::NotConnected;
   EndpointResult result = EndpointResult::Abandoned;
@@ -249,6 +251,7 @@
       co_return;
     }
     const FleetEndpoint to = chosen->entry;
+    choices.push_back(describeChoice(*chosen));
     const Attempt ended = co_await attempt(to);
     if (ended == Attempt::Ended)
       co_return;
@@ -587,6 +590,20 @@
   return loaded >= latest ? latest : loaded + config::FleetRetryAfterMin;
 }
 
+/// An endpoint with the inputs that made it the choice. The term and age are those of the planner's
+/// notice about what it holds; without one its registration counted.
+boost::json::object Relay::describeChoice(const EndpointState &chosen) const {
+  boost::json::object out{{"endpoint", chosen.entry.name.value},
+                          {"own", chosen.ownInFlight},
+                          {"peers", chosen.peersInFlight},
+                          {"failure_share", chosen.failureShare}};
+  if (!chosen.notice || caller.model.empty())
+    return out;
+  out["notice_term"] = chosen.notice->term;
+  out["notice_age_ms"] = toMillis(g.hooks.now() - chosen.noticeAt);
+  return out;
+}
+
 void Relay::logAttempt(const FleetEndpoint &to) {
   g.metrics.onFailedAttempt(toString(failure));
   logLine(LogLevel::Info, "attempt failed",
@@ -605,16 +622,13 @@
   g.metrics.onRequest(route.name.empty() ? "none" : toString(route.kind), outcome, took);
   if (waited > Duration::zero())
     g.metrics.onModelWait(waited);
-  boost::json::array tried;
-  for (auto &it : sentTo)
-    tried.emplace_back(it.value);
   logLine(LogLevel::Info, "request",
           {{"request", caller.id},
            {"route", route.name},
            {"service", service.value},
            {"model", toText(caller.model)},
            {"config", configVersion},
-           {"endpoints", std::move(tried)},
+           {"choices", choices},
            {"sends", sends},
            {"limit_ms", toMillis(limit)},
            {"waited_ms", toMillis(waited)},
