Add process tests of the adapter against stand-ins of the store and the engines

Three hosts as processes: calm moments, lost answers of the store, a killed planner, a leaving engine, a stream that breaks off, a stop, a store that is down.

--- /dev/null
+++ b/tests/platform_standin_helper.cpp
@@ -0,0 +1,409 @@
+#include "platform_standin_p.h"
+
+#include "json_p.h"
+#include "process_cluster_p.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <future>
+#include <random>
+
+namespace catkin::platform {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto Service = "llm";
+constexpr auto HostName = "h.example";
+constexpr std::uint64_t Born = 1'700'000'000'000;
+constexpr int Events = 5;
+constexpr auto EventPause = 20ms;
+
+asio::awaitable<void> sleepFor(Duration d) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, d);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+HttpResponse answer(unsigned status, const json::value &body = json::object{}) {
+  auto response = jsonResponse(json::serialize(body));
+  response.result(status);
+  return response;
+}
+
+std::string textOf(boost::beast::string_view s) { return {s.data(), s.size()}; }
+
+std::uint64_t queryNumber(const std::string &target, const std::string &key) {
+  auto at = target.find(key + "=");
+  return at == std::string::npos ? 0 : std::strtoull(&target[at + key.size() + 1], nullptr, 10);
+}
+
+json::object makeConfig(const std::set<std::string> &models) {
+  json::array list;
+  for (auto &it : models)
+    list.push_back(json::object{{"name", it},
+                                {"weights_mb", 60000.0},
+                                {"load_s", 0.5},
+                                {"disk_s", 0.2},
+                                {"warm_s", 0.1},
+                                {"adapters", 0},
+                                {"adapter_mb", 40.0}});
+  json::object engine{{"slots", 8},
+                      {"weights_mb", 130000.0},
+                      {"adapter_slots", 2},
+                      {"loads_per_s", 10.0},
+                      {"models", list}};
+  json::object route{{"name", "r"},         {"host", HostName},    {"path_prefix", "/s/"},
+                     {"kind", "streaming"}, {"timeout_ms", 10000}, {"objective_ms", 1000},
+                     {"priority", 1},       {"service", Service},  {"max_attempts", 2},
+                     {"resumable", true},   {"gap_aim_ms", 400}};
+  json::object service{
+      {"name", Service}, {"health_path", "/health"}, {"connection_cap", 100}, {"engine", engine}};
+  return {{"version", 1}, {"routes", json::array{route}}, {"services", json::array{service}}};
+}
+
+} // namespace
+
+// ---- Store -------------------------------------------------------------------------------------
+
+json::object StandinStore::describe(const std::string &kind, const std::string &name) const {
+  auto &it = kinds.at(kind).at(name);
+  return {{"metadata", json::object{{"name", name}, {"revision", it.revision}}},
+          {"specification", it.content}};
+}
+
+void StandinStore::note(const std::string &kind, bool removed, json::object object) {
+  history.push_back({revision, kind, removed, std::move(object)});
+}
+
+void StandinStore::put(const std::string &kind, const std::string &name,
+                       const json::value &content) {
+  kinds[kind][name] = {++revision, content};
+  note(kind, false, describe(kind, name));
+}
+
+void StandinStore::remove(const std::string &kind, const std::string &name) {
+  if (kinds[kind].count(name) == 0)
+    return;
+  auto object = describe(kind, name);
+  kinds[kind].erase(name);
+  ++revision;
+  note(kind, true, std::move(object));
+}
+
+std::string StandinStore::text(const std::string &kind, const std::string &name) const {
+  auto it = kinds.find(kind);
+  if (it == kinds.end() || it->second.count(name) == 0)
+    return {};
+  auto *s = it->second.at(name).content.if_string();
+  return s ? std::string(s->data(), s->size()) : std::string();
+}
+
+HttpResponse StandinStore::list(const std::string &kind) const {
+  json::array items;
+  if (auto it = kinds.find(kind); it != kinds.end())
+    for (auto &[name, object] : it->second)
+      items.push_back(describe(kind, name));
+  return answer(200, json::object{{"items", items}, {"truncated", false}, {"as_of", revision}});
+}
+
+asio::awaitable<HttpResponse> StandinStore::watch(const std::string &kind, std::uint64_t from,
+                                                  Duration wait) {
+  for (Duration waited{}; waited <= wait; waited += 10ms) {
+    json::array events;
+    for (auto &it : history)
+      if (it.revision > from && it.kind == kind)
+        events.push_back(json::object{{"removed", it.removed}, {"object", it.object}});
+    if (!events.empty())
+      co_return answer(200, json::object{{"events", events}, {"as_of", revision}});
+    co_await sleepFor(10ms);
+  }
+  co_return answer(200, json::object{{"events", json::array{}}, {"as_of", revision}});
+}
+
+HttpResponse StandinStore::write(const HttpRequest &request, const std::string &kind,
+                                 std::string name) {
+  json::object body;
+  parseObject(request.body(), body);
+  auto &meta = body["metadata"].as_object();
+  bool create = request.method() == http::verb::post;
+  if (create)
+    name = textOf(meta["name"].as_string());
+  auto &objects = kinds[kind];
+  bool exists = objects.count(name) > 0;
+  if (!create && !exists)
+    return answer(404);
+  auto expected = meta.contains("revision") ? meta["revision"].to_number<std::uint64_t>() : 0;
+  if ((create && exists) || (expected > 0 && objects[name].revision != expected))
+    return answer(409, describe(kind, name));
+  put(kind, name, body["specification"]);
+  return answer(200, describe(kind, name));
+}
+
+HttpResponse StandinStore::erase(const std::string &kind, const std::string &name) {
+  if (kinds[kind].count(name) == 0)
+    return answer(404);
+  remove(kind, name);
+  return answer(200);
+}
+
+asio::awaitable<void> StandinStore::handle(HttpExchange &exchange) {
+  const HttpRequest request = exchange.request();
+  const std::string target = textOf(request.target());
+  auto path = target.substr(0, target.find('?')).substr(std::string("/api/objects/").size());
+  const std::string kind = path.substr(0, path.find('/'));
+  const std::string name = path.size() > kind.size() ? path.substr(kind.size() + 1) : "";
+  HttpResponse response = answer(503);
+  bool writing = request.method() != http::verb::get;
+  if (!down) {
+    if (request.method() == http::verb::delete_)
+      response = erase(kind, name);
+    else if (writing)
+      response = write(request, kind, name);
+    else if (target.find("watch=") != std::string::npos)
+      response = co_await watch(kind, queryNumber(target, "watch"),
+                                std::chrono::milliseconds(queryNumber(target, "wait_ms")));
+    else if (name.empty())
+      response = list(kind);
+    else if (kinds[kind].count(name) > 0)
+      response = answer(200, describe(kind, name));
+    else
+      response = answer(404);
+  }
+  if (writing && loseAnswers > 0) {
+    --loseAnswers;
+    exchange.abort();
+    co_return;
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+// ---- Engine ------------------------------------------------------------------------------------
+
+json::object StandinEngine::entry(const std::string &state) const {
+  json::array held;
+  for (auto &it : models)
+    held.push_back(json::object{{"name", it}, {"version", 1}, {"adapters", json::array{}}});
+  return {{"service", Service}, {"address", address.toString()},
+          {"zone", "z"},        {"version", "v1"},
+          {"slots", 8},         {"state", state},
+          {"models", held},     {"sequence", orders},
+          {"born", Born},       {"busy", false}};
+}
+
+HttpResponse StandinEngine::order(const HttpRequest &request) {
+  json::object body;
+  parseObject(request.body(), body);
+  auto term = body["fencing_token"].to_number<std::uint64_t>();
+  if (term < highestTerm)
+    return answer(412);
+  highestTerm = term;
+  if (body["expect"].to_number<std::uint64_t>() != orders)
+    return answer(409);
+  auto model = textOf(body["model"].as_string());
+  bool load = body["operation"].as_string() == "loading";
+  if ((models.count(model) > 0) == load)
+    return answer(200);
+  ++orders;
+  holders.insert(textOf(body["holder"].as_string()));
+  if (load)
+    models.insert(model);
+  else
+    models.erase(model);
+  return answer(202);
+}
+
+asio::awaitable<void> StandinEngine::stream(HttpExchange &exchange) {
+  const HttpRequest request = exchange.request();
+  ++runs;
+  int first = std::atoi(textOf(request["Last-Event-Id"]).c_str()) + 1;
+  int cut = std::exchange(cutAfter, 0);
+  HttpResponse head{http::status::ok, 11};
+  head.set("Request-Id", textOf(request["Request-Id"]));
+  head.set("Server-Stamp", id);
+  co_await exchange.startStream(std::move(head));
+  for (int i = first; i <= Events; ++i) {
+    if (cut > 0 && i > cut) {
+      exchange.abort();
+      co_return;
+    }
+    const std::string event = "id: " + std::to_string(i) + "\ndata: e" + std::to_string(i) + "\n\n";
+    co_await exchange.writeChunk(event);
+    co_await sleepFor(EventPause);
+  }
+  co_await exchange.endStream();
+}
+
+asio::awaitable<void> StandinEngine::handle(HttpExchange &exchange) {
+  const HttpRequest request = exchange.request();
+  const std::string target = textOf(request.target());
+  HttpResponse response = answer(421);
+  response.set("Instance", id);
+  if (request["Expect-Instance"] == id) {
+    if (target == "/api/report")
+      response = answer(200, entry("ready"));
+    else if (target == "/api/order")
+      response = order(request);
+    else if (models.count(textOf(request["Model"])) > 0)
+      co_return co_await stream(exchange);
+  }
+  co_await exchange.respond(std::move(response));
+}
+
+// ---- Everything together -----------------------------------------------------------------------
+
+namespace {
+
+constexpr int PortsPerHost = 8;
+constexpr std::uint16_t FirstPort = 20000;
+constexpr int PortBlocks = 300;
+
+/// Path of the daemon's log of one host.
+std::string logPath(const std::string &directory, int n) {
+  return directory + "/host-" + std::to_string(n) + ".log";
+}
+
+} // namespace
+
+PlatformCluster::PlatformCluster(int hosts, const std::vector<std::set<std::string>> &held) {
+  char path[] = "/tmp/catkin-platform-XXXXXX";
+  directory = ::mkdtemp(path);
+  std::random_device random;
+  base = static_cast<std::uint16_t>(FirstPort + random() % PortBlocks * 64);
+  auto serve = [this](HttpHandler handler) {
+    servers.push_back(std::make_unique<HttpServer>(
+        io.get_executor(), HttpServerOptions{.listen = {"127.0.0.1", 0}}, std::move(handler)));
+    servers.back()->start();
+    return servers.back()->address();
+  };
+  serve([this](HttpExchange &it) { return store.handle(it); });
+  std::set<std::string> models{"m0", "m1", "m2", "m3"};
+  for (std::size_t i = 0; i < held.size(); ++i) {
+    engines.push_back(std::make_unique<StandinEngine>("i-" + std::to_string(i), held[i]));
+    auto *engine = engines.back().get();
+    engine->address = serve([engine](HttpExchange &it) { return engine->handle(it); });
+    store.put("servers", engine->id, engine->entry("ready"));
+  }
+  store.put("config", "main", makeConfig(models));
+  thread = std::thread([this] {
+    auto work = asio::make_work_guard(io);
+    io.run();
+  });
+  for (int i = 0; i < hosts; ++i)
+    startHost(i);
+}
+
+PlatformCluster::~PlatformCluster() {
+  for (auto &[n, pid] : children) {
+    ::kill(pid, SIGKILL);
+    ::waitpid(pid, nullptr, 0);
+  }
+  io.stop();
+  thread.join();
+}
+
+void PlatformCluster::run(const std::function<void()> &step) {
+  std::promise<void> done;
+  asio::post(io, [&] {
+    step();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+std::string PlatformCluster::settingsPath(int n) const {
+  return directory + "/host-" + std::to_string(n) + ".conf";
+}
+
+void PlatformCluster::startHost(int n) {
+  auto at = [&](int i) { return "127.0.0.1:" + std::to_string(port(n * PortsPerHost + i)); };
+  std::ofstream(settingsPath(n)) << "node_name=host-" << n << "\nip_address=127.0.0.1\nzone=z\n"
+                                 << "listen_addresses.front=" << at(0)
+                                 << "\nlisten_addresses.ready=" << at(1)
+                                 << "\nlisten_addresses.directory=" << at(2)
+                                 << "\ninternal_ports=" << port(n * PortsPerHost + 3) << ",65000"
+                                 << "\nplatform.address=" << servers.front()->address().toString()
+                                 << "\nbounds.require_fencing=true\nbounds.budget_slack=50\n";
+  auto settings = settingsPath(n);
+  auto log = logPath(directory, n);
+  auto metrics = std::to_string(port(n * PortsPerHost + 4));
+  const std::string program = std::string(CATKIN_BIN_DIR) + "/catkin-platformd";
+  pid_t pid = ::fork();
+  if (pid == 0) {
+    if (!std::freopen(log.c_str(), "a", stdout))
+      ::_exit(1);
+    ::execl(program.c_str(), program.c_str(), "--settings", settings.c_str(), "--metrics-port",
+            metrics.c_str(), nullptr);
+    ::_exit(1);
+  }
+  children[n] = pid;
+}
+
+void PlatformCluster::signalHost(int n, int signal) {
+  ::kill(children.at(n), signal);
+  if (signal != SIGKILL)
+    return;
+  ::waitpid(children.at(n), nullptr, 0);
+  children.erase(n);
+}
+
+bool PlatformCluster::hostReady(int n) const {
+  Address ready{"127.0.0.1", port(n * PortsPerHost + 1)};
+  return statusOf(callOnce(ready, {.target = "/api/ready"})) == 200;
+}
+
+bool PlatformCluster::allReady() const {
+  for (auto &[n, pid] : children)
+    if (!hostReady(n))
+      return false;
+  return true;
+}
+
+HttpResult PlatformCluster::ask(int host, const std::string &model) const {
+  Call call{.method = "POST", .target = "/s/x"};
+  call.headers = {{"Host", HostName},
+                  {"Request-Id", "id-" + std::to_string(++lastId)},
+                  {"Model", model},
+                  {"Deadline-Ms", "9000"}};
+  return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
+}
+
+std::pair<std::string, std::uint64_t> PlatformCluster::lease() {
+  std::string text;
+  run([&] { text = store.text("planner", "lease"); });
+  json::object record;
+  if (!parseObject(text, record))
+    return {};
+  JsonReader in(record);
+  return {in.text("holder"), in.unsignedInt("term")};
+}
+
+std::vector<std::string> PlatformCluster::addressesFrom(int host) const {
+  Address directoryAddress{"127.0.0.1", port(host * PortsPerHost + 2)};
+  auto result = callOnce(directoryAddress, {.target = "/api/resolve?name=h.example&zone=z"});
+  json::object body;
+  std::vector<std::string> out;
+  if (!parseObject(result.response.body(), body) || !body.contains("addresses"))
+    return out;
+  for (auto &it : body["addresses"].as_array())
+    out.emplace_back(textOf(it.as_string()));
+  return out;
+}
+
+void PlatformCluster::announce(int engine, const std::string &state) {
+  run([&] {
+    auto &it = *engines[static_cast<std::size_t>(engine)];
+    store.put("servers", it.id, it.entry(state));
+  });
+}
+
+} // namespace catkin::platform
