--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -339,7 +340,9 @@
   const std::string program = std::string(CATKIN_BIN_DIR) + "/catkin-platformd";
   pid_t pid = ::fork();
   if (pid == 0) {
-    if (!std::freopen(log.c_str(), "a", stdout))
+    // A test that crashes must leave no hosts behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (!std::freopen(log.c_str(), "a", stdout) || !std::freopen(log.c_str(), "a", stderr))
       ::_exit(1);
     ::execl(program.c_str(), program.c_str(), "--settings", settings.c_str(), "--metrics-port",
             metrics.c_str(), nullptr);
