Learn how many loads the weight store serves side by side

Cause: the store of the grown sites serves one load at full speed, the planner began four spare loads at once and up to six when requests waited; each took as many times longer. Ruled out: the ceiling of loads a second (30); missing local copies alone. Change: StoreLoadMeter learns the number from loads that are complete or overdue; spare loads from the store wait until all engines have reported; further replicas go to the greatest gain first, and load from the store only for an overloaded model.

--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "log_p.h"
+#include "store_load_meter_p.h"
 
 #include <algorithm>
 #include <cmath>
@@ -63,7 +64,8 @@
   Instant noticedAt;
   std::vector<HeldModel> noticed;
 
-  bool reachable() const { return known && statusFailures < StatusFailuresUnreachable; }
+  bool silent() const { return statusFailures >= StatusFailuresUnreachable; }
+  bool reachable() const { return known && !silent(); }
 };
 
 struct HostDemand {
@@ -92,6 +94,7 @@
   std::map<NeedKey, std::map<HostName, OpenNeed>> needs;
   std::map<HostName, HostDemand> demands;
   std::deque<Instant> remoteLoads; ///< begun within the ceiling's window
+  StoreLoadMeter storeLoads;
   Instant acquiredAt;
   std::uint64_t fencedTerm = 0; ///< an engine has seen a higher one
   bool stopped = false;
@@ -112,6 +115,7 @@
     logLine(LogLevel::Info, "planner lease acquired", {{"term", mine.term}});
     records.clear();
     demands.clear();
+    storeLoads = {};
     acquiredAt = env.now();
   }
 
@@ -131,15 +135,22 @@
 
   /// Follows the registrations: new engines, restarted ones and those that have gone.
   void syncRecords() {
-    std::erase_if(records, [&](auto &it) { return !view.find(it.first); });
+    std::erase_if(records, [&](auto &it) {
+      const bool gone = !view.find(it.first);
+      if (gone)
+        storeLoads.onAbandoned(it.first, env.now());
+      return gone;
+    });
     for (auto &[name, state] : view.endpoints()) {
       if (!isEngine(state.entry))
         continue;
       auto &record = records[name];
       bool restarted = record.entry.incarnation != state.entry.incarnation ||
                        record.entry.address != state.entry.address;
-      if (restarted)
+      if (restarted) {
+        storeLoads.onAbandoned(name, env.now());
         record = {};
+      }
       record.entry = state.entry;
     }
   }
@@ -177,7 +188,7 @@
         logLine(LogLevel::Warn, "engine does not answer", {{"endpoint", record.entry.name.value}});
       return;
     }
-    if (record.statusFailures >= StatusFailuresUnreachable)
+    if (record.silent())
       logLine(LogLevel::Info, "engine answers again", {{"endpoint", record.entry.name.value}});
     record.statusFailures = 0;
     // The report lags: one from before the newest accepted order says nothing new.
@@ -220,6 +231,10 @@
              {"model", toText(active.order.model)},
              {"took_ms", toMillis(now - active.startedAt)},
              {"holds", held}});
+    if (active.order.remote && held)
+      storeLoads.onCompleted(record.entry.name, now);
+    else if (active.order.remote)
+      storeLoads.onAbandoned(record.entry.name, now);
     record.active.reset();
     record.nextStatus = now + config::FleetStatusInterval;
   }
@@ -246,9 +261,14 @@
     input.remoteLoadsInWindow = static_cast<int>(remoteLoads.size());
     input.remoteLoadsAllowed = static_cast<int>(
         std::floor(service.engine.loadsPerSecond * toSeconds(options.ceilingWindow)));
-    for (auto &[name, record] : records)
-      if (record.entry.service == service.name)
-        input.engines.push_back(describe(record, input));
+    input.storeLoadsAtOnce = storeLoads.allowed(now);
+    for (auto &[name, record] : records) {
+      if (record.entry.service != service.name)
+        continue;
+      input.engines.push_back(describe(record, input));
+      // One that does not answer at all is not waited for.
+      input.allEnginesKnown = input.allEnginesKnown && (record.known || record.silent());
+    }
     addDemand(service.name, input);
     addNeeds(service.name, input);
     return input;
@@ -493,6 +513,8 @@
     }
     record.busy = true;
     record.active = order;
+    if (order.order.remote)
+      storeLoads.onStarted(record.entry.name, order.dueAt - order.startedAt, now);
     if (order.order.action == PlacementAction::Unload)
       after(UnloadTime, record, [this](EngineRecord &it) { onUnloadDue(it); });
     else if (!order.order.remote)
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -16,8 +16,6 @@
 constexpr double SecondReplicaRate = 0.8;
 // A model is not dropped sooner after its load, so that the requests that waited for it run.
 constexpr Duration MinResidence = std::chrono::milliseconds(1500);
-// Loads from the store that slow each other little.
-constexpr int RemoteLoadsAtOnce = 4;
 constexpr int AdaptersInTransit = 4; // that an engine accepts
 constexpr int ReplicasBeforeDemand = 3;
 // Of a request's worth, what is lost when it waits for a load from disk, and what when it finds one
@@ -252,7 +250,7 @@
         continue;
       auto source = sourceOf(it, spec->first);
       auto drop = victims(it, spec->second.megabytes, ReservedWorth);
-      bool allowed = source != Source::Remote || remoteAllowed(RemoteLoadsAtOnce + 2);
+      bool allowed = source != Source::Remote || remoteAllowed(urgentRemoteLimit());
       if (!drop || !allowed)
         continue;
       order({&it, std::move(*drop), source == Source::Remote, 0}, spec->first,
@@ -266,8 +264,13 @@
   int remoteLimit(double waiting) const {
     auto n = static_cast<int>(engines.size());
     if (waiting >= ManyWaiting)
-      return RemoteLoadsAtOnce + 2;
-    return std::clamp(waiting >= 1 ? n / 2 : n / 4, 1, RemoteLoadsAtOnce);
+      return urgentRemoteLimit();
+    return std::clamp(waiting >= 1 ? n / 2 : n / 4, 1, std::max(1, in.storeLoadsAtOnce));
+  }
+
+  /// Urgent loads begin beside those under way, which they delay.
+  int urgentRemoteLimit() const {
+    return in.storeLoadsAtOnce + std::max(1, in.storeLoadsAtOnce / 2);
   }
 
   /// Models with waiting requests, most first.
@@ -297,19 +300,31 @@
     });
   }
 
+  /// Replicas for models that have fewer than their demand deserves, the greatest gain first.
   void addReplicas() {
     if (in.demandKnown != PlacementInput::Demand::Known)
       return;
+    std::vector<std::pair<double, const ModelSpec *>> lacking;
     for (auto &[name, demand] : in.demand) {
       auto spec = in.spec->models.find(name);
       if (spec == in.spec->models.end())
         continue;
       int have = replicas(name);
-      if (have == 0 || have >= wanted(name))
-        continue;
-      if (auto option = bestOption(spec->second, gainOf(name, have), remoteLimit(0)))
-        order(*option, name, PlacementReason::MoreReplicas);
+      if (have > 0 && have < wanted(name))
+        lacking.emplace_back(gainOf(name, have), &spec->second);
     }
+    std::stable_sort(lacking.begin(), lacking.end(),
+                     [](auto &a, auto &b) { return a.first > b.first; });
+    for (auto &[gain, spec] : lacking) {
+      int atOnce = isOverloaded(spec->name) ? urgentRemoteLimit() : 0;
+      if (auto option = bestOption(*spec, gain, atOnce))
+        order(*option, spec->name, PlacementReason::MoreReplicas);
+    }
+  }
+
+  /// Only then a further replica is worth a load from the store.
+  bool isOverloaded(const ModelName &model) const {
+    return peakOf(model) > RequestsPerReplica * replicas(model);
   }
 
   /// Loads models that no engine holds where there is room, the most asked for first.
@@ -321,7 +336,8 @@
     std::stable_sort(absent.begin(), absent.end(),
                      [](auto &a, auto &b) { return a.first > b.first; });
     for (auto &[rate, spec] : absent) {
-      auto option = bestOption(*spec, SurplusWorth, remoteLimit(0));
+      // An engine that has not reported may have a copy.
+      auto option = bestOption(*spec, SurplusWorth, in.allEnginesKnown ? remoteLimit(0) : 0);
       if (option)
         order(*option, spec->name, PlacementReason::Spare);
     }
--- a/src/model_placement_p.h
+++ b/src/model_placement_p.h
@@ -53,6 +53,8 @@
   /// than waiting requests need.
   enum class Demand { Unknown, None, Partial, Known };
   Demand demandKnown = Demand::Unknown;
+  bool allEnginesKnown = true; ///< every engine has said what it holds and has copies of
+  int storeLoadsAtOnce = 4;    ///< loads from the weight store that do not delay each other
   int remoteLoadsUnderWay = 0;
   int remoteLoadsInWindow = 0; ///< begun within the window of the store's ceiling
   int remoteLoadsAllowed = 0;  ///< in that window
--- /dev/null
+++ b/src/store_load_meter.cpp
@@ -0,0 +1,68 @@
+#include "store_load_meter_p.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace catkin {
+
+namespace {
+
+// Completion is noticed by reports, which come a little later.
+constexpr double FullSpeedTolerance = 1.25;
+constexpr int MaxAllowed = 16;
+
+int wholeLoads(double n) { return std::clamp(static_cast<int>(std::lround(n)), 1, MaxAllowed); }
+
+} // namespace
+
+void StoreLoadMeter::onStarted(const EndpointName &engine, Duration fullSpeed, Instant now) {
+  advance(now);
+  running[engine] = {.since = now, .fullSpeed = fullSpeed, .loadSecondsBefore = loadSeconds};
+}
+
+void StoreLoadMeter::onCompleted(const EndpointName &engine, Instant now) {
+  auto it = running.find(engine);
+  if (it == running.end())
+    return;
+  advance(now);
+  const double beside = averageBeside(it->second, now);
+  const double slowdown = toSeconds(now - it->second.since) / toSeconds(it->second.fullSpeed);
+  // Loads share the store evenly, so `beside / slowdown` of them would have run at full speed.
+  if (slowdown > FullSpeedTolerance)
+    learned = wholeLoads(beside / slowdown);
+  else
+    learned = std::max(learned, wholeLoads(beside + 1));
+  running.erase(it);
+}
+
+void StoreLoadMeter::onAbandoned(const EndpointName &engine, Instant now) {
+  advance(now);
+  running.erase(engine);
+}
+
+int StoreLoadMeter::allowed(Instant now) const {
+  int n = learned;
+  for (auto &[engine, it] : running) {
+    const double slowdown = toSeconds(now - it.since) / toSeconds(it.fullSpeed);
+    if (slowdown > FullSpeedTolerance)
+      n = std::min(n, wholeLoads(averageBeside(it, now) / slowdown));
+  }
+  return n;
+}
+
+double StoreLoadMeter::loadSecondsUntil(Instant now) const {
+  return loadSeconds + static_cast<double>(running.size()) * toSeconds(now - advancedAt);
+}
+
+void StoreLoadMeter::advance(Instant now) {
+  loadSeconds = loadSecondsUntil(now);
+  advancedAt = now;
+}
+
+/// Loads that ran at the same time on average, itself included.
+double StoreLoadMeter::averageBeside(const Running &load, Instant now) const {
+  const double seconds = toSeconds(now - load.since);
+  return seconds > 0 ? (loadSecondsUntil(now) - load.loadSecondsBefore) / seconds : 1;
+}
+
+} // namespace catkin
--- a/tests/model_placement_test.cpp
+++ b/tests/model_placement_test.cpp
@@ -115,6 +115,46 @@
   EXPECT_EQ(std::count_if(orders.begin(), orders.end(), [](auto &it) { return it.remote; }), 2);
 }
 
+// Guards against loads from the store of models that an engine has a copy of, which the planner
+// does not know yet.
+TEST(ModelPlacement, SpareLoadsFromTheStoreWaitForAllReports) {
+  auto spec = makeSpec(2);
+  auto input = makeInput(spec);
+  input.engines = {makeEngine("e0", {"m0"})};
+  input.allEnginesKnown = false;
+  EXPECT_TRUE(planPlacement(input).empty());
+  input.allEnginesKnown = true;
+  EXPECT_NE(findOrder(planPlacement(input), "m1"), nullptr);
+}
+
+// Guards against the store's one load at full speed going to the model that comes first by name
+// while another one is asked for ten times as often as its engine can bear.
+TEST(ModelPlacement, TheStoresTurnGoesToTheMostOverloadedModel) {
+  auto spec = makeSpec(3);
+  auto input = makeInput(spec);
+  input.storeLoadsAtOnce = 1;
+  input.engines = {makeEngine("e0", {"m0", "m2"}), makeEngine("e1", {}), makeEngine("e2", {})};
+  input.demand[ModelName("m0")].perSecond = 3;
+  input.demand[ModelName("m2")].perSecond = 25;
+  auto orders = planPlacement(input);
+  auto *order = findOrder(orders, "m2");
+  ASSERT_NE(order, nullptr);
+  EXPECT_TRUE(order->remote);
+  EXPECT_EQ(order->reason, PlacementReason::MoreReplicas);
+}
+
+// Guards against a spare load or a second replica in reserve that slows down the loads that
+// requests wait for.
+TEST(ModelPlacement, NothingSpareBesideALoadThatFillsTheStore) {
+  auto spec = makeSpec(4);
+  auto input = makeInput(spec);
+  input.storeLoadsAtOnce = 1;
+  input.remoteLoadsUnderWay = 1;
+  input.engines = {makeEngine("e0", {"m0"}), makeEngine("e1", {}), makeEngine("e2", {})};
+  input.demand[ModelName("m0")].perSecond = 1;
+  EXPECT_TRUE(planPlacement(input).empty());
+}
+
 // Guards against all engines being held up by loads for single requests.
 TEST(ModelPlacement, FewWaitingRequestsLeaveEnginesFree) {
   auto spec = makeSpec(9);
