Count the order that drops an adapter, and end needs

Cause: an adapter that no request uses is dropped at once and answered like an order that already holds, but the engine counts it. A need that had ended stayed with the planner for 0.75 s, and what it asked for was loaded again after it had made room for another adapter. Ruled out: the places of adapters alone (the waits of 1.9 s had no order at all in between). Change: the count follows; the next order goes out at once; a host says when nobody waits any more.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -308,8 +308,7 @@
     co_return chosen;
   if (!loadableInTime()) {
     // The caller is told to come back; the load begins meanwhile.
-    g.hooks.needChanged(service, caller.model, 1);
-    g.hooks.needChanged(service, caller.model, -1);
+    g.hooks.wanted(service, caller.model);
     co_return nullptr;
   }
   const Instant until =
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -65,6 +65,8 @@
   std::function<int()> hostCount;
   /// `change` more requests (or fewer) wait for a model that no endpoint holds.
   std::function<void(const ServiceName &, const ModelRef &, int change)> needChanged;
+  /// A caller was told to come back for a model that no endpoint holds.
+  std::function<void(const ServiceName &, const ModelRef &)> wanted;
 };
 
 class FleetGateway {
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -67,7 +67,8 @@
                  .random = [this] { return env.random(); },
                  .hostCount = [this] { return static_cast<int>(peers.hosts().size()); },
                  .needChanged = [this](auto &service, auto &model,
-                                       int change) { onNeedChanged(service, model, change); }}),
+                                       int change) { onNeedChanged(service, model, change); },
+                 .wanted = [this](auto &service, auto &model) { sendNeed(service, model, 1); }}),
         configFollower(env, *adapter.feed, {.kind = options.configKind, .maxWait = closeWatch()},
                        {.changed = [this](auto &it) { onConfig(it); },
                         .connection = [this](bool on) { onConfigConnection(on); }}),
@@ -346,7 +347,8 @@
   void onNeedChanged(const ServiceName &service, const ModelRef &model, int change) {
     auto &n = needs[{service, model}];
     n += change;
-    if (change > 0)
+    // Without it, the planner would load again what has made room for another model meanwhile.
+    if (change > 0 || n <= 0)
       sendNeed(service, model, n);
     if (n <= 0)
       needs.erase({service, model});
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -52,7 +52,8 @@
   std::vector<EndpointName> failing; ///< endpoints that this host avoids at present
 };
 
-/// Sent to the planner while requests wait for a model or adapter that no endpoint holds.
+/// Sent to the planner while requests wait for a model or adapter that no endpoint holds, and with
+/// nobody waiting at the end.
 struct ModelNeed {
   HostName host;
   ServiceName service;
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -510,7 +510,11 @@
 
   void onCommandTaken(EngineRecord &record, const ActiveOrder &order, CommandResult result) {
     auto now = env.now();
-    if (result == CommandResult::Accepted)
+    // An adapter that is dropped is gone at once: the order counts although it already holds.
+    const bool droppedAdapter = !order.order.model.adapter.empty() &&
+                                order.order.action == PlacementAction::Unload &&
+                                holds(record.holdings.models, order.order.model);
+    if (result == CommandResult::Accepted || droppedAdapter)
       record.holdings.orderCount = std::max(record.holdings.orderCount, order.expected + 1);
     if (!order.order.model.adapter.empty())
       return finishAdapter(record, order.order);
@@ -586,8 +590,12 @@
 
   /// Adapters load within milliseconds and do not make the engine busy.
   void finishAdapter(EngineRecord &record, const PlacementOrder &order) {
-    if (order.action == PlacementAction::Unload)
-      return dropFromHoldings(record, order.model);
+    if (order.action == PlacementAction::Unload) {
+      dropFromHoldings(record, order.model);
+      if (mayOrder())
+        placeAll();
+      return;
+    }
     record.unresolved.push_back(ActiveOrder{.order = order, .expected = UINT64_MAX});
     after(AdapterLoadTime, record,
           [this, model = order.model](EngineRecord &it) { onAdapterReady(it, model); });
@@ -668,7 +676,10 @@
     if (!active())
       return;
     auto now = env.now();
-    auto &open = needs[{need.service, need.model}]
+    const NeedKey key{need.service, need.model};
+    if (need.waiting <= 0)
+      return endNeed(key, need.host);
+    auto &open = needs[key]
                      .try_emplace(need.host, OpenNeed{.waiting = 0, .since = now, .at = now})
                      .first->second;
     open.from = from;
@@ -682,6 +693,12 @@
       placeAll();
   }
 
+  void endNeed(const NeedKey &key, const HostName &host) {
+    auto it = needs.find(key);
+    if (it != needs.end())
+      it->second.erase(host);
+  }
+
   void onDemand(const DemandReport &report) {
     if (!active())
       return;
--- a/tests/fleet_planner_test.cpp
+++ b/tests/fleet_planner_test.cpp
@@ -44,8 +44,8 @@
     planner.onDemand(demand);
   }
 
-  void need(FleetPlanner &planner, const std::string &model) {
-    planner.onNeed({HostName("h"), ServiceName(EngineService), parseModelRef(model), 1},
+  void need(FleetPlanner &planner, const std::string &model, int waiting = 1) {
+    planner.onNeed({HostName("h"), ServiceName(EngineService), parseModelRef(model), waiting},
                    Address{"127.0.0.1", 9});
   }
 
@@ -203,5 +203,21 @@
   EXPECT_FALSE(e0.overcommitted);
 }
 
+// Guards against a wrong order count after an adapter was dropped, whose answer says that the order
+// already holds: the engine refused the next order, and each further adapter waited half a second
+// for a report.
+TEST_F(FleetPlannerTest, AnAdapterReplacesAnotherAtOnce) {
+  auto &e0 = engines->add(view, "e0", {"m0", "m1"});
+  auto planner = makePlanner("a");
+  env.run(1500ms);
+  for (const char *it : {"m0/a1", "m0/a2", "m0/a3", "m0/a4", "m0/a5"}) {
+    need(*planner, it);
+    env.run(200ms);
+    EXPECT_TRUE(holds(e0.models, parseModelRef(it))) << it;
+    need(*planner, it, 0);
+  }
+  EXPECT_FALSE(e0.overcommitted);
+}
+
 } // namespace
 } // namespace catkin::fleet
--- a/tests/fleet_world_helper.cpp
+++ b/tests/fleet_world_helper.cpp
@@ -84,6 +84,9 @@
         it.adapters.push_back(command.model.adapter);
       else if (it.model == command.model.model)
         std::erase(it.adapters, command.model.adapter);
+    // An adapter is gone at once, so the order already holds when it is answered.
+    if (!load)
+      return CommandResult::AlreadyHolds;
   } else {
     engine.underWay = command;
     engine.readyAt = env.now() + (load ? loadTime(engine, command.model) : engine.unloadTime);
