Keep replicas and adapters that are in use, and soak the real programs

Adapters in use were dropped, which waits for their runs, and a model's replicas did not follow the number of its adapters in use. Change: a drop counts at once for all engines of the round; replicas stay until demand is known; hosts report running requests by adapter, and only unused adapters are dropped; replicas grow with the adapters in use.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -95,7 +95,7 @@
   RetryBudget budget;
   FleetMetrics metrics;
   DemandMeter demand;
-  std::map<std::pair<EndpointName, ModelName>, int> running;
+  std::map<std::pair<EndpointName, ModelRef>, int> running;
   int active = 0;
   Instant refuseFrom = Instant::max();
   Instant stopEnd = Instant::max();
@@ -418,7 +418,7 @@
   options.resumeAfter = events.lastId();
   HttpRequest request = g.codec.forward(exchange.request(), options);
   const HttpTimeouts limits = timeouts();
-  const std::pair runKey(to.name, caller.model.model);
+  const std::pair runKey(to.name, caller.model);
   ++sends;
   ++g.running[runKey];
   g.view.onSent(to.name);
@@ -657,7 +657,7 @@
 
 DemandMeter &FleetGateway::demand() { return impl->demand; }
 
-const std::map<std::pair<EndpointName, ModelName>, int> &FleetGateway::running() const {
+const std::map<std::pair<EndpointName, ModelRef>, int> &FleetGateway::running() const {
   return impl->running;
 }
 
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -82,7 +82,7 @@
   /// since their callers know other hosts by then.
   void setStop(Instant refuseFrom, Instant end);
   /// Requests in progress by endpoint and model.
-  const std::map<std::pair<EndpointName, ModelName>, int> &running() const;
+  const std::map<std::pair<EndpointName, ModelRef>, int> &running() const;
   FleetMetrics &metrics();
   int active() const; ///< requests in progress
 
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -32,7 +32,7 @@
   json::array running;
   for (auto &it : m.running)
     running.push_back(
-        json::object{{"e", it.endpoint.value}, {"m", it.model.value}, {"n", it.inFlight}});
+        json::object{{"e", it.endpoint.value}, {"m", toText(it.model)}, {"n", it.inFlight}});
   json::array failing;
   for (auto &it : m.failing)
     failing.push_back(json::object{{"e", it.value}});
@@ -97,7 +97,7 @@
                       it.number("r") / Thousandths, it.number("f") / Thousandths});
   });
   in.objects("running", [&](JsonReader &it) {
-    m.running.push_back({it.name<EndpointName>("e"), it.name<ModelName>("m"), it.integer("n")});
+    m.running.push_back({it.name<EndpointName>("e"), parseModelRef(it.text("m")), it.integer("n")});
   });
   in.objects("failing", [&](JsonReader &it) { m.failing.push_back(it.name<EndpointName>("e")); });
   return m;
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -39,7 +39,7 @@
 
 struct RunningModel {
   EndpointName endpoint;
-  ModelName model;
+  ModelRef model;
   int inFlight = 0;
 };
 
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -23,6 +23,8 @@
 constexpr Duration DemandSettles = std::chrono::seconds(3);
 // An adapter is loaded within about ten milliseconds; a request that comes too early is refused
 // without having run.
+// A request keeps its adapter for about the length of a stream.
+constexpr double AdapterUseSeconds = 2.5;
 constexpr Duration AdapterLoadTime = std::chrono::milliseconds(25);
 // A load from a local copy takes as long as the configuration says; reports show it later.
 constexpr Duration LocalLoadMargin = std::chrono::milliseconds(20);
@@ -349,7 +351,8 @@
 
   void addDemand(const ServiceName &service, PlacementInput &input) {
     std::erase_if(demands, [&](auto &it) { return env.now() - it.second.at > DemandLifetime; });
-    std::map<EndpointName, std::map<ModelName, int>> running;
+    std::map<EndpointName, std::map<ModelRef, int>> running;
+    std::map<ModelRef, double> adapterRates;
     Duration observed{};
     for (auto &[host, demand] : demands) {
       observed = std::max(observed, demand.report.observed);
@@ -357,13 +360,23 @@
         running[it.endpoint][it.model] += it.inFlight;
       for (auto &it : demand.report.uses)
         if (it.service == service)
-          addUse(it, input);
+          addUse(it, input, adapterRates);
     }
+    for (auto &[ref, rate] : adapterRates)
+      input.demand[ref.model].adaptersInUse += std::min(1.0, rate * AdapterUseSeconds);
     for (auto &it : input.engines)
-      it.inFlight = running[it.name];
+      addRunning(running[it.name], it);
     input.demandKnown = demandState(observed);
   }
 
+  static void addRunning(const std::map<ModelRef, int> &running, PlacementEngine &engine) {
+    for (auto &[ref, n] : running) {
+      engine.inFlight[ref.model] += n;
+      if (!ref.adapter.empty() && n > 0)
+        engine.adaptersInUse.insert(ref);
+    }
+  }
+
   PlacementInput::Demand demandState(Duration observed) const {
     using Demand = PlacementInput::Demand;
     if (demands.empty() || env.now() - acquiredAt < ReportsIn)
@@ -373,12 +386,15 @@
     return observed < DemandSettles ? Demand::Partial : Demand::Known;
   }
 
-  static void addUse(const ModelUse &use, PlacementInput &input) {
+  static void addUse(const ModelUse &use, PlacementInput &input,
+                     std::map<ModelRef, double> &adapterRates) {
     auto &demand = input.demand[use.model.model];
     demand.perSecond += use.perSecond;
     demand.recentPerSecond += use.recentPerSecond;
-    if (!use.model.adapter.empty())
-      demand.adapterPerSecond += use.perSecond;
+    if (use.model.adapter.empty())
+      return;
+    demand.adapterPerSecond += use.perSecond;
+    adapterRates[use.model] += use.perSecond;
   }
 
   void addNeeds(const ServiceName &service, PlacementInput &input) {
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -17,7 +17,6 @@
 // A model is not dropped sooner after its load, so that the requests that waited for it run.
 constexpr Duration MinResidence = std::chrono::milliseconds(1500);
 constexpr int AdaptersInTransit = 4; // that an engine accepts
-constexpr int ReplicasBeforeDemand = 3;
 // Of a request's worth, what is lost when it waits for a load from disk, and what when it finds one
 // replica less.
 constexpr double LastReplicaShare = 0.5;
@@ -98,10 +97,26 @@
 
   int wanted(const ModelName &model) const {
     auto n = static_cast<int>(engines.size());
-    // Before the first request, the replicas that busy models began with are kept in part.
+    // Before demand is known, the replicas that models began with are the best guess at it.
     if (in.demandKnown != PlacementInput::Demand::Known)
-      return in.demandKnown == PlacementInput::Demand::None ? ReplicasBeforeDemand : n;
-    return wantedReplicas(peakOf(model), n);
+      return n;
+    const int forAdapters = static_cast<int>(std::ceil(replicasForAdapters(model)));
+    return std::min(n, std::max(wantedReplicas(peakOf(model), n), forAdapters));
+  }
+
+  /// Replicas whose places hold the adapters that are used at the same time.
+  double replicasForAdapters(const ModelName &model) const {
+    auto it = in.demand.find(model);
+    return it == in.demand.end() ? 0
+                                 : it->second.adaptersInUse / std::max(1, in.spec->adapterPlaces);
+  }
+
+  /// Requests a second that find no place for their adapter on `have` replicas.
+  double withoutPlace(const ModelName &model, int have) const {
+    const double needed = replicasForAdapters(model);
+    if (needed <= have)
+      return 0;
+    return in.demand.at(model).adapterPerSecond * (1 - have / needed);
   }
 
   /// The demand at present, which rises sooner than the longer average.
@@ -115,9 +130,9 @@
   /// that the average has forgotten it.
   double valueOf(const ModelName &model) const {
     int n = std::max(1, replicas(model));
-    double rate = demandOf(model);
+    double rate = std::max(demandOf(model), SeldomRate);
     if (n == 1)
-      return std::max(rate, SeldomRate) * LastReplicaShare;
+      return rate * LastReplicaShare;
     return n > wanted(model) ? rate * SurplusShare : rate / n * FurtherReplicaShare;
   }
 
@@ -125,7 +140,8 @@
   double gainOf(const ModelName &model, int have) const {
     double rate = peakOf(model);
     double overload = std::max(0.0, rate / have - RequestsPerReplica);
-    return rate / (have + 1) * FurtherReplicaShare + overload * LastReplicaShare;
+    return rate / (have + 1) * FurtherReplicaShare +
+           (overload + withoutPlace(model, have)) * LastReplicaShare;
   }
 
   static int inFlight(const PlacementEngine &engine, const ModelName &model) {
@@ -225,6 +241,9 @@
     option.engine->idle = false;
     option.engine->pending.push_back({model, {}});
     if (!option.drop.empty()) {
+      // Other engines must not count them as replicas any more in this round.
+      for (auto &it : option.drop)
+        std::erase_if(option.engine->models, [&](auto &held) { return held.model == it; });
       orders.push_back({option.engine->name,
                         PlacementAction::Unload,
                         {option.drop.front(), {}},
@@ -355,8 +374,11 @@
     return n;
   }
 
+  /// Loads an adapter where a place is free, or drops the one that is needed least for it.
   void loadAdapter(const ModelRef &ref) {
-    PlacementEngine *best = nullptr;
+    PlacementEngine *free = nullptr;
+    PlacementEngine *full = nullptr;
+    Instant oldestUse = Instant::max();
     for (auto &it : engines) {
       if (!it.usable || !holdsModel(it.models, ref.model))
         continue;
@@ -364,48 +386,58 @@
         return;
       if (!it.idle || inTransit(it) >= AdaptersInTransit)
         continue;
-      if (!best || adapterPlacesUsed(it) < adapterPlacesUsed(*best))
-        best = &it;
+      if (hasAdapterRoom(it, ref.model)) {
+        if (!free || adapterPlacesUsed(it) < adapterPlacesUsed(*free))
+          free = &it;
+      } else if (auto oldest = leastNeededAdapter(it); oldest && lastUse(it, *oldest) < oldestUse) {
+        full = &it;
+        oldestUse = lastUse(it, *oldest);
+      }
+    }
+    if (free) {
+      free->idle = false;
+      free->pending.push_back({ref.model, {ref.adapter}});
+      orders.push_back({free->name, PlacementAction::Load, ref, PlacementReason::Adapter, false});
+    } else if (full) {
+      dropAdapter(*full, *leastNeededAdapter(*full));
     }
-    if (!best)
-      return;
-    auto spec = in.spec->models.find(ref.model);
-    bool room = adapterPlacesUsed(*best) < in.spec->adapterPlaces &&
-                spec != in.spec->models.end() &&
-                freeMegabytes(*best) >= spec->second.adapterMegabytes;
-    if (!room)
-      return dropAdapter(*best);
-    best->idle = false;
-    best->pending.push_back({ref.model, {ref.adapter}});
-    orders.push_back({best->name, PlacementAction::Load, ref, PlacementReason::Adapter, false});
+  }
+
+  bool hasAdapterRoom(const PlacementEngine &engine, const ModelName &model) const {
+    auto spec = in.spec->models.find(model);
+    return adapterPlacesUsed(engine) < in.spec->adapterPlaces && spec != in.spec->models.end() &&
+           freeMegabytes(engine) >= spec->second.adapterMegabytes;
   }
 
   static int adapterPlacesUsed(const PlacementEngine &engine) {
     return usedAdapterPlaces(engine.models) + usedAdapterPlaces(engine.pending);
   }
 
-  /// Drops the adapter that was used longest ago.
-  void dropAdapter(PlacementEngine &engine) {
+  static Instant lastUse(const PlacementEngine &engine, const ModelRef &ref) {
+    auto it = engine.adapterUsedAt.find(ref);
+    return it == engine.adapterUsedAt.end() ? Instant{} : it->second;
+  }
+
+  /// The adapter that was used longest ago of those that no request uses: an engine waits for the
+  /// runs of one in use.
+  static std::optional<ModelRef> leastNeededAdapter(const PlacementEngine &engine) {
     std::optional<ModelRef> oldest;
-    Instant oldestUse = Instant::max();
     for (auto &held : engine.models)
       for (auto &adapter : held.adapters) {
-        ModelRef ref{held.model, adapter};
-        auto it = engine.adapterUsedAt.find(ref);
-        Instant used = it == engine.adapterUsedAt.end() ? Instant{} : it->second;
-        if (used < oldestUse) {
+        const ModelRef ref{held.model, adapter};
+        const bool inUse = engine.adaptersInUse.count(ref) > 0;
+        if (!inUse && (!oldest || lastUse(engine, ref) < lastUse(engine, *oldest)))
           oldest = ref;
-          oldestUse = used;
-        }
       }
-    if (!oldest)
-      return;
-    orders.push_back(
-        {engine.name, PlacementAction::Unload, *oldest, PlacementReason::MakeRoom, false});
+    return oldest;
+  }
+
+  void dropAdapter(PlacementEngine &engine, const ModelRef &ref) {
+    orders.push_back({engine.name, PlacementAction::Unload, ref, PlacementReason::MakeRoom, false});
     engine.idle = false;
     for (auto &held : engine.models)
-      if (held.model == oldest->model)
-        std::erase(held.adapters, oldest->adapter);
+      if (held.model == ref.model)
+        std::erase(held.adapters, ref.adapter);
   }
 
   // Spare room may also be made of replicas beyond what their demand deserves.
--- a/src/model_placement_p.h
+++ b/src/model_placement_p.h
@@ -28,7 +28,8 @@
   /// The load for which the engine drops models. It is carried through, so that what was dropped
   /// is not loaded again instead.
   std::optional<ModelName> reservedFor;
-  std::map<ModelName, int> inFlight;
+  std::map<ModelName, int> inFlight; ///< requests, those for adapters among them
+  std::set<ModelRef> adaptersInUse;
   std::map<ModelName, Instant> loadedAt; ///< of models loaded by this planner
   std::map<ModelRef, Instant> adapterUsedAt;
 };
@@ -38,6 +39,7 @@
   double perSecond = 0;        ///< moving average of requests over about ten seconds
   double recentPerSecond = 0;  ///< the same over two or three seconds
   double adapterPerSecond = 0; ///< of these, with an adapter
+  double adaptersInUse = 0;    ///< of the model, at the same time
   Duration waited{};           ///< the longest wait of those that wait now
   int waiting = 0;             ///< requests that wait because no engine holds it
 };
@@ -83,7 +85,7 @@
 /// At most one model order an engine, and any number of adapter orders.
 std::vector<PlacementOrder> planPlacement(const PlacementInput &input);
 
-/// Replicas that a demand deserves.
+/// Replicas that a demand deserves where there are so many engines.
 int wantedReplicas(double perSecond, int engines);
 
 } // namespace catkin
--- a/src/store_load_meter.cpp
+++ b/src/store_load_meter.cpp
@@ -31,7 +31,7 @@
   if (slowdown > FullSpeedTolerance)
     learned = wholeLoads(beside / slowdown);
   else
-    learned = std::max(learned, wholeLoads(beside + 1));
+    learned = std::max(learned, wholeLoads(beside * 2));
   running.erase(it);
 }
 
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -113,7 +113,7 @@
   DemandReport demand{HostName("h"),
                       3s,
                       {{ServiceName("s"), {ModelName("m"), {}}, 0.5, 2.0}},
-                      {{EndpointName("e"), ModelName("m"), 4}},
+                      {{EndpointName("e"), {ModelName("m"), "a1"}, 4}},
                       {EndpointName("f")}};
   auto report = roundTrip(demand);
   EXPECT_EQ(report.observed, 3s);
--- a/tests/model_placement_test.cpp
+++ b/tests/model_placement_test.cpp
@@ -115,6 +115,72 @@
   EXPECT_EQ(std::count_if(orders.begin(), orders.end(), [](auto &it) { return it.remote; }), 2);
 }
 
+// Guards against all replicas of a busy model being dropped at once, each as one of several: before
+// the first request, four engines made room for other models and left none of it.
+TEST(ModelPlacement, OneRoundKeepsReplicasThatItCounts) {
+  auto spec = makeSpec(9);
+  auto input = makeInput(spec);
+  input.demandKnown = Demand::None;
+  for (int i = 0; i < 4; ++i) {
+    auto engine = makeEngine("e" + std::to_string(i), {"m0", "m" + std::to_string(1 + i)});
+    engine.onDisk.insert(ModelName("m" + std::to_string(5 + i)));
+    input.engines.push_back(engine);
+  }
+  int dropped = 0;
+  for (auto &it : planPlacement(input))
+    dropped += it.action == PlacementAction::Unload && toText(it.model) == "m0" ? 1 : 0;
+  EXPECT_EQ(dropped, 0);
+}
+
+// Guards against a model whose adapters are more than its replicas have places for: they then take
+// turns, and most requests wait longer than they can.
+TEST(ModelPlacement, ReplicasGrowWithTheAdaptersInUse) {
+  auto spec = makeSpec(2);
+  auto input = makeInput(spec);
+  for (int i = 0; i < 4; ++i) {
+    input.engines.push_back(makeEngine("e" + std::to_string(i), {i == 0 ? "m0" : "m1"}));
+    input.engines[i].onDisk.insert(ModelName("m0"));
+  }
+  input.demand[ModelName("m0")] = {.perSecond = 0.5, .adapterPerSecond = 0.5, .adaptersInUse = 5};
+  int loads = 0;
+  for (auto &it : planPlacement(input))
+    loads += it.reason == PlacementReason::MoreReplicas ? 1 : 0;
+  EXPECT_EQ(loads, 1); // one a round for each model
+  input.demand[ModelName("m0")].adaptersInUse = 1;
+  for (auto &it : planPlacement(input))
+    EXPECT_NE(toText(it.model), "m0");
+}
+
+// Guards against an adapter in use being dropped: the engine waits for its runs, for seconds, and
+// the adapter that needs the place waits too.
+TEST(ModelPlacement, AdaptersInUseStay) {
+  auto spec = makeSpec(1);
+  auto input = makeInput(spec);
+  input.engines = {makeEngine("e0", {"m0"})};
+  input.engines[0].models[0].adapters = {"a1", "a2"};
+  input.engines[0].adaptersInUse = {{ModelName("m0"), "a1"}};
+  input.adaptersWaiting[{ModelName("m0"), "a3"}] = 1;
+  auto orders = planPlacement(input);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(toText(orders[0].model), "m0/a2");
+  input.engines[0].adaptersInUse.insert({ModelName("m0"), "a2"});
+  EXPECT_TRUE(planPlacement(input).empty());
+}
+
+// Guards against a place that waits for runs to end while another engine has one to spare.
+TEST(ModelPlacement, AdaptersGoWhereAPlaceCanBeMade) {
+  auto spec = makeSpec(1);
+  auto input = makeInput(spec);
+  input.engines = {makeEngine("e0", {"m0"}), makeEngine("e1", {"m0"})};
+  for (auto &it : input.engines)
+    it.models[0].adapters = {"a1" + it.name.value, "a2" + it.name.value};
+  input.engines[0].adaptersInUse = {{ModelName("m0"), "a1e0"}, {ModelName("m0"), "a2e0"}};
+  input.adaptersWaiting[{ModelName("m0"), "a3"}] = 1;
+  auto orders = planPlacement(input);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].engine, EndpointName("e1"));
+}
+
 // Guards against loads from the store of models that an engine has a copy of, which the planner
 // does not know yet.
 TEST(ModelPlacement, SpareLoadsFromTheStoreWaitForAllReports) {
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -26,9 +26,10 @@
 using namespace std::chrono_literals;
 
 constexpr auto Service = "llm";
+constexpr auto PlainService = "app";
+constexpr double ModelMegabytes = 60000;
 constexpr auto HostName = "h.example";
 constexpr std::uint64_t Born = 1'700'000'000'000;
-constexpr int Events = 5;
 constexpr auto EventPause = 20ms;
 
 asio::awaitable<void> sleepFor(Duration d) {
@@ -49,11 +50,27 @@
   return at == std::string::npos ? 0 : std::strtoull(&target[at + key.size() + 1], nullptr, 10);
 }
 
-json::object makeConfig(const std::set<std::string> &models) {
+json::object makeRoute(const char *name, const char *prefix, const char *kind, Duration timeout,
+                       const char *service) {
+  const bool stream = std::string_view(kind) == "streaming";
+  return {{"name", name},
+          {"host", HostName},
+          {"path_prefix", prefix},
+          {"kind", kind},
+          {"timeout_ms", toMillis(timeout)},
+          {"objective_ms", 1000},
+          {"priority", 1},
+          {"service", service},
+          {"max_attempts", 2},
+          {"resumable", stream},
+          {"gap_aim_ms", 400}};
+}
+
+json::object makeConfig(std::uint64_t version, const StandinConfig &config) {
   json::array list;
-  for (auto &it : models)
+  for (auto *it : {"m0", "m1", "m2", "m3"})
     list.push_back(json::object{{"name", it},
-                                {"weights_mb", 60000.0},
+                                {"weights_mb", ModelMegabytes},
                                 {"load_s", 0.5},
                                 {"disk_s", 0.2},
                                 {"warm_s", 0.1},
@@ -64,13 +81,14 @@
                       {"adapter_slots", 2},
                       {"loads_per_s", 10.0},
                       {"models", list}};
-  json::object route{{"name", "r"},         {"host", HostName},    {"path_prefix", "/s/"},
-                     {"kind", "streaming"}, {"timeout_ms", 10000}, {"objective_ms", 1000},
-                     {"priority", 1},       {"service", Service},  {"max_attempts", 2},
-                     {"resumable", true},   {"gap_aim_ms", 400}};
+  json::array routes{makeRoute("r", "/s/", "streaming", config.timeout, Service),
+                     makeRoute("once", "/u/", "unsafe", 3s, PlainService)};
+  if (config.extraRoute)
+    routes.push_back(makeRoute("extra", "/x/", "unsafe", 3s, PlainService));
   json::object service{
       {"name", Service}, {"health_path", "/health"}, {"connection_cap", 100}, {"engine", engine}};
-  return {{"version", 1}, {"routes", json::array{route}}, {"services", json::array{service}}};
+  json::object plain{{"name", PlainService}, {"health_path", "/health"}, {"connection_cap", 100}};
+  return {{"version", version}, {"routes", routes}, {"services", json::array{service, plain}}};
 }
 
 } // namespace
@@ -110,6 +128,11 @@
   return s ? std::string(s->data(), s->size()) : std::string();
 }
 
+void StandinStore::dropHistory() {
+  history.clear();
+  historyFrom = revision;
+}
+
 HttpResponse StandinStore::list(const std::string &kind) const {
   json::array items;
   if (auto it = kinds.find(kind); it != kinds.end())
@@ -121,6 +144,8 @@
 asio::awaitable<HttpResponse> StandinStore::watch(const std::string &kind, std::uint64_t from,
                                                   Duration wait) {
   for (Duration waited{}; waited <= wait; waited += 10ms) {
+    if (from < historyFrom)
+      co_return answer(410);
     json::array events;
     for (auto &it : history)
       if (it.revision > from && it.kind == kind)
@@ -191,6 +216,9 @@
 
 // ---- Engine ------------------------------------------------------------------------------------
 
+StandinEngine::StandinEngine(std::string id, std::set<std::string> models)
+    : id(std::move(id)), models(std::move(models)), born(Born) {}
+
 json::object StandinEngine::entry(const std::string &state) const {
   json::array held;
   for (auto &it : models)
@@ -199,7 +227,7 @@
           {"zone", "z"},        {"version", "v1"},
           {"slots", 8},         {"state", state},
           {"models", held},     {"sequence", orders},
-          {"born", Born},       {"busy", false}};
+          {"born", born},       {"busy", false}};
 }
 
 HttpResponse StandinEngine::order(const HttpRequest &request) {
@@ -217,13 +245,19 @@
     return answer(200);
   ++orders;
   holders.insert(textOf(body["holder"].as_string()));
+  holdersByTerm[term].insert(textOf(body["holder"].as_string()));
   if (load)
     models.insert(model);
   else
     models.erase(model);
+  mostMegabytes = std::max(mostMegabytes, static_cast<double>(models.size()) * ModelMegabytes);
   return answer(202);
 }
 
+std::string streamEvent(int n) {
+  return "id: " + std::to_string(n) + "\ndata: e" + std::to_string(n) + "\n\n";
+}
+
 asio::awaitable<void> StandinEngine::stream(HttpExchange &exchange) {
   const HttpRequest request = exchange.request();
   ++runs;
@@ -233,13 +267,14 @@
   head.set("Request-Id", textOf(request["Request-Id"]));
   head.set("Server-Stamp", id);
   co_await exchange.startStream(std::move(head));
-  for (int i = first; i <= Events; ++i) {
+  for (int i = first; i <= StreamEvents; ++i) {
     if (cut > 0 && i > cut) {
       exchange.abort();
       co_return;
     }
-    const std::string event = "id: " + std::to_string(i) + "\ndata: e" + std::to_string(i) + "\n\n";
-    co_await exchange.writeChunk(event);
+    // A caller that has gone ends the run.
+    if (!co_await exchange.writeChunk(streamEvent(i)))
+      co_return;
     co_await sleepFor(EventPause);
   }
   co_await exchange.endStream();
@@ -261,6 +296,35 @@
   co_await exchange.respond(std::move(response));
 }
 
+// ---- Plain endpoint ----------------------------------------------------------------------------
+
+json::object StandinPlainEndpoint::entry() const {
+  return {{"service", PlainService},
+          {"address", address.toString()},
+          {"zone", "z"},
+          {"version", "v1"},
+          {"slots", 8},
+          {"state", "ready"},
+          {"sequence", 0},
+          {"born", Born}};
+}
+
+asio::awaitable<void> StandinPlainEndpoint::handle(HttpExchange &exchange) {
+  const HttpRequest request = exchange.request();
+  const std::string requestId = textOf(request["Request-Id"]);
+  HttpResponse response = answer(421);
+  response.set("Instance", id);
+  if (request["Expect-Instance"] == id) {
+    ++runsById[requestId];
+    co_await sleepFor(EventPause);
+    response = answer(200);
+    response.body() = "done " + requestId;
+    response.set("Server-Stamp", id);
+  }
+  response.set("Request-Id", requestId);
+  co_await exchange.respond(std::move(response));
+}
+
 // ---- Everything together -----------------------------------------------------------------------
 
 namespace {
@@ -301,7 +365,8 @@
 
 } // namespace
 
-PlatformCluster::PlatformCluster(int hosts, const std::vector<std::set<std::string>> &held) {
+PlatformCluster::PlatformCluster(int hosts, const std::vector<std::set<std::string>> &held,
+                                 PlatformClusterOptions options) {
   char path[] = "/tmp/catkin-platform-XXXXXX";
   directory = ::mkdtemp(path);
   base = freePorts(hosts * PortsPerHost);
@@ -312,14 +377,29 @@
     return servers.back()->address();
   };
   serve([this](HttpExchange &it) { return store.handle(it); });
-  std::set<std::string> models{"m0", "m1", "m2", "m3"};
+  auto reachable = [&](const Address &target, std::vector<std::shared_ptr<FaultProxy>> &proxies) {
+    if (!options.proxied)
+      return target;
+    proxies.push_back(addProxy(target));
+    return proxies.back()->address();
+  };
   for (std::size_t i = 0; i < held.size(); ++i) {
     engines.push_back(std::make_unique<StandinEngine>("i-" + std::to_string(i), held[i]));
     auto *engine = engines.back().get();
-    engine->address = serve([engine](HttpExchange &it) { return engine->handle(it); });
+    engine->address =
+        reachable(serve([engine](HttpExchange &it) { return engine->handle(it); }), engineProxies);
     store.put("servers", engine->id, engine->entry("ready"));
   }
-  store.put("config", "main", makeConfig(models));
+  for (int i = 0; i < options.plainEndpoints; ++i) {
+    plainEndpoints.push_back(std::make_unique<StandinPlainEndpoint>("p-" + std::to_string(i)));
+    auto *plain = plainEndpoints.back().get();
+    plain->address =
+        reachable(serve([plain](HttpExchange &it) { return plain->handle(it); }), plainProxies);
+    store.put("servers", plain->id, plain->entry());
+  }
+  for (int i = 0; i < hosts; ++i)
+    reachable(servers.front()->address(), storeProxies);
+  store.put("config", "main", makeConfig(++configVersion, {}));
   thread = std::thread([this] {
     auto work = asio::make_work_guard(io);
     io.run();
@@ -328,6 +408,12 @@
     startHost(i);
 }
 
+std::shared_ptr<FaultProxy> PlatformCluster::addProxy(const Address &target) {
+  auto proxy = std::make_shared<FaultProxy>(io, target);
+  proxy->start();
+  return proxy;
+}
+
 PlatformCluster::~PlatformCluster() {
   for (auto &[n, pid] : children) {
     ::kill(pid, SIGKILL);
@@ -352,12 +438,15 @@
 
 void PlatformCluster::startHost(int n) {
   auto at = [&](int i) { return "127.0.0.1:" + std::to_string(port(n * PortsPerHost + i)); };
+  const auto proxied = static_cast<std::size_t>(n) < storeProxies.size();
+  const Address storeAddress =
+      proxied ? storeProxies[static_cast<std::size_t>(n)]->address() : servers.front()->address();
   std::ofstream(settingsPath(n)) << "node_name=host-" << n << "\nip_address=127.0.0.1\nzone=z\n"
                                  << "listen_addresses.front=" << at(0)
                                  << "\nlisten_addresses.ready=" << at(1)
                                  << "\nlisten_addresses.directory=" << at(2)
                                  << "\ninternal_ports=" << port(n * PortsPerHost + 3) << ",65000"
-                                 << "\nplatform.address=" << servers.front()->address().toString()
+                                 << "\nplatform.address=" << storeAddress.toString()
                                  << "\nbounds.require_fencing=true\nbounds.budget_slack=50\n";
   auto settings = settingsPath(n);
   auto log = logPath(directory, n);
@@ -373,10 +462,12 @@
             metrics.c_str(), nullptr);
     ::_exit(1);
   }
+  const std::lock_guard lock(childrenMutex);
   children[n] = pid;
 }
 
 void PlatformCluster::signalHost(int n, int signal) {
+  const std::lock_guard lock(childrenMutex);
   ::kill(children.at(n), signal);
   if (signal != SIGKILL)
     return;
@@ -405,6 +496,47 @@
   return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
 }
 
+HttpResult PlatformCluster::askOnce(int host, std::string &id) const {
+  id = "once-" + std::to_string(++lastId);
+  Call call{.method = "POST", .target = "/u/x"};
+  call.headers = {{"Host", HostName}, {"Request-Id", id}, {"Deadline-Ms", "2500"}};
+  return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
+}
+
+unsigned PlatformCluster::statusOfExtraRoute(int host) const {
+  Call call{.method = "POST", .target = "/x/x"};
+  call.headers = {{"Host", HostName},
+                  {"Request-Id", "extra-" + std::to_string(++lastId)},
+                  {"Deadline-Ms", "2500"}};
+  return statusOf(callOnce({"127.0.0.1", port(host * PortsPerHost)}, call));
+}
+
+void PlatformCluster::changeConfig(const StandinConfig &config) {
+  run([&] { store.put("config", "main", makeConfig(++configVersion, config)); });
+}
+
+void PlatformCluster::restartEngine(int n) {
+  run([&] {
+    auto &it = *engines[static_cast<std::size_t>(n)];
+    it.models.clear();
+    it.orders = 0;
+    it.highestTerm = 0;
+    it.holdersByTerm.clear();
+    ++it.born;
+    store.put("servers", it.id, it.entry("ready"));
+  });
+}
+
+void PlatformCluster::calm() {
+  run([&] {
+    store.down = false;
+    store.loseAnswers = 0;
+    for (auto *list : {&storeProxies, &engineProxies, &plainProxies})
+      for (auto &it : *list)
+        it->setFaults({});
+  });
+}
+
 std::pair<std::string, std::uint64_t> PlatformCluster::lease() {
   std::string text;
   run([&] { text = store.text("planner", "lease"); });
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fault_proxy_p.h"
 #include "http_p.h"
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <thread>
@@ -26,6 +28,8 @@
   void put(const std::string &kind, const std::string &name, const json::value &content);
   void remove(const std::string &kind, const std::string &name);
   std::string text(const std::string &kind, const std::string &name) const;
+  /// Forgets all events, so that watches must begin again from a list.
+  void dropHistory();
 
   int loseAnswers = 0; ///< of the next writes, which are carried out
   bool down = false;   ///< refuses every call
@@ -50,13 +54,13 @@
   };
   std::map<std::string, std::map<std::string, Object>> kinds;
   std::deque<Event> history;
+  std::uint64_t historyFrom = 0; ///< watches of earlier revisions are refused
   std::uint64_t revision = 0;
 };
 
 class StandinEngine {
 public:
-  StandinEngine(std::string id, std::set<std::string> models)
-      : id(std::move(id)), models(std::move(models)) {}
+  StandinEngine(std::string id, std::set<std::string> models);
   asio::awaitable<void> handle(HttpExchange &exchange);
   json::object entry(const std::string &state) const;
 
@@ -68,17 +72,49 @@
   std::uint64_t orders = 0;
   std::uint64_t highestTerm = 0;
   std::set<std::string> holders; ///< of accepted orders
+  std::map<std::uint64_t, std::set<std::string>> holdersByTerm;
+  double mostMegabytes = 0; ///< of the models that it was ordered to hold at any time
+  std::uint64_t born;       ///< changes at a restart
 
 private:
   HttpResponse order(const HttpRequest &request);
   asio::awaitable<void> stream(HttpExchange &exchange);
 };
 
+constexpr int StreamEvents = 5;
+/// The event with this number, as an engine sends it.
+std::string streamEvent(int n);
+
+/// An endpoint without models, whose requests may run once at most.
+class StandinPlainEndpoint {
+public:
+  explicit StandinPlainEndpoint(std::string id) : id(std::move(id)) {}
+  asio::awaitable<void> handle(HttpExchange &exchange);
+  json::object entry() const;
+
+  const std::string id;
+  Address address;
+  std::map<std::string, int> runsById;
+};
+
+struct PlatformClusterOptions {
+  bool proxied = false; ///< hosts reach the store and the endpoints through proxies
+  int plainEndpoints = 0;
+};
+
+struct StandinConfig {
+  Duration timeout = std::chrono::seconds(10); ///< of the routes to engines
+  bool extraRoute = false;                     ///< a further route to the plain endpoints
+};
+
 /// Store, engines and hosts. Hosts are processes of catkin-platformd; the destructor ends exactly
 /// those that it started.
 class PlatformCluster {
+  asio::io_context io; // first, since it must outlive all that works on it
+
 public:
-  PlatformCluster(int hosts, const std::vector<std::set<std::string>> &engines);
+  PlatformCluster(int hosts, const std::vector<std::set<std::string>> &engines,
+                  PlatformClusterOptions options = {});
   ~PlatformCluster();
   PlatformCluster(const PlatformCluster &) = delete;
   PlatformCluster &operator=(const PlatformCluster &) = delete;
@@ -91,6 +127,17 @@
   bool allReady() const;
   /// Sends a streaming request for `model` to a host.
   HttpResult ask(int host, const std::string &model) const;
+  /// Sends a request that may run once at most, and gives its id.
+  HttpResult askOnce(int host, std::string &id) const;
+  unsigned statusOfExtraRoute(int host) const;
+  /// Writes the next version of the configuration.
+  void changeConfig(const StandinConfig &config);
+  /// The engine loses what it holds and counts anew.
+  void restartEngine(int engine);
+  /// Ends every fault of the store and of the proxies.
+  void calm();
+  /// Leaves the hosts' logs behind; gives their directory.
+  const std::string &keepLogs() const { return directory; }
   /// Holder and term of the planner's lease in the store.
   std::pair<std::string, std::uint64_t> lease();
   std::vector<std::string> addressesFrom(int host) const;
@@ -98,17 +145,23 @@
 
   StandinStore store;
   std::vector<std::unique_ptr<StandinEngine>> engines;
+  std::vector<std::unique_ptr<StandinPlainEndpoint>> plainEndpoints;
+  std::vector<std::shared_ptr<FaultProxy>> storeProxies; ///< by host
+  std::vector<std::shared_ptr<FaultProxy>> engineProxies;
+  std::vector<std::shared_ptr<FaultProxy>> plainProxies;
 
 private:
+  std::shared_ptr<FaultProxy> addProxy(const Address &target);
   std::uint16_t port(int offset) const { return static_cast<std::uint16_t>(base + offset); }
   std::string settingsPath(int n) const;
 
-  asio::io_context io;
   std::vector<std::unique_ptr<HttpServer>> servers;
   std::thread thread;
   std::uint16_t base = 0;
   std::string directory;
   std::map<int, pid_t> children;
+  std::mutex childrenMutex; ///< guards children
+  std::atomic<std::uint64_t> configVersion = 0;
   mutable std::atomic<int> lastId = 0;
 };
 
