Count only held replicas when one is dropped

One waiting request could also take the only replica of a model that three requests a second ask for. Ruled out: too few local copies (the dropped engine held the model); slow unloads. Change: the value of a replica follows the held ones; the last one is worth the requests that would wait for it.

--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -17,10 +17,12 @@
 // A model is not dropped sooner after its load, so that the requests that waited for it run.
 constexpr Duration MinResidence = std::chrono::milliseconds(1500);
 constexpr int AdaptersInTransit = 4; // that an engine accepts
-// Of a request's worth, what is lost when it waits for a load from disk, and what when it finds one
+// Of a request's worth, what is lost when its engine is overloaded, and what when it finds one
 // replica less.
-constexpr double LastReplicaShare = 0.5;
+constexpr double OverloadShare = 0.5;
 constexpr double FurtherReplicaShare = 0.1;
+// Seconds of requests that wait when the last replica goes, until it is loaded again.
+constexpr double LastReplicaSeconds = 2;
 constexpr double SeldomRate = 0.05; // requests a second
 constexpr double WaitingWorth = 1;  // least worth of a load that requests wait for
 constexpr double UnloadSeconds = 0.1;
@@ -62,6 +64,14 @@
     return holds(models, {model, {}});
   }
 
+  /// Replicas that serve now.
+  int heldReplicas(const ModelName &model) const {
+    auto n = std::count_if(engines.begin(), engines.end(),
+                           [&](auto &it) { return it.usable && holdsModel(it.models, model); });
+    return static_cast<int>(n);
+  }
+
+  /// Replicas with those that are on their way.
   int replicas(const ModelName &model) const {
     auto n = std::count_if(engines.begin(), engines.end(), [&](auto &it) {
       return it.usable && (holdsModel(it.models, model) || holdsModel(it.pending, model) ||
@@ -129,10 +139,10 @@
   /// is worth the requests that would wait for a load, also of models that are asked for so seldom
   /// that the average has forgotten it.
   double valueOf(const ModelName &model) const {
-    int n = std::max(1, replicas(model));
-    double rate = std::max(demandOf(model), SeldomRate);
+    const int n = std::max(1, heldReplicas(model));
+    const double rate = std::max(demandOf(model), SeldomRate);
     if (n == 1)
-      return rate * LastReplicaShare;
+      return rate * LastReplicaSeconds;
     return n > wanted(model) ? rate * SurplusShare : rate / n * FurtherReplicaShare;
   }
 
@@ -141,7 +151,7 @@
     double rate = peakOf(model);
     double overload = std::max(0.0, rate / have - RequestsPerReplica);
     return rate / (have + 1) * FurtherReplicaShare +
-           (overload + withoutPlace(model, have)) * LastReplicaShare;
+           (overload + withoutPlace(model, have)) * OverloadShare;
   }
 
   static int inFlight(const PlacementEngine &engine, const ModelName &model) {
--- a/tests/model_placement_test.cpp
+++ b/tests/model_placement_test.cpp
@@ -132,6 +132,37 @@
   EXPECT_EQ(dropped, 0);
 }
 
+// Guards against the only replica of a busy model being dropped while further ones are on their way
+// from the store, which takes seconds: until then nobody served it.
+TEST(ModelPlacement, ReplicasOnTheirWayDoNotCountAsHeld) {
+  auto spec = makeSpec(3);
+  auto input = makeInput(spec);
+  input.engines = {makeEngine("e0", {"m0", "m1"}), makeEngine("e1", {})};
+  input.engines[0].loadedAt[ModelName("m1")] = input.now;
+  input.engines[0].onDisk.insert(ModelName("m2"));
+  input.engines[1].idle = false;
+  input.engines[1].loadsFromStore = true;
+  input.engines[1].pending = {{ModelName("m0"), {}}};
+  input.demand[ModelName("m0")] = {.perSecond = 3, .recentPerSecond = 3};
+  input.demand[ModelName("m2")].waiting = 1;
+  EXPECT_EQ(findOrder(planPlacement(input), "m0"), nullptr);
+}
+
+// Guards against one waiting request that takes the only replica from a model that three requests a
+// second ask for: all of them wait for its next load instead.
+TEST(ModelPlacement, OneRequestDoesNotTakeTheOnlyReplicaOfMany) {
+  auto spec = makeSpec(3);
+  auto input = makeInput(spec);
+  input.engines = {makeEngine("e0", {"m0", "m1"})};
+  input.engines[0].loadedAt[ModelName("m1")] = input.now;
+  input.engines[0].onDisk.insert(ModelName("m2"));
+  input.demand[ModelName("m0")] = {.perSecond = 3, .recentPerSecond = 3};
+  input.demand[ModelName("m2")].waiting = 1;
+  EXPECT_EQ(findOrder(planPlacement(input), "m0"), nullptr);
+  input.demand[ModelName("m0")] = {.perSecond = 0.2, .recentPerSecond = 0.2};
+  EXPECT_NE(findOrder(planPlacement(input), "m0"), nullptr);
+}
+
 // Guards against turns by name: with more adapters asked for than there are places, the same few
 // were loaded again and again.
 TEST(ModelPlacement, TheAdapterThatMostWaitForGoesFirst) {
