Leave room for adapters, wait longer where there is time, and end waits before a stop ends

Requests with ten seconds to their first event gave their model up after six, a moment before it was there. Ruled out: places (engines had four of eight in use); needs that did not arrive (others of the same hosts did). Change: a load leaves room for the free places; where none is left, the least valuable other model goes. A request waits until 1.5 s before its first event is due, and in a stop until 2.5 s before its end.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -20,8 +20,13 @@
 namespace {
 
 constexpr auto Tuple = asio::as_tuple(asio::use_awaitable);
-// Share of its time that a request waits for its model; the rest is needed to run.
+// Share of its time that a request waits for its model; the rest is needed to run. A request with
+// more time keeps only as much as a first event takes at a busy engine.
 constexpr double WaitShare = 0.6;
+constexpr Duration FirstEventTime = std::chrono::milliseconds(1500);
+// Before the end of a stop: a request whose model comes later could not end in time.
+constexpr Duration StopRunTime = std::chrono::milliseconds(2500);
+constexpr Duration StopCheck = std::chrono::milliseconds(250); // of requests that wait
 // An idempotent request that got no answer in this share of its time is tried elsewhere.
 constexpr double SilentShare = 0.4;
 constexpr double ResumeSilence = 1.8; // latency objectives without a byte of a resumable stream
@@ -94,8 +99,10 @@
   std::optional<Refusal> findRouteOf(const HttpRequest &request);
   std::optional<Refusal> findService();
   asio::awaitable<const EndpointState *> findEndpoint();
-  asio::awaitable<bool> waitForModel(Instant until);
+  asio::awaitable<bool> waitForModel();
+  Instant waitEnd() const;
   asio::awaitable<void> pause(Duration d);
+  Duration longestWait() const;
   bool loadableInTime() const;
   Duration fastestLoad() const;
   Duration retryAfter() const;
@@ -274,12 +281,10 @@
     g.hooks.wanted(service, caller.model);
     co_return nullptr;
   }
-  const Instant until =
-      std::max(arrivedAt + fromSeconds(toSeconds(firstBy) * WaitShare), g.hooks.now());
   g.hooks.needChanged(service, caller.model, 1);
   const Instant since = g.hooks.now();
   while (!chosen && !exchange.callerGone()) {
-    const bool inTime = co_await waitForModel(until);
+    const bool inTime = co_await waitForModel();
     if (!inTime)
       break;
     chosen = choose();
@@ -290,16 +295,22 @@
   co_return chosen;
 }
 
-/// Waits for the next change of the view. False once `until` has passed.
-asio::awaitable<bool> Relay::waitForModel(Instant until) {
-  const Duration d = until - g.hooks.now();
+/// When the request stops waiting for its model. A stop of this host brings it nearer.
+Instant Relay::waitEnd() const {
+  const Instant own = arrivedAt + longestWait();
+  return g.stopEnd == Instant::max() ? own : std::min(own, g.stopEnd - StopRunTime);
+}
+
+/// Waits for the next change of the view. False once the request has waited long enough.
+asio::awaitable<bool> Relay::waitForModel() {
+  const Duration d = waitEnd() - g.hooks.now();
   if (d <= Duration::zero())
     co_return false;
-  wakeUp.expires_after(d);
+  wakeUp.expires_after(std::min(d, StopCheck));
   auto waiter = g.view.waitForChange([this] { wakeUp.cancel(); });
   auto [ec] = co_await wakeUp.async_wait(Tuple);
   g.view.cancelWait(waiter);
-  co_return ec || g.hooks.now() < until;
+  co_return ec || g.hooks.now() < waitEnd();
 }
 
 asio::awaitable<void> Relay::pause(Duration d) {
@@ -335,9 +346,13 @@
   return best;
 }
 
+/// From its arrival, that the request waits for its model.
+Duration Relay::longestWait() const {
+  return std::max(fromSeconds(toSeconds(firstBy) * WaitShare), firstBy - FirstEventTime);
+}
+
 bool Relay::loadableInTime() const {
-  auto waitable = fromSeconds(toSeconds(firstBy) * WaitShare) - (g.hooks.now() - arrivedAt);
-  return fastestLoad() < waitable;
+  return fastestLoad() < longestWait() - (g.hooks.now() - arrivedAt);
 }
 
 HttpTimeouts Relay::timeouts() const {
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -94,6 +94,14 @@
     return adapterOnly ? whole - usedMegabytes(*in.spec, {{held.model, {}}}) : whole;
   }
 
+  /// Megabytes that the free places for adapters may need.
+  double adapterReserve(const PlacementEngine &engine) const {
+    double largest = 0;
+    for (auto &[name, spec] : in.spec->models)
+      largest = std::max(largest, spec.adapterMegabytes);
+    return largest * std::max(0, in.spec->adapterPlaces - adapterPlacesUsed(engine));
+  }
+
   enum class Source { Memory, Disk, Remote };
   static Source sourceOf(const PlacementEngine &engine, const ModelName &model) {
     if (engine.inMemory.count(model) > 0)
@@ -209,7 +217,7 @@
       auto source = sourceOf(it, model.name);
       if (source == Source::Remote && !remoteAllowed(remoteAtOnce))
         continue;
-      auto drop = victims(it, model.megabytes, worth);
+      auto drop = victims(it, model.megabytes + adapterReserve(it), worth);
       if (!drop)
         continue;
       double seconds = toSeconds(loadTime(source, model));
@@ -279,7 +287,7 @@
       if (spec == in.spec->models.end() || holdsModel(it.models, spec->first))
         continue;
       auto source = sourceOf(it, spec->first);
-      auto drop = victims(it, spec->second.megabytes, ReservedWorth);
+      auto drop = victims(it, spec->second.megabytes + adapterReserve(it), ReservedWorth);
       bool allowed = source != Source::Remote || remoteAllowed(urgentRemoteLimit());
       if (!drop || !allowed)
         continue;
@@ -396,6 +404,7 @@
   void loadAdapter(const ModelRef &ref) {
     PlacementEngine *free = nullptr;
     PlacementEngine *full = nullptr;
+    PlacementEngine *crowded = nullptr;
     Instant oldestUse = Instant::max();
     for (auto &it : engines) {
       if (!it.usable || !holdsModel(it.models, ref.model))
@@ -410,6 +419,8 @@
       } else if (auto oldest = leastNeededAdapter(it); oldest && lastUse(it, *oldest) < oldestUse) {
         full = &it;
         oldestUse = lastUse(it, *oldest);
+      } else if (adapterPlacesUsed(it) < in.spec->adapterPlaces) {
+        crowded = &it;
       }
     }
     if (free) {
@@ -418,9 +429,31 @@
       orders.push_back({free->name, PlacementAction::Load, ref, PlacementReason::Adapter, false});
     } else if (full) {
       dropAdapter(*full, *leastNeededAdapter(*full));
+    } else if (crowded) {
+      dropModelFor(ref, *crowded);
     }
   }
 
+  /// Drops the least valuable model beside that of an adapter, for which a place is free but no
+  /// memory.
+  void dropModelFor(const ModelRef &ref, PlacementEngine &engine) {
+    auto spec = in.spec->models.find(ref.model);
+    if (spec == in.spec->models.end())
+      return;
+    PlacementEngine others = engine;
+    std::erase_if(others.models, [&](auto &it) { return it.model == ref.model; });
+    const double needed =
+        spec->second.adapterMegabytes + freeMegabytes(others) - freeMegabytes(engine);
+    auto drop = victims(others, needed, in.adaptersWaiting.at(ref).waiting + WaitingWorth);
+    if (!drop || drop->empty())
+      return;
+    const ModelName victim = drop->front();
+    std::erase_if(engine.models, [&](auto &it) { return it.model == victim; });
+    engine.idle = false;
+    orders.push_back(
+        {engine.name, PlacementAction::Unload, {victim, {}}, PlacementReason::MakeRoom, false});
+  }
+
   bool hasAdapterRoom(const PlacementEngine &engine, const ModelName &model) const {
     auto spec = in.spec->models.find(model);
     return adapterPlacesUsed(engine) < in.spec->adapterPlaces && spec != in.spec->models.end() &&
--- a/tests/model_placement_test.cpp
+++ b/tests/model_placement_test.cpp
@@ -163,6 +163,32 @@
   EXPECT_NE(findOrder(planPlacement(input), "m0"), nullptr);
 }
 
+// Guards against an engine filled with models to its last megabytes: its places for adapters were
+// free, and none fitted.
+TEST(ModelPlacement, ModelsLeaveRoomForAdapters) {
+  auto spec = makeSpec(2);
+  auto input = makeInput(spec);
+  input.engines = {makeEngine("e0", {"m0"})};
+  spec.megabytes = 2 * ModelMegabytes + 2 * 40;
+  EXPECT_NE(findOrder(planPlacement(input), "m1"), nullptr);
+  spec.megabytes = 2 * ModelMegabytes + 40;
+  EXPECT_EQ(findOrder(planPlacement(input), "m1"), nullptr);
+}
+
+// Guards against requests that wait in vain for an adapter on an engine that began that full.
+TEST(ModelPlacement, AModelMakesRoomForAnAdapter) {
+  auto spec = makeSpec(2);
+  spec.megabytes = 2 * ModelMegabytes + 10;
+  auto input = makeInput(spec);
+  input.engines = {makeEngine("e0", {"m0", "m1"}), makeEngine("e1", {"m1"})};
+  input.adaptersWaiting[{ModelName("m0"), "a1"}] = {.waiting = 1};
+  auto orders = planPlacement(input);
+  auto *order = findOrder(orders, "m1");
+  ASSERT_NE(order, nullptr);
+  EXPECT_EQ(order->engine, EndpointName("e0"));
+  EXPECT_EQ(order->action, PlacementAction::Unload);
+}
+
 // Guards against turns by name: with more adapters asked for than there are places, the same few
 // were loaded again and again.
 TEST(ModelPlacement, TheAdapterThatMostWaitForGoesFirst) {
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -283,6 +283,27 @@
   EXPECT_GE(needs, 1); // the load begins all the same
 }
 
+// Guards against a request that waits for its model until its host has ended: its connection closed
+// without an answer, though it could have been refused as not run. (hunt of the first site, LOST)
+TEST_F(PlatformGatewayTest, WaitsEndWellBeforeTheHostStops) {
+  view.putEndpoint({.name = EndpointName("g"),
+                    .service = ServiceName("llm"),
+                    .address = {"127.0.0.1", 1},
+                    .slots = 4,
+                    .incarnation = 1,
+                    .holdings = {.onDisk = {ModelName("m")}}},
+                   steadyNow());
+  auto request = makeCall("/model/x");
+  request.set("Model", "m");
+  auto began = steadyNow();
+  asio::steady_timer stop(io, 200ms); // while the request waits
+  stop.async_wait([&](auto) { gateway->setStop(steadyNow() + 10s, steadyNow() + 3s); });
+  auto result = call(request);
+  EXPECT_EQ(result.response.result_int(), 503U);
+  EXPECT_GT(steadyNow() - began, 200ms);
+  EXPECT_LT(steadyNow() - began, 1000ms);
+}
+
 // Guards against an answer after the route's time.
 TEST_F(PlatformGatewayTest, SilentEndpointEndsWithTheDeadline) {
   for (auto &it : endpoints)
