--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -24,17 +24,28 @@
   echo "$!" >"$run/$name.pid"
 }
 
+# Ends what start began, and returns once it has gone: a new start would meet the old hosts' lists.
 stop_all() {
-  local it pid
+  local it pid i
+  local -a ending=()
   for it in "$run"/*.pid; do
     [ -e "$it" ] || continue
     pid=$(cat "$it")
     # A process id may have been given to another program since: check the program's directory.
     case "$(readlink "/proc/$pid/exe" 2>/dev/null || true)" in
-      "$PWD/$bin/"*) kill "$pid" 2>/dev/null || true ;;
+      "$PWD/$bin/"*)
+        kill "$pid" 2>/dev/null || true
+        ending+=("$pid")
+        ;;
     esac
     rm -f "$it"
   done
+  for pid in "${ending[@]}"; do
+    for ((i = 0; i < 100; ++i)); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.1
+    done
+  done
 }
 
 wait_for() {
--- a/src/config.h
+++ b/src/config.h
@@ -130,6 +130,9 @@
 constexpr auto FleetAvoidMin = 500ms; // doubles with each further failure in a row, four times
 constexpr int FleetAvoidAfter = 3;    // failed answers in a row
 constexpr auto FleetNoticeTrusted = 4s;
+// An adapter takes longer to load while many do, so that an endpoint which refused a model as
+// missing may have it a moment later.
+constexpr auto FleetMissingTime = 200ms;
 // Endpoints are back in the registry within about two seconds of its return.
 constexpr auto FleetReturnTime = 2500ms;
 constexpr auto FleetHeartbeat = 500ms;
--- a/src/fleet_demand.cpp
+++ b/src/fleet_demand.cpp
@@ -47,16 +47,17 @@
 
 } // namespace
 
-void FleetDemand::onNeed(const ModelNeed &need, const Address &from, Instant now) {
+Duration FleetDemand::onNeed(const ModelNeed &need, const Address &from, Instant now) {
   auto &hosts = needs[{need.service, need.model}];
   if (need.waiting <= 0) {
     hosts.erase(need.host);
-    return;
+    return Duration::zero();
   }
   auto &open = hosts.try_emplace(need.host, Need{.since = now}).first->second;
   open.from = from;
   open.waiting = need.waiting;
   open.at = now;
+  return now - open.since;
 }
 
 void FleetDemand::expire(Instant now) {
--- a/src/fleet_demand_p.h
+++ b/src/fleet_demand_p.h
@@ -13,8 +13,8 @@
 class FleetDemand {
 public:
   void onReport(const DemandReport &report, Instant now) { reports[report.host] = {report, now}; }
-  /// `from` is the address of the host that waits.
-  void onNeed(const ModelNeed &need, const Address &from, Instant now);
+  /// `from` is the address of the host that waits. Returns how long its requests have waited.
+  Duration onNeed(const ModelNeed &need, const Address &from, Instant now);
   void clearReports() { reports.clear(); }
   /// Adds what concerns a service to the placement's input. `heldFor` is how long the lease has
   /// been held.
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -415,7 +415,7 @@
       result = EndpointResult::Refused;
       bool missing = lastHead.status == 421 && !caller.model.empty();
       if (missing && !lastHead.otherEndpoint)
-        g.view.onMissing(to.name, caller.model);
+        g.view.onMissing(to.name, caller.model, g.hooks.now());
       if (lastHead.otherEndpoint)
         unreachable.insert(to.name);
     } else if (state.streaming && lastHead.status == 200) {
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -454,13 +454,17 @@
   void onNeed(const ModelNeed &need, const Address &from) {
     if (!active())
       return;
-    demand.onNeed(need, from, env.now());
+    const Duration waited = demand.onNeed(need, from, env.now());
     if (need.waiting <= 0)
       return;
     // The host may have missed the notice that tells it where the model is.
     for (auto &[name, record] : records)
-      if (record.entry.service == need.service && holds(record.holdings.models, need.model))
+      if (record.entry.service == need.service && holds(record.holdings.models, need.model)) {
         tellOne(record, from);
+        // Or the engine has lost it.
+        if (waited >= config::FleetNeedRepeat)
+          record.nextStatus = std::min(record.nextStatus, env.now());
+      }
     if (mayOrder())
       placeAll();
   }
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -37,6 +37,11 @@
   return entry.holdings.models;
 }
 
+bool EndpointState::isMissing(const ModelRef &ref, Instant now) const {
+  auto it = missing.find(ref);
+  return it != missing.end() && now < it->second;
+}
+
 bool FleetView::setConfig(FleetConfig config) {
   if (newest && config.version <= newest->version)
     return false;
@@ -131,10 +136,10 @@
     state.avoidUntil = now + avoidTime(state.failuresInRow);
 }
 
-void FleetView::onMissing(const EndpointName &name, const ModelRef &ref) {
+void FleetView::onMissing(const EndpointName &name, const ModelRef &ref, Instant now) {
   auto it = states.find(name);
   if (it != states.end())
-    it->second.missing.insert(ref);
+    it->second.missing[ref] = now + config::FleetMissingTime;
 }
 
 const EndpointState *FleetView::find(const EndpointName &name) const {
@@ -158,7 +163,7 @@
   if (excluded || state.entry.service != query.service || !state.takesWork())
     return false;
   return query.model.empty() ||
-         (state.missing.count(query.model) == 0 && holds(state.models(now), query.model));
+         (!state.isMissing(query.model, now) && holds(state.models(now), query.model));
 }
 
 std::uint64_t rankOf(const EndpointState &state, std::uint64_t seed) {
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -44,13 +44,15 @@
   FleetEndpoint entry;
   std::optional<HoldingsNotice> notice;
   Instant noticeAt;
-  std::set<ModelRef> missing; ///< answered as not held since the newest notice or entry
+  /// Answered as not held since the newest notice or entry; not asked again until then.
+  std::map<ModelRef, Instant> missing;
   int ownInFlight = 0;
   int peersInFlight = 0;
   double failureShare = 0; ///< moving average over requests of this host, 0 to 1
   int failuresInRow = 0;
   Instant avoidUntil;              ///< no requests before, unless nothing else is left
   std::optional<Instant> lapsesAt; ///< the registration went during a store outage
+  bool isMissing(const ModelRef &ref, Instant now) const;
   bool takesWork() const { return entry.liveness == Liveness::Live; }
   /// What it holds by the newest source.
   const std::vector<HeldModel> &models(Instant now) const;
@@ -76,7 +78,7 @@
   void onSent(const EndpointName &name);
   void onEnded(const EndpointName &name, EndpointResult result, Instant now);
   /// The endpoint answered that it does not hold `ref`.
-  void onMissing(const EndpointName &name, const ModelRef &ref);
+  void onMissing(const EndpointName &name, const ModelRef &ref, Instant now);
 
   const std::map<EndpointName, EndpointState> &endpoints() const { return states; }
   const EndpointState *find(const EndpointName &name) const;
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -98,12 +98,23 @@
 TEST(FleetViewTest, MissingModelIsBelievedUntilNews) {
   FleetView view;
   view.putEndpoint(endpoint("a"), Start);
-  view.onMissing(EndpointName("a"), Model);
+  view.onMissing(EndpointName("a"), Model, Start);
   EXPECT_EQ(choose(view), nullptr);
   view.putEndpoint(endpoint("a"), Start);
   EXPECT_NE(choose(view), nullptr);
 }
 
+// Guards against requests that wait for an adapter which was announced a moment too early: the
+// planner goes on to say that it is there, which is no change, and the host goes on to doubt it.
+TEST(FleetViewTest, MissingModelIsTriedAgainAfterAMoment) {
+  FleetView view;
+  view.putEndpoint(endpoint("a"), Start);
+  view.onMissing(EndpointName("a"), Model, Start);
+  const EndpointQuery query{.service = ServiceName("s"), .model = Model};
+  EXPECT_EQ(chooseEndpoint(view, query, Start + 100ms, 0), nullptr);
+  EXPECT_NE(chooseEndpoint(view, query, Start + 300ms, 0), nullptr);
+}
+
 // Guards against a herd on an endpoint that cannot be reached, and against none at all when it is
 // the only one.
 TEST(FleetViewTest, UnreachableEndpointsComeLast) {
--- a/tools/catkinctl.cpp
+++ b/tools/catkinctl.cpp
@@ -151,6 +151,10 @@
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError &e) {
+    // A missing command is reported before an option that does not exist.
+    const auto unknown = app.remaining();
+    if (!unknown.empty() && dynamic_cast<const CLI::RequiredError *>(&e))
+      return finish({CtlExit::Usage, {}, "unknown option or command: " + unknown.front()});
     return app.exit(e) == 0 ? 0 : static_cast<int>(CtlExit::Usage);
   }
   if (completion->parsed())
