Count a round's replicas once

Waiting adapters got no order for a second or more although places were free. Ruled out: refused orders; engines busy with a load (idle ones got no order either). Change: counts are kept for the round and made anew after an order has changed an engine. The decisions are the same.

--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -42,6 +42,8 @@
   explicit Round(const PlacementInput &input) : in(input), engines(input.engines) {
     remoteUnderWay = in.remoteLoadsUnderWay;
     remoteInWindow = in.remoteLoadsInWindow;
+    for (auto &[name, spec] : in.spec->models)
+      largestAdapter = std::max(largestAdapter, spec.adapterMegabytes);
   }
 
   std::vector<PlacementOrder> run() {
@@ -64,20 +66,40 @@
     return holds(models, {model, {}});
   }
 
-  /// Replicas that serve now.
-  int heldReplicas(const ModelName &model) const {
-    auto n = std::count_if(engines.begin(), engines.end(),
-                           [&](auto &it) { return it.usable && holdsModel(it.models, model); });
-    return static_cast<int>(n);
+  struct Replicas {
+    int held = 0;    ///< serve now
+    int planned = 0; ///< with those that are on their way
+  };
+
+  int heldReplicas(const ModelName &model) const { return replicasOf(model).held; }
+  int replicas(const ModelName &model) const { return replicasOf(model).planned; }
+
+  /// Counted once for all models, and again after an order has changed an engine.
+  Replicas replicasOf(const ModelName &model) const {
+    if (!counted)
+      countReplicas();
+    auto it = counts.find(model);
+    return it == counts.end() ? Replicas{} : it->second;
   }
 
-  /// Replicas with those that are on their way.
-  int replicas(const ModelName &model) const {
-    auto n = std::count_if(engines.begin(), engines.end(), [&](auto &it) {
-      return it.usable && (holdsModel(it.models, model) || holdsModel(it.pending, model) ||
-                           it.reservedFor == model);
-    });
-    return static_cast<int>(n);
+  void countReplicas() const {
+    counts.clear();
+    counted = true;
+    for (auto &it : engines) {
+      if (!it.usable)
+        continue;
+      std::set<ModelName> planned;
+      for (auto &held : it.models) {
+        planned.insert(held.model);
+        ++counts[held.model].held;
+      }
+      for (auto &held : it.pending)
+        planned.insert(held.model);
+      if (it.reservedFor)
+        planned.insert(*it.reservedFor);
+      for (auto &model : planned)
+        ++counts[model].planned;
+    }
   }
 
   double freeMegabytes(const PlacementEngine &engine) const {
@@ -96,10 +118,7 @@
 
   /// Megabytes that the free places for adapters may need.
   double adapterReserve(const PlacementEngine &engine) const {
-    double largest = 0;
-    for (auto &[name, spec] : in.spec->models)
-      largest = std::max(largest, spec.adapterMegabytes);
-    return largest * std::max(0, in.spec->adapterPlaces - adapterPlacesUsed(engine));
+    return largestAdapter * std::max(0, in.spec->adapterPlaces - adapterPlacesUsed(engine));
   }
 
   enum class Source { Memory, Disk, Remote };
@@ -258,6 +277,7 @@
   void order(const Option &option, const ModelName &model, PlacementReason reason) {
     option.engine->idle = false;
     option.engine->pending.push_back({model, {}});
+    counted = false;
     if (!option.drop.empty()) {
       // Other engines must not count them as replicas any more in this round.
       for (auto &it : option.drop)
@@ -448,6 +468,7 @@
     if (!drop || drop->empty())
       return;
     const ModelName victim = drop->front();
+    counted = false;
     std::erase_if(engine.models, [&](auto &it) { return it.model == victim; });
     engine.idle = false;
     orders.push_back(
@@ -498,6 +519,9 @@
   const PlacementInput &in;
   std::vector<PlacementEngine> engines;
   std::vector<PlacementOrder> orders;
+  mutable std::map<ModelName, Replicas> counts;
+  mutable bool counted = false;
+  double largestAdapter = 0; ///< megabytes
   int remoteUnderWay = 0;
   int remoteInWindow = 0;
 };
