Do not skip an event in the stand-in's watch

Cause: a watch that ended without events answered with the store's newest revision, also if an event had come in its last pause of 10 ms; the next watch skipped it. Ruled out: a silent watch of the daemon (it would have been logged as failed after 2.7 s); the pause after changes (no change arrived). Change: the answer goes as far as the events that were looked at. The check and its bounds stay.

--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -143,6 +143,9 @@
 
 asio::awaitable<HttpResponse> StandinStore::watch(const std::string &kind, std::uint64_t from,
                                                   Duration wait) {
+  // The answer goes as far as the events that were looked at: one that comes during the last pause
+  // must not be skipped by the next watch.
+  std::uint64_t seen = from;
   for (Duration waited{}; waited <= wait; waited += 10ms) {
     if (from < historyFrom)
       co_return answer(410);
@@ -150,11 +153,12 @@
     for (auto &it : history)
       if (it.revision > from && it.kind == kind)
         events.push_back(json::object{{"removed", it.removed}, {"object", it.object}});
+    seen = revision;
     if (!events.empty())
-      co_return answer(200, json::object{{"events", events}, {"as_of", revision}});
+      co_return answer(200, json::object{{"events", events}, {"as_of", seen}});
     co_await sleepFor(10ms);
   }
-  co_return answer(200, json::object{{"events", json::array{}}, {"as_of", revision}});
+  co_return answer(200, json::object{{"events", json::array{}}, {"as_of", seen}});
 }
 
 HttpResponse StandinStore::write(const HttpRequest &request, const std::string &kind,
