Use one piece for what stood twice; decay one average a request

A notice with a member of another type is now dropped as a whole, as every other message is; its reader's verdict was not looked at before. - Each daemon made its own incarnation; newIncarnation in real_env does, in microseconds for both. - sleepFor stood in four test files and a query parser in one; they use those of the stand-ins. Requests of the process tests are built in one place. - Every request let the averages of all models decay; now those of its own model do, all of them for a report. - The budget copied all hosts' names to count them; each tick copied what each engine holds twice. Dead: an unused include, a captured pointer without a use, FleetPeers::hosts. Ruled out as twins: RealEnv's readNames, which skips what it cannot read in reports of other programs on purpose.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -34,13 +34,6 @@
 constexpr std::size_t OperatorConnections = 64;
 constexpr std::size_t PeerBodyBytes = 8 * 1024 * 1024; // a whole routing table fits
 
-/// Grows with each start of a host, so that a newer process is recognised.
-std::uint64_t newIncarnation() {
-  auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
-}
-
 Member makeSelf(const Settings &s, std::uint64_t incarnation) {
   return {.host = HostName(s.host),
           .incarnation = incarnation,
--- a/src/demand_meter.cpp
+++ b/src/demand_meter.cpp
@@ -14,26 +14,25 @@
 
 } // namespace
 
-void DemandMeter::decay(Instant now) {
-  double seconds = toSeconds(now - decayedAt);
-  decayedAt = now;
-  for (auto &[key, it] : averages) {
-    it.slow *= std::exp(-seconds / SlowTime);
-    it.fast *= std::exp(-seconds / FastTime);
-  }
+void DemandMeter::Averages::decay(Instant now) {
+  const double seconds = toSeconds(now - at);
+  at = now;
+  slow *= std::exp(-seconds / SlowTime);
+  fast *= std::exp(-seconds / FastTime);
 }
 
 void DemandMeter::onRequest(const ServiceName &service, const ModelRef &model, Instant now) {
   if (!firstAt)
     firstAt = now;
-  decay(now);
   auto &it = averages[{service, model}];
+  it.decay(now);
   it.slow += 1 / SlowTime;
   it.fast += 1 / FastTime;
 }
 
 std::vector<ModelUse> DemandMeter::rates(Instant now) {
-  decay(now);
+  for (auto &[key, it] : averages)
+    it.decay(now);
   std::erase_if(averages, [](auto &it) { return it.second.slow < Negligible; });
   std::vector<ModelUse> out;
   for (auto &[key, it] : averages)
--- a/src/demand_meter_p.h
+++ b/src/demand_meter_p.h
@@ -19,16 +19,15 @@
   Duration observed(Instant now) const;
 
 private:
-  void decay(Instant now);
-
   struct Averages {
     double slow = 0;
     double fast = 0;
+    Instant at; ///< of which the averages are
+    void decay(Instant now);
   };
 
   std::map<std::pair<ServiceName, ModelRef>, Averages> averages;
   std::optional<Instant> firstAt;
-  Instant decayedAt;
 };
 
 } // namespace catkin
--- a/src/engine_record.cpp
+++ b/src/engine_record.cpp
@@ -2,8 +2,6 @@
 
 #include "config.h"
 
-#include <algorithm>
-
 namespace catkin {
 
 namespace {
@@ -13,20 +11,6 @@
     std::chrono::seconds(3); // runs of a dropped model may end late
 constexpr Duration ReportLag = std::chrono::milliseconds(600);
 
-bool contains(const std::vector<ModelName> &names, const ModelName &model) {
-  return std::find(names.begin(), names.end(), model) != names.end();
-}
-
-void dropFrom(std::vector<HeldModel> &models, const ModelRef &ref) {
-  if (ref.adapter.empty()) {
-    std::erase_if(models, [&](auto &it) { return it.model == ref.model; });
-    return;
-  }
-  for (auto &it : models)
-    if (it.model == ref.model)
-      std::erase(it.adapters, ref.adapter);
-}
-
 void addPending(PlacementEngine &engine, const PlacementOrder &order) {
   HeldModel held{order.model.model, {}};
   if (!order.model.adapter.empty())
@@ -92,11 +76,9 @@
 }
 
 void EngineRecord::keepFreshAdapters(Instant now) {
-  for (auto &[ref, at] : adapterReadyAt)
-    for (auto &held : holdings.models)
-      if (held.model == ref.model && now - at < ReportLag && !holds({held}, ref))
-        held.adapters.push_back(ref.adapter);
   std::erase_if(adapterReadyAt, [&](auto &it) { return now - it.second >= ReportLag; });
+  for (auto &[ref, at] : adapterReadyAt)
+    addAdapter(holdings.models, ref);
 }
 
 Duration EngineRecord::expectedTime(const PlacementOrder &order, const EngineSpec &spec) const {
@@ -104,9 +86,7 @@
   if (!order.model.adapter.empty() || order.action == PlacementAction::Unload ||
       it == spec.models.end())
     return Duration(0);
-  if (contains(holdings.inMemory, order.model.model))
-    return it->second.memoryLoad;
-  return contains(holdings.onDisk, order.model.model) ? it->second.diskLoad : it->second.remoteLoad;
+  return loadTime(it->second, sourceOf(holdings, order.model.model));
 }
 
 } // namespace catkin
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -327,18 +327,11 @@
   auto spec = owner->second.engine.models.find(caller.model.model);
   if (spec == owner->second.engine.models.end())
     return Duration::max();
-  auto in = [&](const std::vector<ModelName> &names) {
-    return std::find(names.begin(), names.end(), caller.model.model) != names.end();
-  };
   Duration best = Duration::max();
   for (auto &[name, it] : g.view.endpoints()) {
     if (it.entry.service != service || !it.takesWork())
       continue;
-    auto d = spec->second.remoteLoad;
-    if (in(it.entry.holdings.inMemory))
-      d = spec->second.memoryLoad;
-    else if (in(it.entry.holdings.onDisk))
-      d = spec->second.diskLoad;
+    auto d = loadTime(spec->second, sourceOf(it.entry.holdings, caller.model.model));
     if (holds(it.models(g.hooks.now()), {caller.model.model, {}}))
       d = Duration::zero();
     best = std::min(best, d);
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -4,8 +4,6 @@
 #include "json_p.h"
 #include "log_p.h"
 
-#include <sstream>
-
 namespace catkin {
 
 namespace {
@@ -65,7 +63,7 @@
                 {.dataCentre = options.self.dataCentre, .budget = options.budget},
                 {.now = [this] { return env.now(); },
                  .random = [this] { return env.random(); },
-                 .hostCount = [this] { return static_cast<int>(peers.hosts().size()); },
+                 .hostCount = [this] { return peers.hostCount(); },
                  .needChanged = [this](auto &service, auto &model,
                                        int change) { onNeedChanged(service, model, change); },
                  .wanted = [this](auto &service, auto &model) { sendNeed(service, model, 1); }}),
@@ -157,10 +155,12 @@
   /// Store calls grow with the fleet, so a host watches only as closely as its part needs.
   void adjustWatches(Instant now) {
     const bool closely = peers.isSentinel(configFollower.connected(), now);
-    const bool fewHosts = peers.aliveCount(now) <= config::FleetSmallFleet;
     const Duration sentinelWatch =
         fromSeconds(toSeconds(options.recoveryBound) * SentinelWatchShare);
-    configFollower.setMaxWait(fewHosts ? closeWatch() : closely ? sentinelWatch : MaxWatch);
+    if (!peers.isLargeFleet(now))
+      configFollower.setMaxWait(closeWatch());
+    else
+      configFollower.setMaxWait(closely ? sentinelWatch : MaxWatch);
     if (!std::exchange(wasSentinel, closely) && closely)
       configFollower.catchUp(); // its long watch may have gone silent
     const Duration pause = fromSeconds(toSeconds(options.drainBound) * BatchPauseShare);
@@ -327,8 +327,7 @@
   void reportDemand() {
     env.after(config::FleetDemandInterval, [self = shared_from_this()] { self->reportDemand(); });
     auto now = env.now();
-    const bool largeFleet = peers.aliveCount(now) > config::FleetSmallFleet;
-    if (largeFleet && demandIntervals++ % 2 != 0)
+    if (peers.isLargeFleet(now) && demandIntervals++ % 2 != 0)
       return;
     DemandReport m{.host = options.self.host,
                    .observed = gateway.demand().observed(now),
@@ -398,7 +397,6 @@
 void FleetHost::beginStop(Instant end, std::function<void()> done) {
   impl->stopping = true;
   impl->gateway.setStop(impl->env.now() + config::FleetServeLongRequests, end);
-  auto self = impl;
   impl->unregister([] {});
   impl->planner.stop(std::move(done));
 }
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -110,18 +110,8 @@
           .waiting = in.integer("waiting")};
 }
 
-void readAdapters(const json::object &object, std::vector<std::string> &out) {
-  auto *list = object.if_contains("a");
-  if (!list || !list->is_array())
-    return;
-  for (auto &it : list->get_array())
-    if (it.is_string())
-      out.emplace_back(std::string_view(it.get_string()));
-}
-
-HoldingsNotices readNotices(const json::object &object) {
+HoldingsNotices readNotices(JsonReader &in) {
   HoldingsNotices m;
-  JsonReader in(object);
   in.objects("notices", [&](JsonReader &it) {
     HoldingsNotice notice{.endpoint = it.name<EndpointName>("e"),
                           .incarnation = it.unsignedInt("i"),
@@ -129,9 +119,7 @@
                           .number = it.unsignedInt("n"),
                           .models = {}};
     it.objects("models", [&](JsonReader &held) {
-      HeldModel model{held.name<ModelName>("m"), {}};
-      readAdapters(held.raw(), model.adapters);
-      notice.models.push_back(std::move(model));
+      notice.models.push_back({held.name<ModelName>("m"), held.texts("a")});
     });
     m.notices.push_back(std::move(notice));
   });
@@ -158,7 +146,7 @@
   else if (type == "need")
     message = readNeed(in);
   else if (type == "holdings")
-    message = readNotices(object);
+    message = readNotices(in);
   return in.ok ? message : std::nullopt;
 }
 
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -1,6 +1,5 @@
 #include "fleet_peers_p.h"
 
-#include "config.h"
 #include "json_p.h"
 
 #include <algorithm>
@@ -74,13 +73,6 @@
   return out;
 }
 
-std::vector<HostName> FleetPeers::hosts() const {
-  std::vector<HostName> out{self.host};
-  for (auto &[host, peer] : peers)
-    out.push_back(host);
-  return out;
-}
-
 std::vector<HostName> FleetPeers::plannerCandidates(bool storeConnected, Instant now) const {
   constexpr double ShareOfBest = 0.5;
   std::vector<const FleetHostEntry *> fit;
@@ -106,7 +98,7 @@
 }
 
 bool FleetPeers::isSentinel(bool storeConnected, Instant now) const {
-  if (aliveCount(now) <= config::FleetSmallFleet)
+  if (!isLargeFleet(now))
     return true;
   if (!storeConnected)
     return false;
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config.h"
 #include "fleet_messages_p.h"
 
 #include <map>
@@ -33,12 +34,14 @@
   std::vector<Address> peerAddresses() const;
   /// Of those in this host's data centre.
   std::vector<Address> nearbyAddresses() const;
-  std::vector<HostName> hosts() const; ///< with this host
+  int hostCount() const { return static_cast<int>(peers.size()) + 1; } ///< with this host
   /// Hosts that may become the planner: alive, in touch with the store, and not much weaker than
   /// the best. This host is in touch if `storeConnected`.
   std::vector<HostName> plannerCandidates(bool storeConnected, Instant now) const;
   /// Hosts that share the work, this one included; at least 1.
   int aliveCount(Instant now) const;
+  /// Too many live hosts for all to watch closely and report at every interval.
+  bool isLargeFleet(Instant now) const { return aliveCount(now) > config::FleetSmallFleet; }
   /// True if this host is one of the few that watch the configuration closely, since all others
   /// learn from heartbeats that there is a new one. All hosts of a small fleet do.
   bool isSentinel(bool storeConnected, Instant now) const;
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -113,20 +113,25 @@
     return it != config->services.end() && it->second.hasEngines;
   }
 
+  /// A callback that runs `step` with the engine's record and its own arguments if the engine is
+  /// still the same by then. It keeps the planner alive.
+  template <class Step> auto forSame(const EngineRecord &record, Step step) {
+    return [self = shared_from_this(), name = record.entry.name,
+            incarnation = record.entry.incarnation, step = std::move(step)](const auto &...args) {
+      auto it = self->records.find(name);
+      if (it != self->records.end() && it->second.entry.incarnation == incarnation)
+        step(it->second, args...);
+    };
+  }
+
   void pollStatus(EngineRecord &record) {
     if (record.statusUnderWay || env.now() < record.nextStatus)
       return;
     record.statusUnderWay = true;
-    auto self = shared_from_this();
-    auto name = record.entry.name;
-    auto incarnation = record.entry.incarnation;
-    engines.status(record.entry, [self, name, incarnation](const auto &status) {
-      auto it = self->records.find(name);
-      if (it == self->records.end() || it->second.entry.incarnation != incarnation)
-        return;
-      it->second.statusUnderWay = false;
-      self->onStatus(it->second, status);
-    });
+    engines.status(record.entry, forSame(record, [this](EngineRecord &it, const auto &status) {
+                     it.statusUnderWay = false;
+                     onStatus(it, status);
+                   }));
   }
 
   void onStatus(EngineRecord &record, const std::optional<EngineStatus> &status) {
@@ -255,23 +260,20 @@
     record.reservedAt = env.now();
   }
 
+  EngineCommand makeCommand(const PlacementOrder &order, std::uint64_t expectedOrderCount) const {
+    return {.action = order.action,
+            .model = order.model,
+            .term = term(),
+            .holder = options.host,
+            .expectedOrderCount = expectedOrderCount};
+  }
+
   void send(EngineRecord &record) {
     auto &sending = *record.sending;
     ++sending.sends;
-    EngineCommand command{.action = sending.order.action,
-                          .model = sending.order.model,
-                          .term = term(),
-                          .holder = options.host,
-                          .expectedOrderCount = sending.expected};
-    auto self = shared_from_this();
-    auto name = record.entry.name;
-    auto incarnation = record.entry.incarnation;
-    engines.command(record.entry, command, [self, name, incarnation](CommandResult result) {
-      auto it = self->records.find(name);
-      if (it == self->records.end() || it->second.entry.incarnation != incarnation)
-        return;
-      self->onCommandDone(it->second, result);
-    });
+    engines.command(
+        record.entry, makeCommand(sending.order, sending.expected),
+        forSame(record, [this](auto &it, CommandResult result) { onCommandDone(it, result); }));
   }
 
   void onCommandDone(EngineRecord &record, CommandResult result) {
@@ -333,15 +335,8 @@
   }
 
   /// Runs `step` later if the engine is still the same.
-  void after(Duration d, const EngineRecord &record, std::function<void(EngineRecord &)> step) {
-    auto self = shared_from_this();
-    auto name = record.entry.name;
-    auto incarnation = record.entry.incarnation;
-    env.after(d, [self, name, incarnation, step = std::move(step)] {
-      auto it = self->records.find(name);
-      if (it != self->records.end() && it->second.entry.incarnation == incarnation)
-        step(it->second);
-    });
+  template <class Step> void after(Duration d, const EngineRecord &record, Step step) {
+    env.after(d, forSame(record, std::move(step)));
   }
 
   /// The same order again shows whether the unload is complete, sooner than a report would.
@@ -349,19 +344,9 @@
     if (!record.active || record.active->order.action != PlacementAction::Unload ||
         record.sending || !mayOrder())
       return;
-    auto name = record.entry.name;
-    auto self = shared_from_this();
-    auto incarnation = record.entry.incarnation;
-    EngineCommand command{.action = PlacementAction::Unload,
-                          .model = record.active->order.model,
-                          .term = term(),
-                          .holder = options.host,
-                          .expectedOrderCount = record.holdings.orderCount};
-    engines.command(record.entry, command, [self, name, incarnation](CommandResult result) {
-      auto it = self->records.find(name);
-      if (it != self->records.end() && it->second.entry.incarnation == incarnation)
-        self->onUnloadAsked(it->second, result);
-    });
+    engines.command(
+        record.entry, makeCommand(record.active->order, record.holdings.orderCount),
+        forSame(record, [this](auto &it, CommandResult result) { onUnloadAsked(it, result); }));
   }
 
   void onUnloadAsked(EngineRecord &record, CommandResult result) {
@@ -400,9 +385,7 @@
   void onAdapterReady(EngineRecord &record, const ModelRef &ref) {
     auto now = env.now();
     std::erase_if(record.unresolved, [&](auto &it) { return it.order.model == ref; });
-    for (auto &it : record.holdings.models)
-      if (it.model == ref.model && !holds({it}, ref))
-        it.adapters.push_back(ref.adapter);
+    addAdapter(record.holdings.models, ref);
     record.adapterReadyAt[ref] = now;
     record.adapterUsedAt[ref] = now;
     tellWaiting(record, ref.model);
@@ -414,12 +397,10 @@
 
   /// Tells all hosts at once, before requests can be refused.
   void sendNotice(const EngineRecord &record) {
+    const auto now = env.now();
     if (record.known && active())
-      links.broadcast(HoldingsNotices{{makeNotice(record)}});
-  }
-
-  HoldingsNotice makeNotice(const EngineRecord &record) {
-    return notifier.tell(record.entry.name, term(), record.available(env.now()), env.now());
+      links.broadcast(
+          HoldingsNotices{{notifier.tell(record.entry.name, term(), record.available(now), now)}});
   }
 
   /// Tells the hosts whose requests wait for a model or one of its adapters; all others learn with
@@ -437,11 +418,15 @@
   }
 
   void sendNotices() {
+    const auto now = env.now();
     HoldingsNotices message;
     for (auto &[name, record] : records) {
-      if (!record.known || !notifier.isDue(name, record.available(env.now()), env.now()))
+      if (!record.known)
+        continue;
+      const auto models = record.available(now);
+      if (!notifier.isDue(name, models, now))
         continue;
-      message.notices.push_back(makeNotice(record));
+      message.notices.push_back(notifier.tell(name, term(), models, now));
       if (message.notices.size() < NoticesPerMessage)
         continue;
       links.broadcast(message);
--- a/src/fleet_types.cpp
+++ b/src/fleet_types.cpp
@@ -56,6 +56,43 @@
   });
 }
 
+void addAdapter(std::vector<HeldModel> &models, const ModelRef &ref) {
+  for (auto &it : models)
+    if (it.model == ref.model && !holds({it}, ref))
+      it.adapters.push_back(ref.adapter);
+}
+
+void dropFrom(std::vector<HeldModel> &models, const ModelRef &ref) {
+  if (ref.adapter.empty()) {
+    std::erase_if(models, [&](auto &it) { return it.model == ref.model; });
+    return;
+  }
+  for (auto &it : models)
+    if (it.model == ref.model)
+      std::erase(it.adapters, ref.adapter);
+}
+
+WeightSource sourceOf(const EngineHoldings &holdings, const ModelName &model) {
+  auto in = [&](const std::vector<ModelName> &names) {
+    return std::find(names.begin(), names.end(), model) != names.end();
+  };
+  if (in(holdings.inMemory))
+    return WeightSource::Memory;
+  return in(holdings.onDisk) ? WeightSource::Disk : WeightSource::Remote;
+}
+
+Duration loadTime(const ModelSpec &model, WeightSource source) {
+  switch (source) {
+  case WeightSource::Memory:
+    return model.memoryLoad;
+  case WeightSource::Disk:
+    return model.diskLoad;
+  case WeightSource::Remote:
+    break;
+  }
+  return model.remoteLoad;
+}
+
 double usedMegabytes(const EngineSpec &spec, const std::vector<HeldModel> &models) {
   double used = 0;
   for (auto &it : models) {
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -123,6 +123,15 @@
 
 /// True if `models` has the model and, if named, the adapter.
 bool holds(const std::vector<HeldModel> &models, const ModelRef &ref);
+/// Adds the adapter to its model, if that is there and does not have it yet.
+void addAdapter(std::vector<HeldModel> &models, const ModelRef &ref);
+/// Removes the model with its adapters, or only the adapter if one is named.
+void dropFrom(std::vector<HeldModel> &models, const ModelRef &ref);
+
+/// Where an engine would load a model's weights from.
+enum class WeightSource { Memory, Disk, Remote };
+WeightSource sourceOf(const EngineHoldings &holdings, const ModelName &model);
+Duration loadTime(const ModelSpec &model, WeightSource source);
 
 /// Megabytes that models and adapters take up. A model that the spec does not list counts as a
 /// whole engine, so that nothing is loaded beside it.
--- a/src/json.cpp
+++ b/src/json.cpp
@@ -17,6 +17,22 @@
   return std::string(std::string_view(v->get_string()));
 }
 
+std::vector<std::string> JsonReader::texts(std::string_view key) {
+  std::vector<std::string> out;
+  auto *v = find(key);
+  if (!v)
+    return out;
+  ok = ok && v->is_array();
+  if (!v->is_array())
+    return out;
+  for (auto &it : v->get_array()) {
+    ok = ok && it.is_string();
+    if (it.is_string())
+      out.emplace_back(std::string_view(it.get_string()));
+  }
+  return out;
+}
+
 std::int64_t JsonReader::integer64(std::string_view key) {
   auto *v = find(key);
   if (!v)
--- a/src/json_p.h
+++ b/src/json_p.h
@@ -10,6 +10,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// Reading of JSON objects whose fields have known types.
 namespace catkin {
@@ -30,6 +31,8 @@
   /// A duration in microseconds.
   Duration micros(std::string_view key) { return Duration(integer64(key)); }
   Address address(std::string_view key);
+  /// Members of an array of texts; one of another type clears `ok`.
+  std::vector<std::string> texts(std::string_view key);
   template <class N> N name(std::string_view key) { return N(text(key)); }
   template <class E> E enumerator(std::string_view key, E missing) {
     auto *v = find(key);
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -121,11 +121,10 @@
     return largestAdapter * std::max(0, in.spec->adapterPlaces - adapterPlacesUsed(engine));
   }
 
-  enum class Source { Memory, Disk, Remote };
-  static Source sourceOf(const PlacementEngine &engine, const ModelName &model) {
+  static WeightSource sourceOf(const PlacementEngine &engine, const ModelName &model) {
     if (engine.inMemory.count(model) > 0)
-      return Source::Memory;
-    return engine.onDisk.count(model) > 0 ? Source::Disk : Source::Remote;
+      return WeightSource::Memory;
+    return engine.onDisk.count(model) > 0 ? WeightSource::Disk : WeightSource::Remote;
   }
 
   bool remoteAllowed(int atOnce) const {
@@ -195,13 +194,14 @@
   }
 
   /// The models to drop on an engine to make room, or nothing if it cannot be made by dropping
-  /// models that are together worth less than `worth`.
+  /// models that are together worth less than `worth`. `keep` stays in any case.
   std::optional<std::vector<ModelName>> victims(const PlacementEngine &engine, double megabytes,
-                                                double worth) const {
+                                                double worth,
+                                                const ModelName *keep = nullptr) const {
     double missing = megabytes - freeMegabytes(engine);
     std::vector<std::pair<double, const HeldModel *>> ranked;
     for (auto &it : engine.models)
-      if (evictable(engine, it.model, worth))
+      if ((!keep || it.model != *keep) && evictable(engine, it.model, worth))
         ranked.emplace_back(valueOf(it.model), &it);
     std::sort(ranked.begin(), ranked.end(), [](auto &a, auto &b) { return a.first < b.first; });
     std::vector<ModelName> out;
@@ -234,18 +234,18 @@
           holdsModel(it.pending, model.name))
         continue;
       auto source = sourceOf(it, model.name);
-      if (source == Source::Remote && !remoteAllowed(remoteAtOnce))
+      if (source == WeightSource::Remote && !remoteAllowed(remoteAtOnce))
         continue;
       auto drop = victims(it, model.megabytes + adapterReserve(it), worth);
       if (!drop)
         continue;
-      double seconds = toSeconds(loadTime(source, model));
+      double seconds = toSeconds(loadTime(model, source));
       double cost = seconds + adapterRate(it) * seconds * AdapterBlockWeight;
       for (auto &victim : *drop)
         cost += UnloadSeconds + valueOf(victim) +
                 std::min(MaxRunSeconds, RunSeconds * inFlight(it, victim));
       if (!best || cost < best->cost)
-        best = Option{&it, std::move(*drop), source == Source::Remote, cost};
+        best = Option{&it, std::move(*drop), source == WeightSource::Remote, cost};
     }
     return best;
   }
@@ -261,18 +261,6 @@
     return rate;
   }
 
-  static Duration loadTime(Source source, const ModelSpec &model) {
-    switch (source) {
-    case Source::Memory:
-      return model.memoryLoad;
-    case Source::Disk:
-      return model.diskLoad;
-    case Source::Remote:
-      break;
-    }
-    return model.remoteLoad;
-  }
-
   /// Orders the load, or the first of the drops that it needs.
   void order(const Option &option, const ModelName &model, PlacementReason reason) {
     option.engine->idle = false;
@@ -281,7 +269,7 @@
     if (!option.drop.empty()) {
       // Other engines must not count them as replicas any more in this round.
       for (auto &it : option.drop)
-        std::erase_if(option.engine->models, [&](auto &held) { return held.model == it; });
+        dropFrom(option.engine->models, {it, {}});
       orders.push_back({option.engine->name,
                         PlacementAction::Unload,
                         {option.drop.front(), {}},
@@ -308,10 +296,11 @@
         continue;
       auto source = sourceOf(it, spec->first);
       auto drop = victims(it, spec->second.megabytes + adapterReserve(it), ReservedWorth);
-      bool allowed = source != Source::Remote || remoteAllowed(urgentRemoteLimit());
+      bool allowed = source != WeightSource::Remote || remoteAllowed(urgentRemoteLimit());
       if (!drop || !allowed)
         continue;
-      order({&it, std::move(*drop), source == Source::Remote, 0}, spec->first, it.reservedBecause);
+      order({&it, std::move(*drop), source == WeightSource::Remote, 0}, spec->first,
+            it.reservedBecause);
     }
   }
 
@@ -353,7 +342,7 @@
     if (demand == in.demand.end() || demand->second.waited >= LocalCopyPatience)
       return false;
     return std::any_of(engines.begin(), engines.end(), [&](auto &it) {
-      return it.usable && !it.loadsFromStore && sourceOf(it, model.name) != Source::Remote;
+      return it.usable && !it.loadsFromStore && sourceOf(it, model.name) != WeightSource::Remote;
     });
   }
 
@@ -460,19 +449,16 @@
     auto spec = in.spec->models.find(ref.model);
     if (spec == in.spec->models.end())
       return;
-    PlacementEngine others = engine;
-    std::erase_if(others.models, [&](auto &it) { return it.model == ref.model; });
-    const double needed =
-        spec->second.adapterMegabytes + freeMegabytes(others) - freeMegabytes(engine);
-    auto drop = victims(others, needed, in.adaptersWaiting.at(ref).waiting + WaitingWorth);
+    const double worth = in.adaptersWaiting.at(ref).waiting + WaitingWorth;
+    auto drop = victims(engine, spec->second.adapterMegabytes, worth, &ref.model);
     if (!drop || drop->empty())
       return;
-    const ModelName victim = drop->front();
+    const ModelRef victim{drop->front(), {}};
     counted = false;
-    std::erase_if(engine.models, [&](auto &it) { return it.model == victim; });
+    dropFrom(engine.models, victim);
     engine.idle = false;
     orders.push_back(
-        {engine.name, PlacementAction::Unload, {victim, {}}, PlacementReason::MakeRoom, false});
+        {engine.name, PlacementAction::Unload, victim, PlacementReason::MakeRoom, false});
   }
 
   bool hasAdapterRoom(const PlacementEngine &engine, const ModelName &model) const {
@@ -507,9 +493,7 @@
   void dropAdapter(PlacementEngine &engine, const ModelRef &ref) {
     orders.push_back({engine.name, PlacementAction::Unload, ref, PlacementReason::MakeRoom, false});
     engine.idle = false;
-    for (auto &held : engine.models)
-      if (held.model == ref.model)
-        std::erase(held.adapters, ref.adapter);
+    dropFrom(engine.models, ref);
   }
 
   // Spare room may also be made of replicas beyond what their demand deserves.
--- a/src/real_env.cpp
+++ b/src/real_env.cpp
@@ -130,6 +130,12 @@
       std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+std::uint64_t newIncarnation() {
+  auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
 StoreStatus failedStatus(const HttpResult &result) {
   if (result.status == HttpStatus::NotConnected)
     return StoreStatus::Unreachable;
--- a/src/real_env_p.h
+++ b/src/real_env_p.h
@@ -133,6 +133,9 @@
 /// Present time of the monotonic clock, as Env::now() gives it.
 Instant steadyNow();
 
+/// Grows with each start of a host, so that a newer process is recognised.
+std::uint64_t newIncarnation();
+
 /// Handles the calls of other hosts: POST with a JSON-RPC body. `call` is Control::onCall and runs
 /// on `strand`.
 using PeerCall = std::function<void(const std::string &method, const std::string &paramsJson,
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,4 +1,5 @@
 #include "http_p.h"
+#include "standin_p.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -23,15 +24,11 @@
 
 using asio::ip::tcp;
 using namespace std::chrono_literals;
+using standin::sleepFor;
 
 constexpr auto WatchdogTime = 60s; // only so that a hang ends the test
 constexpr std::string_view SmallResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-asio::awaitable<void> sleepFor(Duration d) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, d);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
 HttpRequest makeRequest(std::string_view target, std::string body = {}) {
   HttpRequest request(body.empty() ? http::verb::get : http::verb::post, target, 11);
   request.body() = std::move(body);
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet_gateway_p.h"
 #include "real_env_p.h"
 #include "request_codec_p.h"
+#include "standin_p.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,10 +15,12 @@
 namespace {
 
 using namespace std::chrono_literals;
+using standin::sleepFor;
 
-asio::awaitable<void> sleepFor(Duration d) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, d);
-  co_await timer.async_wait(asio::use_awaitable);
+/// A handler that closes the connection without an answer.
+asio::awaitable<void> breakOff(HttpExchange &exchange) {
+  exchange.abort();
+  co_return;
 }
 
 /// An endpoint whose answers a test scripts.
@@ -184,20 +187,14 @@
 // run.
 TEST_F(PlatformGatewayTest, BrokenNonIdempotentCallIsNotRepeated) {
   for (auto &it : endpoints)
-    it.handler = [](HttpExchange &exchange) -> asio::awaitable<void> {
-      exchange.abort();
-      co_return;
-    };
+    it.handler = breakOff;
   auto result = call(makeCall("/unsafe/x"));
   EXPECT_EQ(result.response.result_int(), 502U);
   EXPECT_EQ(arrivals(), 1U);
 }
 
 TEST_F(PlatformGatewayTest, BrokenIdempotentCallIsTriedElsewhere) {
-  endpoints[0].handler = [](HttpExchange &exchange) -> asio::awaitable<void> {
-    exchange.abort();
-    co_return;
-  };
+  endpoints[0].handler = breakOff;
   endpoints[1].handler = answering(200, "body");
   for (int i = 0; i < 6; ++i)
     EXPECT_EQ(call(makeCall("/safe/x", http::verb::get)).response.result_int(), 200U);
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -2,6 +2,7 @@
 
 #include "json_p.h"
 #include "process_cluster_p.h"
+#include "standin_p.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,6 +25,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using standin::sleepFor;
 
 constexpr auto Service = "llm";
 constexpr auto PlainService = "app";
@@ -32,11 +34,6 @@
 constexpr std::uint64_t Born = 1'700'000'000'000;
 constexpr auto EventPause = 20ms;
 
-asio::awaitable<void> sleepFor(Duration d) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, d);
-  co_await timer.async_wait(asio::use_awaitable);
-}
-
 HttpResponse answer(unsigned status, const json::value &body = json::object{}) {
   auto response = jsonResponse(json::serialize(body));
   response.result(status);
@@ -45,11 +42,6 @@
 
 std::string textOf(boost::beast::string_view s) { return {s.data(), s.size()}; }
 
-std::uint64_t queryNumber(const std::string &target, const std::string &key) {
-  auto at = target.find(key + "=");
-  return at == std::string::npos ? 0 : std::strtoull(&target[at + key.size() + 1], nullptr, 10);
-}
-
 json::object makeRoute(const char *name, const char *prefix, const char *kind, Duration timeout,
                        const char *service) {
   const bool stream = std::string_view(kind) == "streaming";
@@ -189,8 +181,8 @@
 
 asio::awaitable<void> StandinStore::handle(HttpExchange &exchange) {
   const HttpRequest request = exchange.request();
-  const std::string target = textOf(request.target());
-  auto path = target.substr(0, target.find('?')).substr(std::string("/api/objects/").size());
+  auto target = standin::parseTarget(textOf(request.target()));
+  const auto path = target.path.substr(std::string("/api/objects/").size());
   const std::string kind = path.substr(0, path.find('/'));
   const std::string name = path.size() > kind.size() ? path.substr(kind.size() + 1) : "";
   HttpResponse response = answer(503);
@@ -200,9 +192,10 @@
       response = erase(kind, name);
     else if (writing)
       response = write(request, kind, name);
-    else if (target.find("watch=") != std::string::npos)
-      response = co_await watch(kind, queryNumber(target, "watch"),
-                                std::chrono::milliseconds(queryNumber(target, "wait_ms")));
+    else if (target.query.count("watch") > 0)
+      response =
+          co_await watch(kind, standin::numberOr(target.query["watch"], 0),
+                         std::chrono::milliseconds(standin::numberOr(target.query["wait_ms"], 0)));
     else if (name.empty())
       response = list(kind);
     else if (kinds[kind].count(name) > 0)
@@ -491,28 +484,26 @@
   return true;
 }
 
-HttpResult PlatformCluster::ask(int host, const std::string &model) const {
-  Call call{.method = "POST", .target = "/s/x"};
-  call.headers = {{"Host", HostName},
-                  {"Request-Id", "id-" + std::to_string(++lastId)},
-                  {"Model", model},
-                  {"Deadline-Ms", "9000"}};
+HttpResult PlatformCluster::post(int host, const char *target, const std::string &id,
+                                 const char *deadlineMs, const std::string &model) const {
+  Call call{.method = "POST", .target = target};
+  call.headers = {{"Host", HostName}, {"Request-Id", id}, {"Deadline-Ms", deadlineMs}};
+  if (!model.empty())
+    call.headers.emplace_back("Model", model);
   return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
 }
 
+HttpResult PlatformCluster::ask(int host, const std::string &model) const {
+  return post(host, "/s/x", "id-" + std::to_string(++lastId), "9000", model);
+}
+
 HttpResult PlatformCluster::askOnce(int host, std::string &id) const {
   id = "once-" + std::to_string(++lastId);
-  Call call{.method = "POST", .target = "/u/x"};
-  call.headers = {{"Host", HostName}, {"Request-Id", id}, {"Deadline-Ms", "2500"}};
-  return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
+  return post(host, "/u/x", id, "2500", {});
 }
 
 unsigned PlatformCluster::statusOfExtraRoute(int host) const {
-  Call call{.method = "POST", .target = "/x/x"};
-  call.headers = {{"Host", HostName},
-                  {"Request-Id", "extra-" + std::to_string(++lastId)},
-                  {"Deadline-Ms", "2500"}};
-  return statusOf(callOnce({"127.0.0.1", port(host * PortsPerHost)}, call));
+  return statusOf(post(host, "/x/x", "extra-" + std::to_string(++lastId), "2500", {}));
 }
 
 void PlatformCluster::changeConfig(const StandinConfig &config) {
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -152,6 +152,8 @@
 
 private:
   std::shared_ptr<FaultProxy> addProxy(const Address &target);
+  HttpResult post(int host, const char *target, const std::string &id, const char *deadlineMs,
+                  const std::string &model) const;
   std::uint16_t port(int offset) const { return static_cast<std::uint16_t>(base + offset); }
   std::string settingsPath(int n) const;
 
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -1,3 +1,4 @@
+#include "standin_p.h"
 #include "store_client_p.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -13,11 +14,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-
-asio::awaitable<void> sleepFor(Duration d) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, d);
-  co_await timer.async_wait(asio::use_awaitable);
-}
+using standin::sleepFor;
 
 /// A store on loopback that sends one answer in pieces.
 class PlatformStoreTest : public ::testing::Test {
