Do not use a connection again after an interim answer; search an event once

Cause, first: a response with a status below 200 ended the call as malformed, but its head was a whole message with keep-alive, so that the connection had gone back to the kept ones before. The final answer then came on a connection that a later request could take, and was read as that request's answer. Found by HttpTest.BytesWithoutEndEndTheCall, which hung once in a whole test run: the peer went on sending to a connection that was still open. A debugger showed the kept socket with 126,976 unread bytes. Cause, second: each piece of a stream was searched for the end of an event together with all before it. An event that never ended took the processor: the first run of PlatformGatewayTest.EventWithoutEndCutsItsStream ended with the deadline after 2.0 s instead of with the limit. Change: only the connection of a final answer is kept; EventRelay searches what is new. A call can bound its body in bytes. Figures: HttpTest.ConnectionOfAnInterimResponseIsNotUsedAgain fails without the mend (the second request is not answered with its own answer). Conclusion: an answer of one request can no longer reach the next one this way.

--- a/src/event_relay.cpp
+++ b/src/event_relay.cpp
@@ -5,16 +5,29 @@
 namespace catkin {
 
 std::string EventRelay::take() {
-  auto end = buffer.rfind("\n\n");
-  if (end == std::string::npos)
+  // Only what is new is searched, and the byte before it, which may begin the end of an event.
+  const std::size_t from = searched > 0 ? searched - 1 : 0;
+  const auto found = std::string_view(buffer).substr(from).rfind("\n\n");
+  searched = buffer.size();
+  if (found == std::string_view::npos)
     return {};
-  std::string events = buffer.substr(0, end + 2);
-  buffer.erase(0, end + 2);
+  const auto end = from + found + 2;
+  std::string events = buffer.substr(0, end);
+  buffer.erase(0, end);
+  searched = buffer.size();
   noteIds(events);
   return events;
 }
 
-std::string EventRelay::takeRest() { return std::exchange(buffer, {}); }
+std::string EventRelay::takeRest() {
+  searched = 0;
+  return std::exchange(buffer, {});
+}
+
+void EventRelay::dropPartial() {
+  searched = 0;
+  buffer.clear();
+}
 
 void EventRelay::noteIds(std::string_view events) {
   std::size_t at = 0;
--- a/src/event_relay_p.h
+++ b/src/event_relay_p.h
@@ -13,10 +13,12 @@
   void feed(std::string_view bytes) { buffer += bytes; }
   /// The whole events received and not taken yet.
   std::string take();
+  /// Bytes received and not taken yet.
+  std::size_t pendingBytes() const { return buffer.size(); }
   /// Everything received and not taken yet; at the end of a stream.
   std::string takeRest();
   /// Forgets an event that arrived in part.
-  void dropPartial() { buffer.clear(); }
+  void dropPartial();
   const std::string &lastId() const { return newestId; }
   unsigned events() const { return count; }
 
@@ -24,6 +26,7 @@
   void noteIds(std::string_view events);
 
   std::string buffer;
+  std::size_t searched = 0; ///< bytes of `buffer` known to end no event
   std::string newestId;
   unsigned count = 0;
 };
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -29,7 +29,6 @@
 using boost::system::error_code;
 
 constexpr auto Tuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t MaxResponseBytes = 16 * 1024 * 1024;
 constexpr std::size_t MaxResponseHeaderBytes = 32 * 1024;
 constexpr std::size_t ReadAheadBytes = 64 * 1024;
 constexpr std::size_t MaxIdlePerAddress = 64;
@@ -304,8 +303,10 @@
   done = true;
   if (watch)
     watch->stop();
+  // After an interim response, the final one would be taken for the answer to the next request.
+  const bool isFinal = parser.is_header_done() && parser.get().result_int() >= 200;
   const bool whole = state == HttpStatus::Ok && parser.is_done();
-  if (whole && parser.keep_alive() && buffer.size() == 0)
+  if (whole && isFinal && parser.keep_alive() && buffer.size() == 0)
     pool->put(to, std::move(socket), idleLimit(parser.get().base()));
   else
     closeSocket();
@@ -325,9 +326,9 @@
 HttpClient::~HttpClient() = default;
 
 asio::awaitable<HttpResult> HttpClient::request(Address to, HttpRequest request,
-                                                HttpTimeouts timeouts) {
+                                                HttpTimeouts timeouts, std::size_t maxBodyBytes) {
   Call call(impl->executor, impl->pool, std::move(to), timeouts);
-  co_await call.start(std::move(request), MaxResponseBytes);
+  co_await call.start(std::move(request), maxBodyBytes);
   co_await call.readAll();
   HttpResult result;
   result.status = call.status();
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -139,12 +139,15 @@
 /// Keeps idle connections per address. A kept connection that fails before any byte of the response
 /// has arrived is not retried here, except when the peer had closed it before the request was sent.
 /// Calls may come from several strands; the coroutine that makes one must itself run on a strand or
-/// a single-threaded executor. Responses of `request` are limited to 16 MB.
+/// a single-threaded executor. A longer body than `maxBodyBytes` ends `request` as Malformed.
 class HttpClient {
 public:
+  static constexpr std::size_t MaxResponseBytes = 16 * 1024 * 1024;
+
   explicit HttpClient(asio::any_io_executor executor);
   ~HttpClient();
-  asio::awaitable<HttpResult> request(Address to, HttpRequest request, HttpTimeouts timeouts);
+  asio::awaitable<HttpResult> request(Address to, HttpRequest request, HttpTimeouts timeouts,
+                                      std::size_t maxBodyBytes = MaxResponseBytes);
   /// `started`, if set, gets the stream before the call goes out, so that it can be cancelled while
   /// the head of the response is awaited; the pointer is valid until the returned one is destroyed.
   asio::awaitable<std::unique_ptr<HttpStream>> open(Address to, HttpRequest request,
--- a/src/real_env.cpp
+++ b/src/real_env.cpp
@@ -187,14 +187,17 @@
                         .total = limits.total};
   // The lambda's captures must outlive the coroutine, so they are passed as arguments.
   auto run = [](Strand strand, std::shared_ptr<HttpClient> client, Address to, HttpRequest request,
-                HttpTimeouts timeouts, Done done) -> asio::awaitable<void> {
-    auto result = co_await client->request(to, std::move(request), timeouts);
+                HttpTimeouts timeouts, std::size_t maxBodyBytes,
+                Done done) -> asio::awaitable<void> {
+    auto result = co_await client->request(to, std::move(request), timeouts, maxBodyBytes);
     if (result.status == HttpStatus::Silent || result.status == HttpStatus::Timeout)
       client->dropIdle(to);
     asio::post(strand, [done = std::move(done), result = std::move(result)] { done(result); });
   };
-  asio::co_spawn(strand, run(strand, client, to, std::move(request), timeouts, std::move(done)),
-                 asio::detached);
+  asio::co_spawn(
+      strand,
+      run(strand, client, to, std::move(request), timeouts, limits.maxBodyBytes, std::move(done)),
+      asio::detached);
 }
 
 void PlatformHttp::get(const std::string &key, StoreGetDone done) {
--- a/src/real_env_p.h
+++ b/src/real_env_p.h
@@ -22,6 +22,7 @@
 struct CallLimits {
   Duration silence; ///< longest time without a byte
   Duration total;   ///< of the whole call
+  std::size_t maxBodyBytes = HttpClient::MaxResponseBytes;
 };
 
 class HttpCaller {
@@ -32,7 +33,8 @@
   void call(const Address &to, HttpRequest request, CallLimits limits, Done done);
   /// `total` bounds the whole call and also the time without a byte.
   void call(const Address &to, HttpRequest request, Duration total, Done done) {
-    call(to, std::move(request), CallLimits{.silence = total, .total = total}, std::move(done));
+    const CallLimits limits{.silence = total, .total = total};
+    call(to, std::move(request), limits, std::move(done));
   }
 
 private:
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -444,5 +444,65 @@
   EXPECT_EQ(request(server->address(), makeRequest("/")).status, HttpStatus::NotConnected);
 }
 
+// Guards against a final answer that comes late, after an interim one, and is given to the next
+// request on the same connection.
+TEST_F(HttpTest, ConnectionOfAnInterimResponseIsNotUsedAgain) {
+  const RawServer peer([](tcp::socket &socket, int connection) {
+    const bool interim = connection == 0;
+    while (RawServer::readHead(socket)) {
+      RawServer::send(socket, interim ? "HTTP/1.1 100 Continue\r\n\r\n" : SmallResponse);
+      if (!interim)
+        return;
+    }
+  });
+  const auto first = request(peer.address(), makeRequest("/"));
+  EXPECT_EQ(first.status, HttpStatus::Malformed);
+  const auto second = request(peer.address(), makeRequest("/"));
+  EXPECT_EQ(second.status, HttpStatus::Ok);
+  EXPECT_EQ(second.response.body(), "ok");
+}
+
+// Guards against memory or time without bound while a peer sends bytes that are no answer until its
+// connection is closed: in the status line, a header, a chunk's extension, the trailer or the body.
+TEST_F(HttpTest, BytesWithoutEndEndTheCall) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string sized = ok + "Content-Length: 99999999999\r\n\r\n";
+  const std::pair<std::string, std::string> endless[] = {{"", "z"},
+                                                         {"HTTP/1.1 200 ", "z"},
+                                                         {ok, "X-Pad: z\r\n"},
+                                                         {ok + "X-Pad: ", "z"},
+                                                         {chunked, "z"},
+                                                         {chunked + "5;x=", "z"},
+                                                         {chunked + "0\r\n", "X-Pad: z\r\n"},
+                                                         {sized, "z"},
+                                                         {ok + "\r\n", "z"},
+                                                         {"HTTP/1.1 100 Continue\r\n\r\n", "z"}};
+  for (auto &[begin, repeated] : endless) {
+    std::atomic<std::uint64_t> sent = 0;
+    std::string piece;
+    while (piece.size() < 16 * 1024)
+      piece += repeated;
+    const RawServer peer([&, begin = begin](tcp::socket &socket, int) {
+      boost::system::error_code ec;
+      if (!RawServer::readHead(socket))
+        return;
+      RawServer::send(socket, begin);
+      while (!ec)
+        sent += asio::write(socket, asio::buffer(piece), ec);
+    });
+    const auto began = std::chrono::steady_clock::now();
+    const auto status = run([](HttpClient &c, Address to) -> asio::awaitable<HttpStatus> {
+      auto request = makeRequest("/");
+      const auto result = co_await c.request(to, std::move(request), {}, 1024 * 1024);
+      co_return result.status;
+    }(client, peer.address()));
+    EXPECT_TRUE(status == HttpStatus::Malformed || status == HttpStatus::Broken)
+        << begin << toString(status);
+    EXPECT_LT(std::chrono::steady_clock::now() - began, 2s) << begin;
+    EXPECT_LT(sent, 16U * 1024 * 1024) << begin;
+  }
+}
+
 } // namespace
 } // namespace catkin
