--- a/src/config.h
+++ b/src/config.h
@@ -140,11 +140,17 @@
 constexpr int FleetDistantHeartbeats = 2;     // one in so many goes to other data centres
 constexpr auto FleetDistantPeerSilentAfter = FleetDistantHeartbeats * FleetPeerSilentAfter;
 constexpr int FleetSmallFleet = 16; // hosts; the store bears as many close watches
-constexpr int FleetSentinels = 6;   // hosts of a larger fleet that watch closely
+// Hosts of each data centre of a larger fleet that watch the store closely and pass messages on.
+constexpr int FleetSentinels = 2;
+// Two heartbeats and some delay. A host that has heard no sentinel for longer watches itself.
+constexpr auto FleetSentinelSilentAfter = 1300ms;
+// The others read the registry at this interval, well within the history that the store keeps.
+constexpr auto FleetFarReadPause = 8s;
 // A host that has not read a configuration this long after it heard of it reads it again.
 constexpr auto FleetConfigGrace = 1000ms;
 constexpr auto FleetPlannerSilentAfter = 2500ms; // two heartbeats to distant hosts and some delay
-constexpr auto FleetNeedRepeat = 250ms;          // a waiting request asks the planner again
+constexpr auto FleetDistantPlannerSilentAfter = 4s; // in a large fleet, through two relays
+constexpr auto FleetNeedRepeat = 250ms;             // a waiting request asks the planner again
 constexpr auto FleetDemandInterval = 500ms;
 constexpr auto FleetConnectTimeout = 400ms;
 constexpr auto FleetKeptIdle = 1500ms; // a connection idle for longer is not used again
@@ -163,5 +169,11 @@
 constexpr std::size_t FleetBodyBytes = 4 * 1024 * 1024 + 4096;
 constexpr std::size_t FleetHeaderBytes = 32 * 1024;
 constexpr std::size_t FleetBufferedBytes = 64 * 1024 * 1024;
+// Of an endpoint's answer that is held back: a whole one, or one event of a stream.
+constexpr std::size_t FleetAnswerBytes = 4 * 1024 * 1024;
+constexpr std::size_t FleetHeldAnswersBytes = 32 * 1024 * 1024; // of all requests together
+// A planner may have as many reports under way as there are engines.
+constexpr std::size_t FleetReportBytes = 128 * 1024;
+constexpr std::size_t FleetStorePageBytes = 4 * 1024 * 1024; // the store sends about 1 MB at most
 
 } // namespace catkin::config
--- /dev/null
+++ b/src/departure_log.cpp
@@ -0,0 +1,32 @@
+#include "departure_log_p.h"
+
+#include "config.h"
+
+namespace catkin {
+
+namespace {
+
+// Heartbeats go to distant hosts at every second interval, and some are lost.
+constexpr Duration TellTime = 8 * config::FleetHeartbeat;
+
+} // namespace
+
+void DepartureLog::add(const Departure &departure, Instant now) {
+  auto [it, isNew] = entries.try_emplace(departure.endpoint, Entry{departure.revision, now});
+  if (!isNew && departure.revision > it->second.revision)
+    it->second = {departure.revision, now};
+}
+
+std::vector<Departure> DepartureLog::recent(Instant now) const {
+  std::vector<Departure> out;
+  for (auto &[endpoint, it] : entries)
+    if (now - it.since < TellTime)
+      out.push_back({endpoint, it.revision});
+  return out;
+}
+
+void DepartureLog::expire(Instant now) {
+  std::erase_if(entries, [&](auto &it) { return now - it.second.since >= TellTime; });
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/endpoint_signals.cpp
@@ -0,0 +1,57 @@
+#include "endpoint_signals_p.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace catkin {
+
+namespace {
+
+// Some heartbeats, of which a few may be lost.
+constexpr Duration TellTime = 8 * config::FleetHeartbeat;
+// An endpoint that leaves ends within seconds or, at worst, minutes.
+constexpr Duration LeavingMemory = std::chrono::hours(1);
+
+} // namespace
+
+bool EndpointSignals::onLeaving(const LeavingEndpoint &endpoint, Instant now) {
+  return leaving.try_emplace(endpoint, Leaving{.since = now}).second;
+}
+
+bool EndpointSignals::onLeavingHeard(const LeavingEndpoint &endpoint, Instant now) {
+  return leaving.try_emplace(endpoint, Leaving{.since = now, .heard = true}).second;
+}
+
+bool EndpointSignals::isLeaving(const LeavingEndpoint &endpoint) const {
+  return leaving.count(endpoint) > 0;
+}
+
+void EndpointSignals::onBackoff(const EndpointName &name, std::uint64_t incarnation,
+                                Instant until) {
+  auto &backoff = backoffs[name];
+  if (backoff.incarnation != incarnation)
+    backoff = {.incarnation = incarnation, .until = until};
+  backoff.until = std::max(backoff.until, until);
+}
+
+Instant EndpointSignals::backoffUntil(const EndpointName &name, std::uint64_t incarnation) const {
+  auto it = backoffs.find(name);
+  const bool same = it != backoffs.end() && it->second.incarnation == incarnation;
+  return same ? it->second.until : Instant{};
+}
+
+std::vector<LeavingEndpoint> EndpointSignals::toTell(Instant now) const {
+  std::vector<LeavingEndpoint> out;
+  for (auto &[endpoint, it] : leaving)
+    if (!it.heard && now - it.since < TellTime)
+      out.push_back(endpoint);
+  return out;
+}
+
+void EndpointSignals::expire(Instant now) {
+  std::erase_if(leaving, [&](auto &it) { return now - it.second.since > LeavingMemory; });
+  std::erase_if(backoffs, [&](auto &it) { return now >= it.second.until; });
+}
+
+} // namespace catkin
--- a/src/engine_record.cpp
+++ b/src/engine_record.cpp
@@ -30,13 +30,13 @@
   return models;
 }
 
-std::vector<HeldModel> EngineRecord::available(Instant now) const {
-  auto models = staying();
+LoadedModels EngineRecord::available(Instant now) const {
+  LoadedModels out{.orderCount = holdings.orderCount, .models = staying()};
   const bool loaded = active && active->order.action == PlacementAction::Load &&
                       !active->order.remote && now >= active->dueAt + config::FleetLocalLoadMargin;
-  if (loaded && !holds(models, active->order.model))
-    models.push_back({active->order.model.model, {}});
-  return models;
+  if (loaded && !holds(out.models, active->order.model))
+    out.models.push_back({active->order.model.model, {}});
+  return out;
 }
 
 PlacementEngine EngineRecord::describe(bool avoided, Instant now) const {
--- a/src/engine_record_p.h
+++ b/src/engine_record_p.h
@@ -44,7 +44,7 @@
   std::vector<HeldModel> staying() const;
   /// What it holds, with a model whose load should be complete. A request that comes too early is
   /// refused without having run.
-  std::vector<HeldModel> available(Instant now) const;
+  LoadedModels available(Instant now) const;
   /// As the placement sees it. `avoided`: its results are bad.
   PlacementEngine describe(bool avoided, Instant now) const;
   int storeLoadsUnderWay() const;
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -1,6 +1,7 @@
 #include "fleet_gateway_p.h"
 
 #include "attempt_p.h"
+#include "buffer_budget_p.h"
 #include "config.h"
 #include "event_relay_p.h"
 #include "json_p.h"
@@ -55,6 +56,8 @@
   FleetGatewayHooks hooks;
   HttpClient client;
   RetryBudget budget;
+  BufferBudget buffers{
+      {.perAnswer = config::FleetAnswerBytes, .total = config::FleetHeldAnswersBytes}};
   FleetMetrics metrics;
   DemandMeter demand;
   std::map<std::pair<EndpointName, ModelRef>, int> running;
@@ -74,7 +77,8 @@
 class Relay {
 public:
   Relay(FleetGateway::Impl &gateway, HttpExchange &exchange)
-      : g(gateway), exchange(exchange), wakeUp(g.executor), arrivedAt(g.hooks.now()) {
+      : g(gateway), exchange(exchange), wakeUp(g.executor), held(g.buffers),
+        arrivedAt(g.hooks.now()) {
     ++g.active;
     exchange.onCallerGone([this] { onCallerGone(); });
   }
@@ -103,19 +107,25 @@
   Instant waitEnd() const;
   asio::awaitable<void> pause(Duration d);
   Duration longestWait() const;
-  bool loadableInTime() const;
+  Duration soonestService() const;
   Duration fastestLoad() const;
   Duration retryAfter() const;
-  const EndpointState *choose();
+  std::set<EndpointName> excludedEndpoints() const;
+  EndpointQuery queryWithout(const std::set<EndpointName> &excluded) const;
+  std::optional<Duration> readyAgainIn() const;
+  const EndpointState *choose() const;
   asio::awaitable<Attempt> attempt(const FleetEndpoint &to);
+  void noteSignals(const FleetEndpoint &from);
   asio::awaitable<Attempt> relayWhole(HttpStream &stream, const AnswerHead &head);
   asio::awaitable<Attempt> relayEvents(HttpStream &stream);
+  Attempt tooLong();
   asio::awaitable<bool> forwardEvents(const std::string &events, const http::response_header<> &);
   AttemptFailure failureOf(const HttpStream &stream) const;
   HttpTimeouts timeouts() const;
   bool mayRepeatNow(AttemptFailure why);
   asio::awaitable<void> refuse(unsigned status, std::string_view reason);
   asio::awaitable<void> giveUp();
+  std::string_view whyNotRun() const;
   asio::awaitable<void> respondFallback();
   bool endpointsUsedUp() const { return static_cast<int>(sentTo.size()) >= route.maxEndpoints; }
   void onCallerGone();
@@ -128,6 +138,7 @@
   FleetGateway::Impl &g;
   HttpExchange &exchange;
   asio::steady_timer wakeUp;
+  BufferBudget::Share held; ///< of the answer or event that is not whole yet
   Instant arrivedAt;
   CallerRequest caller;
   const FleetConfig *config = nullptr;
@@ -254,7 +265,8 @@
   return true;
 }
 
-const EndpointState *Relay::choose() {
+/// The endpoints that this request must not go to.
+std::set<EndpointName> Relay::excludedEndpoints() const {
   std::set<EndpointName> excluded = unreachable;
   excluded.insert(failedAt.begin(), failedAt.end());
   // Once it has been at as many endpoints as allowed, only those that did not run it are left.
@@ -262,35 +274,57 @@
     for (auto &[name, it] : g.view.endpoints())
       if (sentTo.count(name) == 0)
         excluded.insert(name);
-  EndpointQuery query{.service = service,
-                      .model = caller.model,
-                      .dataCentre = g.options.dataCentre,
-                      .affinity = caller.affinity,
-                      .excluded = &excluded};
-  return chooseEndpoint(g.view, query, g.hooks.now(), g.hooks.random());
+  return excluded;
+}
+
+EndpointQuery Relay::queryWithout(const std::set<EndpointName> &excluded) const {
+  return {.service = service,
+          .model = caller.model,
+          .dataCentre = g.options.dataCentre,
+          .affinity = caller.affinity,
+          .excluded = &excluded};
+}
+
+const EndpointState *Relay::choose() const {
+  const auto excluded = excludedEndpoints();
+  return chooseEndpoint(g.view, queryWithout(excluded), g.hooks.now(), g.hooks.random());
+}
+
+/// Until the first endpoint that has refused such requests for now may take them again; empty if
+/// there is none.
+std::optional<Duration> Relay::readyAgainIn() const {
+  const auto excluded = excludedEndpoints();
+  const auto end = firstReadyAgain(g.view, queryWithout(excluded), g.hooks.now());
+  return end ? std::optional(*end - g.hooks.now()) : std::nullopt;
 }
 
 /// The endpoint to send to, after a wait for the model if no endpoint holds it. Null if there is
 /// none in time.
 asio::awaitable<const EndpointState *> Relay::findEndpoint() {
   auto *chosen = choose();
-  if (chosen || caller.model.empty() || exchange.callerGone() || endpointsUsedUp())
+  if (chosen || exchange.callerGone())
     co_return chosen;
-  if (!loadableInTime()) {
+  if (soonestService() >= longestWait() - (g.hooks.now() - arrivedAt)) {
     // The caller is told to come back; the load begins meanwhile.
-    g.hooks.wanted(service, caller.model);
+    if (!caller.model.empty() && !endpointsUsedUp())
+      g.hooks.wanted(service, caller.model);
     co_return nullptr;
   }
-  g.hooks.needChanged(service, caller.model, 1);
+  if (!caller.model.empty())
+    g.hooks.needChanged(service, caller.model, 1);
   const Instant since = g.hooks.now();
   while (!chosen && !exchange.callerGone()) {
     const bool inTime = co_await waitForModel();
     if (!inTime)
       break;
     chosen = choose();
+    const bool hopeless = caller.model.empty() && !readyAgainIn();
+    if (hopeless)
+      break;
   }
   waited += g.hooks.now() - since;
-  g.hooks.needChanged(service, caller.model, -1);
+  if (!caller.model.empty())
+    g.hooks.needChanged(service, caller.model, -1);
   // The pointer stays valid: nothing has run since it was chosen.
   co_return chosen;
 }
@@ -319,7 +353,15 @@
   (void)ec; // cancelled when the caller leaves, which the next step notices
 }
 
-/// The shortest load of the model that some engine could do.
+/// The shortest time until an endpoint could take the request: after a load of its model, or once
+/// an endpoint that refuses it at present takes such requests again. Duration::max() if none will.
+Duration Relay::soonestService() const {
+  const Duration refusing = readyAgainIn().value_or(Duration::max());
+  const bool loadHelps = !caller.model.empty() && !endpointsUsedUp();
+  return loadHelps ? std::min(refusing, fastestLoad()) : refusing;
+}
+
+/// The shortest load of the model by an engine that takes requests now.
 Duration Relay::fastestLoad() const {
   auto owner = g.view.config()->services.find(service);
   if (owner == g.view.config()->services.end())
@@ -329,7 +371,7 @@
     return Duration::max();
   Duration best = Duration::max();
   for (auto &[name, it] : g.view.endpoints()) {
-    if (it.entry.service != service || !it.takesWork())
+    if (it.entry.service != service || !it.takesWork() || g.hooks.now() < it.backoffUntil)
       continue;
     auto d = loadTime(spec->second, sourceOf(it.entry.holdings, caller.model.model));
     if (holds(it.models(g.hooks.now()), {caller.model.model, {}}))
@@ -344,10 +386,6 @@
   return std::max(fromSeconds(toSeconds(firstBy) * WaitShare), firstBy - FirstEventTime);
 }
 
-bool Relay::loadableInTime() const {
-  return fastestLoad() < longestWait() - (g.hooks.now() - arrivedAt);
-}
-
 HttpTimeouts Relay::timeouts() const {
   HttpTimeouts t;
   t.connect = std::min<Duration>(config::FleetConnectTimeout, left());
@@ -401,6 +439,7 @@
   if (stream->status() == HttpStatus::Ok) {
     sentTo.insert(to.name);
     lastHead = g.codec.readHead(stream->head(), caller, to);
+    noteSignals(to);
     if (lastHead.otherRequest) {
       failure = AttemptFailure::WrongAnswer;
     } else if (lastHead.notRun) {
@@ -439,6 +478,17 @@
   co_return ended;
 }
 
+/// What the head of an answer says about the endpoint beyond this request.
+void Relay::noteSignals(const FleetEndpoint &from) {
+  const Instant now = g.hooks.now();
+  if (lastHead.otherRequest)
+    return; // perhaps not of this endpoint either
+  if (lastHead.leaving)
+    g.view.onLeaving({from.name, from.incarnation}, now);
+  if (lastHead.backoff)
+    g.view.onBackoff(from, *lastHead.backoff, now);
+}
+
 /// Relays an answer only once it is whole, so that a broken one never looks complete.
 asio::awaitable<Relay::Attempt> Relay::relayWhole(HttpStream &stream, const AnswerHead &head) {
   std::string body;
@@ -446,6 +496,9 @@
     std::string piece = co_await stream.read();
     if (piece.empty())
       break;
+    const bool fits = held.resize(body.size() + piece.size());
+    if (!fits)
+      co_return tooLong();
     body += piece;
   }
   if (stream.status() != HttpStatus::Ok) {
@@ -470,6 +523,14 @@
   co_return Attempt::Ended;
 }
 
+/// An answer that does not fit into memory counts as broken; its connection is closed.
+Relay::Attempt Relay::tooLong() {
+  failure = AttemptFailure::Broken;
+  logLine(LogLevel::Warn, "answer too long",
+          {{"request", caller.id}, {"held_bytes", g.buffers.usedBytes()}});
+  return Attempt::Failed;
+}
+
 /// Answers with the newest whole answer of an endpoint.
 asio::awaitable<void> Relay::respondFallback() {
   const unsigned status = fallback->result_int();
@@ -500,6 +561,11 @@
       break;
     events.feed(piece);
     const std::string whole = events.take();
+    const bool fits = held.resize(events.pendingBytes());
+    if (!fits) {
+      events.dropPartial();
+      co_return tooLong();
+    }
     if (!whole.empty())
       delivered = co_await forwardEvents(whole, head);
   }
@@ -537,7 +603,14 @@
     co_await refuse(late() ? 504 : 502, "the endpoint failed");
     co_return;
   }
-  co_await refuse(503, sends == 0 ? "no endpoint holds the model in time" : "not run");
+  co_await refuse(503, whyNotRun());
+}
+
+std::string_view Relay::whyNotRun() const {
+  if (sends > 0)
+    return "not run";
+  return caller.model.empty() ? "no endpoint takes the request in time"
+                              : "no endpoint holds the model in time";
 }
 
 asio::awaitable<void> Relay::refuse(unsigned status, std::string_view reason) {
@@ -551,13 +624,16 @@
   (void)delivered; // a caller that has gone needs no answer
 }
 
-/// When the model should be loaded, as far as the caller has the time to come back then.
+/// When an endpoint should take the request, as far as the caller has the time to come back then.
 Duration Relay::retryAfter() const {
-  if (!config || caller.model.empty() || sends > 0)
+  // An endpoint that refused the request once may take it a moment later, unless it asked for more
+  // time.
+  const bool noLoad = caller.model.empty() || sends > 0;
+  if (!config || (noLoad && !readyAgainIn()))
     return config::FleetRetryAfterMin;
-  auto loaded = fastestLoad();
+  auto soonest = soonestService();
   auto latest = std::max<Duration>(left() / 3, config::FleetRetryAfterMin);
-  return loaded >= latest ? latest : loaded + config::FleetRetryAfterMin;
+  return soonest >= latest ? latest : soonest + config::FleetRetryAfterMin;
 }
 
 /// An endpoint with the inputs that made it the choice. The term and age are those of the planner's
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -36,9 +36,11 @@
 /// What the head of an endpoint's answer says.
 struct AnswerHead {
   unsigned status = 0;
-  bool notRun = false;        ///< the endpoint did not run the request
-  bool otherEndpoint = false; ///< the address belongs to another endpoint now
-  bool otherRequest = false;  ///< the answer belongs to another request
+  bool notRun = false;             ///< the endpoint did not run the request
+  bool otherEndpoint = false;      ///< the address belongs to another endpoint now
+  bool otherRequest = false;       ///< the answer belongs to another request
+  bool leaving = false;            ///< the endpoint is about to end
+  std::optional<Duration> backoff; ///< the endpoint wants no request from this host for so long
 };
 
 /// Translates between the deployment's headers and the types above.
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -1,6 +1,7 @@
 #include "fleet_host_p.h"
 
 #include "config.h"
+#include "digest_book_p.h"
 #include "json_p.h"
 #include "log_p.h"
 
@@ -11,6 +12,8 @@
 constexpr auto HostKind = "catkin-hosts";
 constexpr Duration RegisterRetry = std::chrono::milliseconds(300);
 constexpr Duration MaxWatch = std::chrono::seconds(15);
+// With the pause before it, well within the history that the store keeps.
+constexpr Duration FarWatch = std::chrono::seconds(8);
 // Shares of the time within which a host must be up to date again. A watch that has gone silent
 // shows only at its end, and a list must follow it.
 constexpr double CloseWatchShare = 0.62;
@@ -19,7 +22,9 @@
 // the planner, so that one watch may gather many changes of them.
 constexpr double BatchPauseShare = 0.5;
 constexpr Duration WeakHostDelay = std::chrono::milliseconds(1500);
-constexpr Duration PlannerBatchPause = std::chrono::milliseconds(500);
+constexpr Duration CloseBatchPause = std::chrono::milliseconds(700);
+// Between two early reads of the registry, so that a rolling replacement takes few of them.
+constexpr Duration RefreshPause = std::chrono::milliseconds(1500);
 // Hosts that start together are seen in one answer; nothing is urgent here.
 constexpr Duration HostBatchPause = std::chrono::milliseconds(500);
 
@@ -32,6 +37,7 @@
   FleetView view;
   FleetPeers peers;
   FleetLinks links;
+  DigestBook digests; ///< of other data centres
   FleetPlanner planner;
   FleetGateway gateway;
   ObjectFollower configFollower;
@@ -47,6 +53,9 @@
   unsigned heartbeats = 0;
   unsigned demandIntervals = 0;
   Instant plannerHeardAt;
+  bool wasFar = false;            ///< relied on sentinels for the registry
+  std::uint64_t heardArrival = 0; ///< revision of the newest endpoint that other hosts know
+  Instant registryRefreshedAt;
 
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
       : options(std::move(o)), adapter(std::move(a)), env(*adapter.env), peers(options.self),
@@ -58,7 +67,7 @@
                  .firstOrderDelay = options.firstOrderDelay,
                  .ceilingWindow = options.ceilingWindow},
                 {.broadcast = [this](auto &message) { broadcast(message); },
-                 .send = [this](auto &to, auto &message) { send(to, message); }}),
+                 .send = [this](auto &to, auto &message) { sendNotices(to, message); }}),
         gateway(executor, view, *adapter.codec,
                 {.dataCentre = options.self.dataCentre, .budget = options.budget},
                 {.now = [this] { return env.now(); },
@@ -67,23 +76,32 @@
                  .needChanged = [this](auto &service, auto &model,
                                        int change) { onNeedChanged(service, model, change); },
                  .wanted = [this](auto &service, auto &model) { sendNeed(service, model, 1); }}),
-        configFollower(env, *adapter.feed, {.kind = options.configKind, .maxWait = closeWatch()},
+        configFollower(env, *adapter.feed,
+                       {.kind = options.configKind, .limits = {.maxWait = closeWatch()}},
                        {.changed = [this](auto &it) { onConfig(it); },
                         .connection = [this](bool on) { onConfigConnection(on); }}),
         endpointFollower(env, *adapter.feed,
                          {.kind = options.endpointKind,
-                          .maxWait = closeWatch(),
-                          .batchPause = PlannerBatchPause},
+                          .limits = {.maxWait = closeWatch()},
+                          .batchPause = CloseBatchPause},
                          {.changed = [this](auto &it) { onEndpoint(it); },
                           .connection = [this](bool on) { onRegistry(on); }}),
-        hostFollower(env, *adapter.feed,
-                     {.kind = HostKind, .maxWait = MaxWatch, .batchPause = HostBatchPause},
-                     {.changed = [this](auto &it) { onHost(it); }, .connection = {}}) {}
+        hostFollower(
+            env, *adapter.feed,
+            {.kind = HostKind, .limits = {.maxWait = MaxWatch}, .batchPause = HostBatchPause},
+            {.changed = [this](auto &it) { onHost(it); }, .connection = {}}) {}
 
   Duration closeWatch() const {
     return fromSeconds(toSeconds(options.recoveryBound) * CloseWatchShare);
   }
 
+  Duration sentinelWatch() const {
+    return fromSeconds(toSeconds(options.recoveryBound) * SentinelWatchShare);
+  }
+
+  /// The other hosts may rely on what this one reads.
+  bool storeConnected() const { return configFollower.connected() && endpointFollower.connected(); }
+
   // ---- What the store says ---------------------------------------------------------------------
 
   void onConfig(const FeedObject &object) {
@@ -154,17 +172,54 @@
 
   /// Store calls grow with the fleet, so a host watches only as closely as its part needs.
   void adjustWatches(Instant now) {
-    const bool closely = peers.isSentinel(configFollower.connected(), now);
-    const Duration sentinelWatch =
-        fromSeconds(toSeconds(options.recoveryBound) * SentinelWatchShare);
-    if (!peers.isLargeFleet(now))
-      configFollower.setMaxWait(closeWatch());
+    const bool closely = peers.isSentinel(storeConnected(), now);
+    const bool large = peers.isLargeFleet(now);
+    if (!large)
+      configFollower.setWatchLimits({.maxWait = closeWatch()});
+    else if (closely)
+      configFollower.setWatchLimits({.maxWait = sentinelWatch()});
     else
-      configFollower.setMaxWait(closely ? sentinelWatch : MaxWatch);
+      configFollower.setWatchLimits({.maxWait = MaxWatch, .mayBeStale = true});
+    hostFollower.setWatchLimits({.maxWait = MaxWatch, .mayBeStale = large});
     if (!std::exchange(wasSentinel, closely) && closely)
       configFollower.catchUp(); // its long watch may have gone silent
-    const Duration pause = fromSeconds(toSeconds(options.drainBound) * BatchPauseShare);
-    endpointFollower.setBatchPause(planner.active() ? PlannerBatchPause : pause);
+    adjustRegistryWatch(closely, now);
+  }
+
+  /// Hosts of a large fleet that hear a sentinel learn from it who leaves, and from the planner
+  /// what engines hold.
+  void adjustRegistryWatch(bool closely, Instant now) {
+    const bool large = peers.isLargeFleet(now);
+    const bool far = large && !closely && !planner.active() && peers.hearsSentinel(now);
+    endpointFollower.setBatchPause(registryPause(closely, far, large));
+    if (far)
+      endpointFollower.setWatchLimits({.maxWait = FarWatch, .mayBeStale = true});
+    else
+      endpointFollower.setWatchLimits({.maxWait = large ? sentinelWatch() : closeWatch()});
+    view.setReadsSeldom(far);
+    if (std::exchange(wasFar, far) && !far)
+      return refreshRegistry("no sentinel is heard", now);
+    if (!far || now - registryRefreshedAt < RefreshPause)
+      return;
+    if (heardArrival > endpointFollower.revision())
+      refreshRegistry("another host has read of a new endpoint", now);
+    else if (view.awaitsReturn())
+      refreshRegistry("an endpoint may return", now);
+  }
+
+  Duration registryPause(bool closely, bool far, bool large) const {
+    if (far)
+      return config::FleetFarReadPause;
+    if (planner.active() || (closely && large))
+      return CloseBatchPause;
+    return fromSeconds(toSeconds(options.drainBound) * BatchPauseShare);
+  }
+
+  void refreshRegistry(std::string_view reason, Instant now) {
+    registryRefreshedAt = now;
+    logLine(LogLevel::Info, "registry read again",
+            {{"reason", reason}, {"revision", endpointFollower.revision()}});
+    endpointFollower.refresh();
   }
 
   /// Reads the configuration again if another host has had a newer one for a while.
@@ -237,11 +292,22 @@
 
   // ---- Messages --------------------------------------------------------------------------------
 
-  void broadcast(const FleetMessage &message) {
-    links.send(peers.peerAddresses(), message);
-    if (auto *notices = std::get_if<HoldingsNotices>(&message))
-      for (auto &it : notices->notices)
-        view.applyNotice(it, env.now());
+  void broadcast(HoldingsNotices message) {
+    const Instant now = env.now();
+    for (auto &it : message.notices)
+      view.applyNotice(it, now);
+    message.planner = options.self.peerAddress;
+    if (!peers.isLargeFleet(now))
+      return links.send(peers.peerAddresses(), message);
+    links.send(peers.nearbyAddresses(), message);
+    links.send(peers.unheardAddresses(now), message);
+    message.passOn = true;
+    links.send(peers.relayAddressEach(now, env.random()), message);
+  }
+
+  void sendNotices(const Address &to, HoldingsNotices message) {
+    message.planner = options.self.peerAddress;
+    send(to, message);
   }
 
   void send(const Address &to, const FleetMessage &message) {
@@ -264,31 +330,63 @@
       planner.onNeed(*m, from);
     else if (auto *m = std::get_if<HoldingsNotices>(&message))
       onNotices(*m, from);
+    else if (auto *m = std::get_if<FleetDigests>(&message))
+      onDigests(*m);
   }
 
   void onHeartbeat(const FleetHeartbeat &message, const Address &from) {
     peers.onHeartbeat(message, env.now());
-    if (message.plannerTerm == 0 || message.plannerTerm < planner.term())
+    for (auto &it : message.leavingEndpoints)
+      view.onLeaving(it, env.now(), true);
+    for (auto &it : message.departures)
+      view.onDeparture(it);
+    heardArrival = std::max(heardArrival, message.newestArrival);
+    onPlannerHeard(message.plannerTerm, from);
+  }
+
+  void onDigests(const FleetDigests &message) {
+    const Instant now = env.now();
+    digests.onDigests(message, now);
+    for (auto &digest : message.digests) {
+      if (digest.dataCentre == options.self.dataCentre)
+        continue;
+      peers.onDigest(digest, now);
+      for (auto &it : digest.leavingEndpoints)
+        view.onLeaving(it, now, true);
+      onPlannerHeard(digest.plannerTerm, digest.plannerAddress);
+    }
+  }
+
+  void onPlannerHeard(std::uint64_t term, const Address &address) {
+    if (term == 0 || term < planner.term())
       return;
-    planner.observe(message.plannerTerm, from);
+    planner.observe(term, address);
     plannerHeardAt = env.now();
   }
 
   /// Keeps the planner's lease in able hands, and notices when nobody holds it.
   void watchPlanner(Instant now) {
-    planner.setCandidates(peers.plannerCandidates(configFollower.connected(), now));
+    planner.setCandidates(peers.plannerCandidates(storeConnected(), now));
     if (planner.active())
       plannerHeardAt = now;
-    planner.setPlannerLost(now - plannerHeardAt > config::FleetPlannerSilentAfter);
+    const Duration limit = peers.isLargeFleet(now) ? config::FleetDistantPlannerSilentAfter
+                                                   : config::FleetPlannerSilentAfter;
+    planner.setPlannerLost(now - plannerHeardAt > limit);
   }
 
   void onNotices(const HoldingsNotices &message, const Address &from) {
+    const Address &sender = message.planner.empty() ? from : message.planner;
     for (auto &it : message.notices) {
       if (it.term < planner.term())
         continue; // from a planner that has been replaced
-      planner.observe(it.term, from);
+      planner.observe(it.term, sender);
       view.applyNotice(it, env.now());
     }
+    if (!message.passOn)
+      return;
+    HoldingsNotices copy = message;
+    copy.passOn = false;
+    links.send(peers.nearbyAddresses(), copy);
   }
 
   void heartbeat() {
@@ -299,26 +397,58 @@
                      .incarnation = options.self.incarnation,
                      .ready = ready(),
                      .leaving = stopping,
-                     .storeConnected = configFollower.connected(),
+                     .storeConnected = storeConnected(),
                      .configVersion = configVersion(),
                      .plannerTerm = planner.active() ? planner.term() : 0,
-                     .loads = {}};
+                     .loads = {},
+                     .leavingEndpoints = view.signals().toTell(now),
+                     .departures = {},
+                     .newestArrival = 0};
+    if (wasSentinel) {
+      m.departures = view.departures(now);
+      m.newestArrival = view.newestArrival();
+    }
     for (auto &[name, it] : view.endpoints())
       if (it.ownInFlight > 0)
         m.loads.push_back({name, it.ownInFlight});
-    const bool toAll = heartbeats++ % config::FleetDistantHeartbeats == 0;
-    links.send(toAll ? peers.peerAddresses() : peers.nearbyAddresses(), m);
+    links.send(peers.nearbyAddresses(), m);
+    if (heartbeats++ % config::FleetDistantHeartbeats == 0)
+      tellOtherDataCentres(m, now);
     applyPeerLoads(now);
     adjustWatches(now);
     catchUpConfig(now);
     watchPlanner(now);
   }
 
+  void tellOtherDataCentres(const FleetHeartbeat &m, Instant now) {
+    if (!peers.isLargeFleet(now))
+      return links.send(peers.distantAddresses(), m);
+    links.send(peers.unheardAddresses(now), m);
+    if (wasSentinel)
+      links.send(peers.relayAddresses(now), ownDigest(m, now));
+    if (const auto received = digests.toPassOn(now))
+      links.send(peers.nearbyAddresses(), *received);
+  }
+
+  /// Of this data centre, with the requests in progress from all its hosts.
+  FleetDigests ownDigest(const FleetHeartbeat &m, Instant now) const {
+    auto loads = peers.nearbyLoads(now);
+    for (auto &it : m.loads)
+      loads[it.endpoint] += it.inFlight;
+    FleetDigests out{.passedOn = false, .digests = {peers.makeDigest(m, now)}, .loads = {}};
+    for (auto &[endpoint, n] : loads)
+      out.loads.push_back({endpoint, n});
+    return out;
+  }
+
   void applyPeerLoads(Instant now) {
     for (auto &it : loaded)
       view.setPeersInFlight(it, 0);
     loaded.clear();
-    for (auto &[name, n] : peers.loads(now)) {
+    auto loads = peers.loads(now);
+    if (peers.isLargeFleet(now))
+      digests.addLoads(loads, now);
+    for (auto &[name, n] : loads) {
       view.setPeersInFlight(name, n);
       loaded.insert(name);
     }
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -13,13 +13,130 @@
 
 std::int64_t toThousandths(double perSecond) { return std::llround(perSecond * Thousandths); }
 
+json::array write(const std::vector<LeavingEndpoint> &endpoints) {
+  json::array out;
+  for (auto &it : endpoints)
+    out.push_back(json::object{{"e", it.endpoint.value}, {"i", it.incarnation}});
+  return out;
+}
+
+json::object write(const std::vector<Departure> &departures) {
+  json::object out;
+  for (auto &it : departures)
+    out[it.endpoint.value] = it.revision;
+  return out;
+}
+
+std::vector<Departure> readDepartures(JsonReader &in) {
+  std::vector<Departure> out;
+  auto *departures = in.raw().if_contains("departures");
+  if (!departures || !departures->is_object())
+    return out;
+  for (auto &[endpoint, revision] : departures->get_object())
+    if (revision.is_int64() || revision.is_uint64())
+      out.push_back({EndpointName(std::string(endpoint)), revision.to_number<std::uint64_t>()});
+  return out;
+}
+
+std::vector<LeavingEndpoint> readLeavingEndpoints(JsonReader &in) {
+  std::vector<LeavingEndpoint> out;
+  in.objects("leaving_endpoints", [&](JsonReader &it) {
+    out.push_back({it.name<EndpointName>("e"), it.unsignedInt("i")});
+  });
+  return out;
+}
+
+// Names as keys, since loads are most of the bytes between data centres.
+json::object write(const std::vector<EndpointLoad> &loads) {
+  json::object out;
+  for (auto &it : loads)
+    out[it.endpoint.value] = it.inFlight;
+  return out;
+}
+
+std::vector<EndpointLoad> readLoads(JsonReader &in) {
+  std::vector<EndpointLoad> out;
+  auto *loads = in.raw().if_contains("loads");
+  if (!loads || !loads->is_object())
+    return out;
+  for (auto &[endpoint, n] : loads->get_object())
+    if (n.is_int64() || n.is_uint64())
+      out.push_back({EndpointName(std::string(endpoint)), n.to_number<int>()});
+  return out;
+}
+
+json::object write(const HostException &m) {
+  return {{"host", m.host.value},
+          {"alive", m.alive},
+          {"ready", m.ready},
+          {"leaving", m.leaving},
+          {"store", m.storeConnected}};
+}
+
+HostException readException(JsonReader &in) {
+  return {.host = in.name<HostName>("host"),
+          .alive = in.flag("alive"),
+          .ready = in.flag("ready"),
+          .leaving = in.flag("leaving"),
+          .storeConnected = in.flag("store")};
+}
+
+json::object write(const DataCentreDigest &m) {
+  json::array exceptions;
+  for (auto &it : m.exceptions)
+    exceptions.push_back(write(it));
+  json::object out{{"data_centre", m.dataCentre.value},
+                   {"config", m.configVersion},
+                   {"exceptions", std::move(exceptions)},
+                   {"leaving_endpoints", write(m.leavingEndpoints)}};
+  if (m.plannerTerm > 0) {
+    out["planner"] = m.plannerTerm;
+    out["planner_address"] = m.plannerAddress.toString();
+  }
+  return out;
+}
+
+DataCentreDigest readDigest(JsonReader &in) {
+  DataCentreDigest m{.dataCentre = in.name<DataCentreName>("data_centre"),
+                     .configVersion = in.unsignedInt("config"),
+                     .exceptions = {},
+                     .leavingEndpoints = readLeavingEndpoints(in)};
+  if (in.raw().contains("planner")) {
+    m.plannerTerm = in.unsignedInt("planner");
+    m.plannerAddress = in.address("planner_address");
+  }
+  in.objects("exceptions", [&](JsonReader &it) { m.exceptions.push_back(readException(it)); });
+  return m;
+}
+
+json::object write(const FleetDigests &m) {
+  json::array digests;
+  for (auto &it : m.digests)
+    digests.push_back(write(it));
+  return {{"type", "digests"},
+          {"passed_on", m.passedOn},
+          {"digests", std::move(digests)},
+          {"loads", write(m.loads)}};
+}
+
+FleetDigests readDigests(JsonReader &in) {
+  FleetDigests m{.passedOn = in.flag("passed_on"), .digests = {}, .loads = readLoads(in)};
+  in.objects("digests", [&](JsonReader &it) { m.digests.push_back(readDigest(it)); });
+  return m;
+}
+
 json::object write(const FleetHeartbeat &m) {
-  json::object loads; // names as keys, since heartbeats are most of the bytes between data centres
-  for (auto &it : m.loads)
-    loads[it.endpoint.value] = it.inFlight;
-  return {{"type", "heartbeat"},       {"host", m.host.value},     {"incarnation", m.incarnation},
-          {"ready", m.ready},          {"leaving", m.leaving},     {"store", m.storeConnected},
-          {"config", m.configVersion}, {"planner", m.plannerTerm}, {"loads", std::move(loads)}};
+  json::object out{
+      {"type", "heartbeat"},       {"host", m.host.value},     {"incarnation", m.incarnation},
+      {"ready", m.ready},          {"leaving", m.leaving},     {"store", m.storeConnected},
+      {"config", m.configVersion}, {"planner", m.plannerTerm}, {"loads", write(m.loads)}};
+  if (!m.leavingEndpoints.empty())
+    out["leaving_endpoints"] = write(m.leavingEndpoints);
+  if (!m.departures.empty())
+    out["departures"] = write(m.departures);
+  if (m.newestArrival > 0)
+    out["arrival"] = m.newestArrival;
+  return out;
 }
 
 json::object write(const DemandReport &m) {
@@ -63,27 +180,27 @@
                                    {"i", it.incarnation},
                                    {"t", it.term},
                                    {"n", it.number},
+                                   {"o", it.orderCount},
                                    {"models", std::move(models)}});
   }
-  return {{"type", "holdings"}, {"notices", std::move(notices)}};
+  json::object out{{"type", "holdings"}, {"notices", std::move(notices)}, {"pass_on", m.passOn}};
+  if (!m.planner.empty())
+    out["planner"] = m.planner.toString();
+  return out;
 }
 
 FleetHeartbeat readHeartbeat(JsonReader &in) {
-  FleetHeartbeat m{.host = in.name<HostName>("host"),
-                   .incarnation = in.unsignedInt("incarnation"),
-                   .ready = in.flag("ready"),
-                   .leaving = in.flag("leaving"),
-                   .storeConnected = in.flag("store"),
-                   .configVersion = in.unsignedInt("config"),
-                   .plannerTerm = in.unsignedInt("planner"),
-                   .loads = {}};
-  auto *loads = in.raw().if_contains("loads");
-  if (!loads || !loads->is_object())
-    return m;
-  for (auto &[endpoint, n] : loads->get_object())
-    if (n.is_int64() || n.is_uint64())
-      m.loads.push_back({EndpointName(std::string(endpoint)), n.to_number<int>()});
-  return m;
+  return {.host = in.name<HostName>("host"),
+          .incarnation = in.unsignedInt("incarnation"),
+          .ready = in.flag("ready"),
+          .leaving = in.flag("leaving"),
+          .storeConnected = in.flag("store"),
+          .configVersion = in.unsignedInt("config"),
+          .plannerTerm = in.unsignedInt("planner"),
+          .loads = readLoads(in),
+          .leavingEndpoints = readLeavingEndpoints(in),
+          .departures = readDepartures(in),
+          .newestArrival = in.raw().contains("arrival") ? in.unsignedInt("arrival") : 0};
 }
 
 DemandReport readDemand(JsonReader &in) {
@@ -111,13 +228,16 @@
 }
 
 HoldingsNotices readNotices(JsonReader &in) {
-  HoldingsNotices m;
+  HoldingsNotices m{.notices = {}, .planner = {}, .passOn = in.flag("pass_on")};
+  if (in.raw().contains("planner"))
+    m.planner = in.address("planner");
   in.objects("notices", [&](JsonReader &it) {
     HoldingsNotice notice{.endpoint = it.name<EndpointName>("e"),
                           .incarnation = it.unsignedInt("i"),
                           .term = it.unsignedInt("t"),
                           .number = it.unsignedInt("n"),
-                          .models = {}};
+                          .models = {},
+                          .orderCount = it.unsignedInt("o")};
     it.objects("models", [&](JsonReader &held) {
       notice.models.push_back({held.name<ModelName>("m"), held.texts("a")});
     });
@@ -147,6 +267,8 @@
     message = readNeed(in);
   else if (type == "holdings")
     message = readNotices(in);
+  else if (type == "digests")
+    message = readDigests(in);
   return in.ok ? message : std::nullopt;
 }
 
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -18,7 +18,8 @@
   int inFlight = 0;
 };
 
-/// Sent to the hosts of the data centre at each heartbeat, and to all others at every second one.
+/// Sent to the hosts of the data centre at each heartbeat. In a small fleet, and where no digest of
+/// another data centre is heard, it goes there at every second one.
 struct FleetHeartbeat {
   HostName host;
   std::uint64_t incarnation = 0;
@@ -28,6 +29,39 @@
   std::uint64_t configVersion = 0; ///< in force; 0 if none
   std::uint64_t plannerTerm = 0;   ///< of the planner's lease if this host holds it, otherwise 0
   std::vector<EndpointLoad> loads;
+  /// Endpoints that have said to this host that they leave.
+  std::vector<LeavingEndpoint> leavingEndpoints;
+  std::vector<Departure> departures; ///< that this host has read in the registry
+  std::uint64_t newestArrival = 0;   ///< revision of the newest endpoint there that can serve
+};
+
+/// A host that is not alive, ready and in touch with the store at once.
+struct HostException {
+  HostName host;
+  bool alive = false;
+  bool ready = false;
+  bool leaving = false;
+  bool storeConnected = false;
+  friend bool operator==(const HostException &, const HostException &) = default;
+};
+
+/// What a relay has heard from the hosts of its data centre. Registered hosts that are no exception
+/// are alive, ready and in touch with the store.
+struct DataCentreDigest {
+  DataCentreName dataCentre;
+  std::uint64_t configVersion = 0; ///< the newest in force there
+  std::uint64_t plannerTerm = 0;   ///< of a planner there; 0 if there is none
+  Address plannerAddress;
+  std::vector<HostException> exceptions;
+  std::vector<LeavingEndpoint> leavingEndpoints;
+};
+
+/// Sent by a relay of a large fleet to relays of other data centres, with one digest, and by these
+/// to the hosts of their own, with all that they have.
+struct FleetDigests {
+  bool passedOn = false;
+  std::vector<DataCentreDigest> digests;
+  std::vector<EndpointLoad> loads; ///< of all these data centres together
 };
 
 struct ModelUse {
@@ -61,12 +95,16 @@
   int waiting = 0;
 };
 
-/// Sent by the planner to every host.
+/// Sent by the planner to every host; in a large fleet to one relay of each other data centre,
+/// which passes it on there.
 struct HoldingsNotices {
   std::vector<HoldingsNotice> notices;
+  Address planner;     ///< where it listens; empty if that is where the message comes from
+  bool passOn = false; ///< to the hosts of the receiver's data centre
 };
 
-using FleetMessage = std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices>;
+using FleetMessage =
+    std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices, FleetDigests>;
 
 std::string encodeFleetMessage(const FleetMessage &message);
 /// Empty if the text is not a message of this kind.
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -8,6 +8,21 @@
 
 namespace catkin {
 
+namespace {
+
+// Of what the planner needs; weaker hosts pass messages on only where there are no others.
+constexpr double RelayCapacity = 0.4;
+// Two digests of a data centre that were lost, and some delay.
+constexpr Duration UnheardAfter = std::chrono::milliseconds(2500);
+
+/// Able hosts first, then by a hash, since names of one data centre follow each other.
+std::pair<bool, std::uint64_t> relayRank(const FleetHostEntry &entry) {
+  auto &name = entry.host.value;
+  return {entry.capacity < RelayCapacity, XXH64(name.data(), name.size(), 0)};
+}
+
+} // namespace
+
 std::string formatHostEntry(const FleetHostEntry &entry) {
   return json::serialize(json::object{{"host", entry.host.value},
                                       {"incarnation", entry.incarnation},
@@ -52,12 +67,15 @@
 }
 
 bool FleetPeers::alive(const Peer &peer, Instant now) const {
-  const bool nearby = peer.entry.dataCentre == self.dataCentre;
   const Duration limit =
-      nearby ? config::FleetPeerSilentAfter : config::FleetDistantPeerSilentAfter;
+      isNearby(peer) ? config::FleetPeerSilentAfter : config::FleetDistantPeerSilentAfter;
   return peer.heardAt && now - *peer.heardAt < limit;
 }
 
+bool FleetPeers::inTouch(const Peer &peer, Instant now) const {
+  return alive(peer, now) && peer.heartbeat.storeConnected && !peer.heartbeat.leaving;
+}
+
 std::vector<Address> FleetPeers::peerAddresses() const {
   std::vector<Address> out;
   for (auto &[host, peer] : peers)
@@ -68,7 +86,15 @@
 std::vector<Address> FleetPeers::nearbyAddresses() const {
   std::vector<Address> out;
   for (auto &[host, peer] : peers)
-    if (peer.entry.dataCentre == self.dataCentre)
+    if (isNearby(peer))
+      out.push_back(peer.entry.peerAddress);
+  return out;
+}
+
+std::vector<Address> FleetPeers::distantAddresses() const {
+  std::vector<Address> out;
+  for (auto &[host, peer] : peers)
+    if (!isNearby(peer))
       out.push_back(peer.entry.peerAddress);
   return out;
 }
@@ -79,7 +105,7 @@
   if (storeConnected)
     fit.push_back(&self);
   for (auto &[host, peer] : peers)
-    if (alive(peer, now) && peer.heartbeat.storeConnected && !peer.heartbeat.leaving)
+    if (inTouch(peer, now))
       fit.push_back(&peer.entry);
   double best = 0;
   for (auto *it : fit)
@@ -102,16 +128,122 @@
     return true;
   if (!storeConnected)
     return false;
-  // By a hash, since names of one data centre follow each other.
-  auto rank = [](const HostName &host) { return XXH64(host.value.data(), host.value.size(), 0); };
   const auto ahead = std::count_if(peers.begin(), peers.end(), [&](auto &it) {
     auto &peer = it.second;
-    return alive(peer, now) && peer.heartbeat.storeConnected && !peer.heartbeat.leaving &&
-           rank(it.first) < rank(self.host);
+    return isNearby(peer) && inTouch(peer, now) && relayRank(peer.entry) < relayRank(self);
   });
   return ahead < config::FleetSentinels;
 }
 
+bool FleetPeers::hearsSentinel(Instant now) const {
+  // The first few in the order of ranks watch closely, or will in a moment.
+  std::vector<std::pair<std::pair<bool, std::uint64_t>, Instant>> ranked;
+  for (auto &[host, peer] : peers)
+    if (isNearby(peer) && inTouch(peer, now))
+      ranked.emplace_back(relayRank(peer.entry), *peer.heardAt);
+  std::sort(ranked.begin(), ranked.end());
+  ranked.resize(std::min<std::size_t>(ranked.size(), config::FleetSentinels));
+  return std::any_of(ranked.begin(), ranked.end(),
+                     [&](auto &it) { return now - it.second < config::FleetSentinelSilentAfter; });
+}
+
+std::map<DataCentreName, std::vector<Address>> FleetPeers::relays(Instant now) const {
+  std::map<DataCentreName, std::vector<const Peer *>> fit;
+  for (auto &[host, peer] : peers)
+    if (!isNearby(peer) && inTouch(peer, now))
+      fit[peer.entry.dataCentre].push_back(&peer);
+  std::map<DataCentreName, std::vector<Address>> out;
+  for (auto &[dataCentre, hosts] : fit) {
+    std::sort(hosts.begin(), hosts.end(),
+              [](auto *a, auto *b) { return relayRank(a->entry) < relayRank(b->entry); });
+    hosts.resize(std::min<std::size_t>(hosts.size(), config::FleetSentinels));
+    for (auto *it : hosts)
+      out[dataCentre].push_back(it->entry.peerAddress);
+  }
+  return out;
+}
+
+std::vector<Address> FleetPeers::relayAddresses(Instant now) const {
+  std::vector<Address> out;
+  for (auto &[dataCentre, addresses] : relays(now))
+    out.insert(out.end(), addresses.begin(), addresses.end());
+  return out;
+}
+
+std::vector<Address> FleetPeers::relayAddressEach(Instant now, std::uint64_t random) const {
+  std::vector<Address> out;
+  for (auto &[dataCentre, addresses] : relays(now))
+    out.push_back(addresses[random % addresses.size()]);
+  return out;
+}
+
+std::vector<Address> FleetPeers::unheardAddresses(Instant now) const {
+  std::map<DataCentreName, Instant> heard;
+  for (auto &[host, peer] : peers) {
+    auto &at = heard.try_emplace(peer.entry.dataCentre, Instant{}).first->second;
+    at = std::max(at, peer.heardAt.value_or(Instant{}));
+  }
+  std::vector<Address> out;
+  for (auto &[host, peer] : peers)
+    if (!isNearby(peer) && now - heard[peer.entry.dataCentre] >= UnheardAfter)
+      out.push_back(peer.entry.peerAddress);
+  return out;
+}
+
+DataCentreDigest FleetPeers::makeDigest(const FleetHeartbeat &state, Instant now) const {
+  DataCentreDigest out{.dataCentre = self.dataCentre,
+                       .configVersion = state.configVersion,
+                       .plannerTerm = state.plannerTerm,
+                       .plannerAddress = self.peerAddress,
+                       .exceptions = {},
+                       .leavingEndpoints = state.leavingEndpoints};
+  const HostException own{self.host, true, state.ready, state.leaving, state.storeConnected};
+  if (!own.ready || own.leaving || !own.storeConnected)
+    out.exceptions.push_back(own);
+  for (auto &[host, peer] : peers) {
+    if (!isNearby(peer))
+      continue;
+    auto &beat = peer.heartbeat;
+    const bool live = alive(peer, now);
+    if (!live || !beat.ready || beat.leaving || !beat.storeConnected)
+      out.exceptions.push_back({host, live, beat.ready, beat.leaving, beat.storeConnected});
+    if (!live)
+      continue;
+    out.configVersion = std::max(out.configVersion, beat.configVersion);
+    for (auto &it : beat.leavingEndpoints)
+      if (std::count(out.leavingEndpoints.begin(), out.leavingEndpoints.end(), it) == 0)
+        out.leavingEndpoints.push_back(it);
+    if (beat.plannerTerm <= out.plannerTerm)
+      continue;
+    out.plannerTerm = beat.plannerTerm;
+    out.plannerAddress = peer.entry.peerAddress;
+  }
+  return out;
+}
+
+void FleetPeers::onDigest(const DataCentreDigest &digest, Instant now) {
+  if (digest.dataCentre == self.dataCentre)
+    return;
+  std::map<HostName, const HostException *> exceptions;
+  for (auto &it : digest.exceptions)
+    exceptions[it.host] = &it;
+  for (auto &[host, peer] : peers) {
+    if (peer.entry.dataCentre != digest.dataCentre)
+      continue;
+    auto found = exceptions.find(host);
+    const HostException state =
+        found == exceptions.end() ? HostException{host, true, true, false, true} : *found->second;
+    if (!state.alive)
+      continue; // silent for as long as this host has not heard it otherwise
+    peer.heardAt = now;
+    peer.heartbeat.ready = state.ready;
+    peer.heartbeat.leaving = state.leaving;
+    peer.heartbeat.storeConnected = state.storeConnected;
+    peer.heartbeat.configVersion = digest.configVersion;
+    peer.heartbeat.loads.clear(); // counted for the whole data centre
+  }
+}
+
 std::uint64_t FleetPeers::newestConfig(Instant now) const {
   std::uint64_t newest = 0;
   for (auto &[host, peer] : peers)
@@ -120,14 +252,25 @@
   return newest;
 }
 
+void FleetPeers::addLoads(const Peer &peer, Instant now, std::map<EndpointName, int> &total) const {
+  if (!alive(peer, now))
+    return;
+  for (auto &it : peer.heartbeat.loads)
+    total[it.endpoint] += it.inFlight;
+}
+
 std::map<EndpointName, int> FleetPeers::loads(Instant now) const {
   std::map<EndpointName, int> total;
-  for (auto &[host, peer] : peers) {
-    if (!alive(peer, now))
-      continue;
-    for (auto &it : peer.heartbeat.loads)
-      total[it.endpoint] += it.inFlight;
-  }
+  for (auto &[host, peer] : peers)
+    addLoads(peer, now, total);
+  return total;
+}
+
+std::map<EndpointName, int> FleetPeers::nearbyLoads(Instant now) const {
+  std::map<EndpointName, int> total;
+  for (auto &[host, peer] : peers)
+    if (isNearby(peer))
+      addLoads(peer, now, total);
   return total;
 }
 
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -34,6 +34,17 @@
   std::vector<Address> peerAddresses() const;
   /// Of those in this host's data centre.
   std::vector<Address> nearbyAddresses() const;
+  /// Of those in other ones.
+  std::vector<Address> distantAddresses() const;
+  /// In other data centres, the few hosts of each that pass messages on to the others there.
+  std::vector<Address> relayAddresses(Instant now) const;
+  /// One of them for each other data centre.
+  std::vector<Address> relayAddressEach(Instant now, std::uint64_t random) const;
+  /// Of all hosts in other data centres from which nothing has been heard for a while.
+  std::vector<Address> unheardAddresses(Instant now) const;
+  /// What this host has heard of its own data centre, with its own `state` and that of its planner.
+  DataCentreDigest makeDigest(const FleetHeartbeat &state, Instant now) const;
+  void onDigest(const DataCentreDigest &digest, Instant now);
   int hostCount() const { return static_cast<int>(peers.size()) + 1; } ///< with this host
   /// Hosts that may become the planner: alive, in touch with the store, and not much weaker than
   /// the best. This host is in touch if `storeConnected`.
@@ -42,13 +53,17 @@
   int aliveCount(Instant now) const;
   /// Too many live hosts for all to watch closely and report at every interval.
   bool isLargeFleet(Instant now) const { return aliveCount(now) > config::FleetSmallFleet; }
-  /// True if this host is one of the few that watch the configuration closely, since all others
-  /// learn from heartbeats that there is a new one. All hosts of a small fleet do.
+  /// True if this host is one of the few of its data centre that watch the store closely and pass
+  /// on what other data centres say. All hosts of a small fleet watch closely.
   bool isSentinel(bool storeConnected, Instant now) const;
+  /// True if a host of this data centre that watches the store closely was heard a moment ago.
+  bool hearsSentinel(Instant now) const;
   /// The newest configuration that a live host says is in force.
   std::uint64_t newestConfig(Instant now) const;
   /// Requests of other hosts in progress, by endpoint.
   std::map<EndpointName, int> loads(Instant now) const;
+  /// Only those of hosts in this data centre.
+  std::map<EndpointName, int> nearbyLoads(Instant now) const;
   /// Where a caller in `dataCentre` should connect: hosts there if at least two are ready, else all
   /// that are ready. This host counts as ready if `selfReady`. When no other host is heard, this
   /// one may be the one that is cut off, and all registered hosts are given.
@@ -62,6 +77,10 @@
     std::optional<Instant> heardAt;
   };
   bool alive(const Peer &peer, Instant now) const;
+  void addLoads(const Peer &peer, Instant now, std::map<EndpointName, int> &total) const;
+  bool inTouch(const Peer &peer, Instant now) const;
+  bool isNearby(const Peer &peer) const { return peer.entry.dataCentre == self.dataCentre; }
+  std::map<DataCentreName, std::vector<Address>> relays(Instant now) const;
 
   FleetHostEntry self;
   std::map<HostName, Peer> peers;
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -24,6 +24,10 @@
 constexpr int CommandSends = 4; // of one order whose answers are lost
 constexpr Duration RefusedPause = std::chrono::milliseconds(400);
 constexpr std::size_t NoticesPerMessage = 4;
+// Between planning rounds, as multiples of the time that one takes: rounds must leave the host time
+// for its other work, also where engines are many and the processor is slow.
+constexpr int TickShare = 4;
+constexpr int EventShare = 2;
 
 } // namespace
 
@@ -40,6 +44,8 @@
   StoreLoadMeter storeLoads;
   HoldingsNotifier notifier;
   Instant acquiredAt;
+  Instant roundEnd;             ///< of the newest planning round
+  Duration roundTime{};         ///< that it took
   std::uint64_t fencedTerm = 0; ///< an engine has seen a higher one
   bool stopped = false;
 
@@ -67,14 +73,14 @@
   void tick() {
     if (stopped)
       return;
-    env.after(config::FleetPlanTick, [self = shared_from_this()] { self->tick(); });
+    env.after(std::max<Duration>(config::FleetPlanTick, TickShare * roundTime),
+              [self = shared_from_this()] { self->tick(); });
     if (!active())
       return;
     syncRecords();
     for (auto &[name, record] : records)
       pollStatus(record);
-    if (mayOrder())
-      placeAll();
+    placeAll();
     sendNotices();
   }
 
@@ -87,7 +93,7 @@
       return gone;
     });
     for (auto &[name, state] : view.endpoints()) {
-      if (!isEngine(state.entry))
+      if (!view.hasEngines(state.entry.service))
         continue;
       auto &record = records[name];
       bool restarted = record.entry.incarnation != state.entry.incarnation ||
@@ -105,14 +111,6 @@
     notifier.forget(engine);
   }
 
-  bool isEngine(const FleetEndpoint &entry) const {
-    auto *config = view.config();
-    if (!config)
-      return false;
-    auto it = config->services.find(entry.service);
-    return it != config->services.end() && it->second.hasEngines;
-  }
-
   /// A callback that runs `step` with the engine's record and its own arguments if the engine is
   /// still the same by then. It keeps the planner alive.
   template <class Step> auto forSame(const EngineRecord &record, Step step) {
@@ -127,6 +125,10 @@
   void pollStatus(EngineRecord &record) {
     if (record.statusUnderWay || env.now() < record.nextStatus)
       return;
+    // An engine that wants no requests is asked only about what it was ordered to do.
+    auto *state = view.find(record.entry.name);
+    if (state && env.now() < state->backoffUntil && !record.active)
+      return;
     record.statusUnderWay = true;
     engines.status(record.entry, forSame(record, [this](EngineRecord &it, const auto &status) {
                      it.statusUnderWay = false;
@@ -148,6 +150,8 @@
     if (record.silent())
       logLine(LogLevel::Info, "engine answers again", {{"endpoint", record.entry.name.value}});
     record.statusFailures = 0;
+    if (status->leaving)
+      view.onLeaving({record.entry.name, record.entry.incarnation}, now);
     // The report lags: one from before the newest accepted order says nothing new.
     if (record.known && status->holdings.orderCount < record.holdings.orderCount)
       return;
@@ -191,10 +195,22 @@
 
   // ---- Planning --------------------------------------------------------------------------------
 
+  /// A round because of one event. The next tick plans as well, so that events that come faster
+  /// than rounds can be planned share one.
+  void placeSoon() {
+    if (env.now() - roundEnd >= EventShare * roundTime)
+      placeAll();
+  }
+
   void placeAll() {
+    if (!mayOrder())
+      return;
+    const Instant began = env.now();
     for (auto &[name, service] : view.config()->services)
       if (service.hasEngines)
         place(service);
+    roundEnd = env.now();
+    roundTime = roundEnd - began;
   }
 
   void place(const FleetService &service) {
@@ -365,16 +381,14 @@
     record.drop(record.active->order.model);
     record.active.reset();
     record.busy = false;
-    if (mayOrder())
-      placeAll();
+    placeSoon();
   }
 
   /// Adapters load within milliseconds and do not make the engine busy.
   void finishAdapter(EngineRecord &record, const PlacementOrder &order) {
     if (order.action == PlacementAction::Unload) {
       record.drop(order.model);
-      if (mayOrder())
-        placeAll();
+      placeSoon();
       return;
     }
     record.unresolved.push_back(ActiveOrder{.order = order, .expected = UINT64_MAX});
@@ -389,8 +403,7 @@
     record.adapterReadyAt[ref] = now;
     record.adapterUsedAt[ref] = now;
     tellWaiting(record, ref.model);
-    if (mayOrder())
-      placeAll();
+    placeSoon();
   }
 
   // ---- Messages --------------------------------------------------------------------------------
@@ -423,10 +436,10 @@
     for (auto &[name, record] : records) {
       if (!record.known)
         continue;
-      const auto models = record.available(now);
-      if (!notifier.isDue(name, models, now))
+      const auto loaded = record.available(now);
+      if (!notifier.isDue(name, loaded.models, now))
         continue;
-      message.notices.push_back(notifier.tell(name, term(), models, now));
+      message.notices.push_back(notifier.tell(name, term(), loaded, now));
       if (message.notices.size() < NoticesPerMessage)
         continue;
       links.broadcast(message);
@@ -450,8 +463,7 @@
         if (waited >= config::FleetNeedRepeat)
           record.nextStatus = std::min(record.nextStatus, env.now());
       }
-    if (mayOrder())
-      placeAll();
+    placeSoon();
   }
 
   void onDemand(const DemandReport &report) {
--- a/src/fleet_planner_p.h
+++ b/src/fleet_planner_p.h
@@ -60,8 +60,8 @@
 };
 
 struct FleetPlannerLinks {
-  std::function<void(const FleetMessage &)> broadcast; ///< to all hosts, this one included
-  std::function<void(const Address &to, const FleetMessage &)> send;
+  std::function<void(const HoldingsNotices &)> broadcast; ///< to all hosts, this one included
+  std::function<void(const Address &to, const HoldingsNotices &)> send;
 };
 
 class FleetPlanner {
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -72,6 +72,12 @@
   friend bool operator==(const HeldModel &, const HeldModel &) = default;
 };
 
+/// The models in an engine's memory once it had accepted so many orders.
+struct LoadedModels {
+  std::uint64_t orderCount = 0;
+  std::vector<HeldModel> models;
+};
+
 /// What an engine holds, as of one moment.
 struct EngineHoldings {
   std::uint64_t orderCount = 0; ///< orders accepted since the engine started
@@ -89,13 +95,15 @@
   int slots = 1;
   Liveness liveness = Liveness::Live;
   std::uint64_t incarnation = 0;
+  std::uint64_t revision = 0; ///< of the store, at which this registration was written
   EngineHoldings holdings;
 };
 
 /// An engine's report about itself. It lags by some hundred milliseconds.
 struct EngineStatus {
   std::uint64_t incarnation = 0;
-  bool busy = false; ///< an order is being carried out
+  bool busy = false;    ///< an order is being carried out
+  bool leaving = false; ///< it is about to end
   EngineHoldings holdings;
 };
 
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "fleet_view_p.h"
 
 #include "config.h"
+#include "log_p.h"
 
 #include <algorithm>
 #include <utility>
@@ -30,16 +31,17 @@
 } // namespace
 
 const std::vector<HeldModel> &EndpointState::models(Instant now) const {
-  // The planner's notices are newer than the registry while they keep coming.
-  if (notice && notice->incarnation == entry.incarnation &&
-      now - noticeAt < config::FleetNoticeTrusted)
-    return notice->models;
-  return entry.holdings.models;
+  if (!notice || notice->incarnation != entry.incarnation)
+    return entry.holdings.models;
+  // A registration of before the planner's newest order says less than its notice, however old.
+  const bool olderEntry = entry.holdings.orderCount < notice->orderCount;
+  const bool freshNotice = now - noticeAt < config::FleetNoticeTrusted;
+  return olderEntry || freshNotice ? notice->models : entry.holdings.models;
 }
 
-bool EndpointState::isMissing(const ModelRef &ref, Instant now) const {
+Instant EndpointState::readyFor(const ModelRef &ref) const {
   auto it = missing.find(ref);
-  return it != missing.end() && now < it->second;
+  return it == missing.end() ? backoffUntil : std::max(backoffUntil, it->second);
 }
 
 bool FleetView::setConfig(FleetConfig config) {
@@ -52,7 +54,9 @@
 
 void FleetView::putEndpoint(FleetEndpoint entry, Instant now) {
   auto &state = states[entry.name];
-  if (state.entry.incarnation != entry.incarnation) {
+  const bool isNew = state.entry.incarnation != entry.incarnation;
+  const bool wasLive = !isNew && state.takesWork();
+  if (isNew) {
     // A restarted engine holds nothing of what was known of it.
     state.notice.reset();
     state.failureShare = 0;
@@ -62,6 +66,10 @@
   state.missing.clear();
   state.lapsesAt.reset();
   state.entry = std::move(entry);
+  applySignals(state);
+  noteArrival(state, !wasLive);
+  if (!state.takesWork() && wasLive)
+    noteDeparture(state, now);
   notifyWaiters();
 }
 
@@ -69,13 +77,17 @@
   auto it = states.find(name);
   if (it == states.end())
     return;
+  auto &state = it->second;
   auto returns = registryRegained + config::FleetReturnTime;
-  bool mayReturn = everConnected && registryRegained != Instant{} && now < returns &&
-                   it->second.entry.liveness == Liveness::Live;
-  if (mayReturn)
-    it->second.lapsesAt = returns;
-  else
+  const bool afterOutage = everConnected && registryRegained != Instant{} && now < returns;
+  if (readsSeldom && !afterOutage)
+    returns = now + config::FleetReturnTime;
+  if (state.takesWork() && (afterOutage || readsSeldom)) {
+    state.lapsesAt = state.lapsesAt.value_or(returns);
+  } else {
+    noteDeparture(state, now);
     states.erase(it);
+  }
   notifyWaiters();
 }
 
@@ -86,8 +98,56 @@
   registryConnected = connected;
 }
 
+bool FleetView::awaitsReturn() const {
+  return std::any_of(states.begin(), states.end(),
+                     [](auto &it) { return it.second.lapsesAt.has_value(); });
+}
+
 void FleetView::expire(Instant now) {
-  std::erase_if(states, [&](auto &it) { return it.second.lapsesAt && now >= *it.second.lapsesAt; });
+  said.expire(now);
+  departed.expire(now);
+  std::erase_if(states, [&](auto &it) {
+    const bool lapsed = it.second.lapsesAt && now >= *it.second.lapsesAt;
+    if (lapsed)
+      noteDeparture(it.second, now);
+    return lapsed;
+  });
+}
+
+/// An engine that holds nothing serves only after a load, of which its planner tells.
+void FleetView::noteArrival(const EndpointState &state, bool isNew) {
+  auto &entry = state.entry;
+  const bool plain = entry.holdings.models.empty() && !hasEngines(entry.service);
+  const bool serves = isNew && state.takesWork() && (plain || !entry.holdings.models.empty());
+  if (serves)
+    arrival = std::max(arrival, entry.revision);
+}
+
+void FleetView::noteDeparture(const EndpointState &state, Instant now) {
+  departed.add({state.entry.name, state.entry.revision}, now);
+}
+
+bool FleetView::hasEngines(const ServiceName &service) const {
+  auto *known = config();
+  if (!known)
+    return false;
+  auto it = known->services.find(service);
+  return it != known->services.end() && it->second.hasEngines;
+}
+
+void FleetView::onDeparture(const Departure &departure) {
+  auto it = states.find(departure.endpoint);
+  if (it == states.end())
+    return;
+  auto &state = it->second;
+  state.departedRevision = std::max(state.departedRevision.value_or(0), departure.revision);
+  if (!state.takesWork() || state.entry.revision > departure.revision)
+    return;
+  applySignals(state);
+  logLine(LogLevel::Info, "endpoint leaves, as another host has read",
+          {{"endpoint", departure.endpoint.value},
+           {"incarnation", state.entry.incarnation},
+           {"revision", departure.revision}});
 }
 
 void FleetView::applyNotice(const HoldingsNotice &notice, Instant now) {
@@ -142,6 +202,34 @@
     it->second.missing[ref] = now + config::FleetMissingTime;
 }
 
+void FleetView::onLeaving(const LeavingEndpoint &endpoint, Instant now, bool heard) {
+  const bool news = heard ? said.onLeavingHeard(endpoint, now) : said.onLeaving(endpoint, now);
+  auto it = states.find(endpoint.endpoint);
+  if (!news || it == states.end())
+    return;
+  applySignals(it->second);
+  logLine(LogLevel::Info, "endpoint leaves by its own answer",
+          {{"endpoint", endpoint.endpoint.value},
+           {"incarnation", endpoint.incarnation},
+           {"heard", heard}});
+}
+
+void FleetView::onBackoff(const FleetEndpoint &endpoint, Duration d, Instant now) {
+  said.onBackoff(endpoint.name, endpoint.incarnation, now + d);
+  auto it = states.find(endpoint.name);
+  if (it != states.end())
+    applySignals(it->second);
+}
+
+/// The registry may lag behind what the endpoint has said itself.
+void FleetView::applySignals(EndpointState &state) const {
+  auto &entry = state.entry;
+  const bool departedSince = state.departedRevision && entry.revision <= *state.departedRevision;
+  if (departedSince || said.isLeaving({entry.name, entry.incarnation}))
+    entry.liveness = Liveness::Leaving;
+  state.backoffUntil = said.backoffUntil(entry.name, entry.incarnation);
+}
+
 const EndpointState *FleetView::find(const EndpointName &name) const {
   auto it = states.find(name);
   return it == states.end() ? nullptr : &it->second;
@@ -158,12 +246,12 @@
 
 namespace {
 
-bool usable(const EndpointState &state, const EndpointQuery &query, Instant now) {
+/// True if the endpoint serves such requests, now or once it takes requests again.
+bool serves(const EndpointState &state, const EndpointQuery &query, Instant now) {
   const bool excluded = query.excluded && query.excluded->count(state.entry.name) > 0;
   if (excluded || state.entry.service != query.service || !state.takesWork())
     return false;
-  return query.model.empty() ||
-         (!state.isMissing(query.model, now) && holds(state.models(now), query.model));
+  return query.model.empty() || holds(state.models(now), query.model);
 }
 
 std::uint64_t rankOf(const EndpointState &state, std::uint64_t seed) {
@@ -206,7 +294,7 @@
                                     std::uint64_t random) {
   std::vector<const EndpointState *> candidates;
   for (auto &[name, state] : view.endpoints())
-    if (usable(state, query, now))
+    if (now >= state.readyFor(query.model) && serves(state, query, now))
       candidates.push_back(&state);
   auto *favourite = favouriteOf(candidates, query.affinity, now);
   const EndpointState *best = nullptr;
@@ -223,4 +311,15 @@
   return best;
 }
 
+std::optional<Instant> firstReadyAgain(const FleetView &view, const EndpointQuery &query,
+                                       Instant now) {
+  std::optional<Instant> first;
+  for (auto &[name, state] : view.endpoints()) {
+    const Instant ready = state.readyFor(query.model);
+    if (now < ready && serves(state, query, now))
+      first = std::min(first.value_or(Instant::max()), ready);
+  }
+  return first;
+}
+
 } // namespace catkin
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "departure_log_p.h"
+#include "endpoint_signals_p.h"
 #include "fleet_types_p.h"
 
 #include <cstdint>
@@ -37,6 +39,7 @@
   std::uint64_t term = 0;   ///< of the planner
   std::uint64_t number = 0; ///< grows with each notice of one planner about this engine
   std::vector<HeldModel> models;
+  std::uint64_t orderCount = 0; ///< orders that the engine had accepted by then
 };
 
 /// An endpoint with this host's beliefs about it.
@@ -51,8 +54,11 @@
   double failureShare = 0; ///< moving average over requests of this host, 0 to 1
   int failuresInRow = 0;
   Instant avoidUntil;              ///< no requests before, unless nothing else is left
+  Instant backoffUntil;            ///< no requests before: the endpoint asked for it
   std::optional<Instant> lapsesAt; ///< the registration went during a store outage
-  bool isMissing(const ModelRef &ref, Instant now) const;
+  std::optional<std::uint64_t> departedRevision; ///< registrations up to it no longer stand
+  /// When it may take requests for `ref`, by what it has answered; in the past if it may now.
+  Instant readyFor(const ModelRef &ref) const;
   bool takesWork() const { return entry.liveness == Liveness::Live; }
   /// What it holds by the newest source.
   const std::vector<HeldModel> &models(Instant now) const;
@@ -63,6 +69,8 @@
   /// False and unchanged if a configuration as new is known already.
   bool setConfig(FleetConfig config);
   const FleetConfig *config() const { return newest ? &*newest : nullptr; }
+  /// True if the configuration says that the service's endpoints are model engines.
+  bool hasEngines(const ServiceName &service) const;
 
   void putEndpoint(FleetEndpoint entry, Instant now);
   /// The registration has gone. Shortly after a store outage the endpoint may only have been
@@ -70,6 +78,10 @@
   void removeEndpoint(const EndpointName &name, Instant now);
   /// The registry was lost or regained by this host.
   void setRegistryConnected(bool connected, Instant now);
+  /// This host reads the registry only now and then, and so may have missed an outage of the store.
+  void setReadsSeldom(bool seldom) { readsSeldom = seldom; }
+  /// True while an endpoint is kept whose registration may return.
+  bool awaitsReturn() const;
   /// Drops endpoints whose registration has not returned in time.
   void expire(Instant now);
   void applyNotice(const HoldingsNotice &notice, Instant now);
@@ -79,6 +91,18 @@
   void onEnded(const EndpointName &name, EndpointResult result, Instant now);
   /// The endpoint answered that it does not hold `ref`.
   void onMissing(const EndpointName &name, const ModelRef &ref, Instant now);
+  /// An answer of the endpoint said that it leaves; `heard` if another host got that answer.
+  void onLeaving(const LeavingEndpoint &endpoint, Instant now, bool heard = false);
+  /// The endpoint refused a request and wants none from this host for `d`.
+  void onBackoff(const FleetEndpoint &endpoint, Duration d, Instant now);
+  const EndpointSignals &signals() const { return said; }
+  /// Another host has read in the registry that the endpoint leaves or has gone.
+  void onDeparture(const Departure &departure);
+  /// What this host has read there a short time ago.
+  std::vector<Departure> departures(Instant now) const { return departed.recent(now); }
+  /// The newest registration of an endpoint that can serve at once: a plain one, or one that holds
+  /// models. 0 if there is none.
+  std::uint64_t newestArrival() const { return arrival; }
 
   const std::map<EndpointName, EndpointState> &endpoints() const { return states; }
   const EndpointState *find(const EndpointName &name) const;
@@ -91,13 +115,20 @@
 
 private:
   void notifyWaiters();
+  void applySignals(EndpointState &state) const;
+  void noteArrival(const EndpointState &state, bool isNew);
+  void noteDeparture(const EndpointState &state, Instant now);
 
   std::optional<FleetConfig> newest;
   std::map<EndpointName, EndpointState> states;
+  EndpointSignals said;
+  DepartureLog departed;
+  std::uint64_t arrival = 0;
   std::list<std::function<void()>> waiters;
   bool registryConnected = false;
   Instant registryRegained;
   bool everConnected = false;
+  bool readsSeldom = false;
 };
 
 /// What a request asks of its endpoint.
@@ -116,4 +147,9 @@
 const EndpointState *chooseEndpoint(const FleetView &view, const EndpointQuery &query, Instant now,
                                     std::uint64_t random);
 
+/// When the first endpoint may take the request that has refused such ones for now: it asked for a
+/// pause, or answered a moment ago that it does not hold the model. Empty if there is none.
+std::optional<Instant> firstReadyAgain(const FleetView &view, const EndpointQuery &query,
+                                       Instant now);
+
 } // namespace catkin
--- a/src/holdings_notifier.cpp
+++ b/src/holdings_notifier.cpp
@@ -30,23 +30,24 @@
 }
 
 HoldingsNotice HoldingsNotifier::tell(const EndpointName &engine, std::uint64_t term,
-                                      const std::vector<HeldModel> &models, Instant now) {
-  auto notice = tellOne(engine, term, models);
+                                      const LoadedModels &loaded, Instant now) {
+  auto notice = tellOne(engine, term, loaded);
   auto &told = engines[engine];
-  told.repeatsLeft = told.models == models ? told.repeatsLeft - 1 : Repeats;
-  told.models = models;
+  told.repeatsLeft = told.models == loaded.models ? told.repeatsLeft - 1 : Repeats;
+  told.models = loaded.models;
   told.at = now;
   return notice;
 }
 
 HoldingsNotice HoldingsNotifier::tellOne(const EndpointName &engine, std::uint64_t term,
-                                         const std::vector<HeldModel> &models) {
+                                         const LoadedModels &loaded) {
   auto &told = engines[engine];
   return {.endpoint = engine,
           .incarnation = told.incarnation,
           .term = term,
           .number = ++told.number,
-          .models = models};
+          .models = loaded.models,
+          .orderCount = loaded.orderCount};
 }
 
 } // namespace catkin
--- a/src/holdings_notifier_p.h
+++ b/src/holdings_notifier_p.h
@@ -22,11 +22,11 @@
   /// for a while, or the repetition of one.
   bool isDue(const EndpointName &engine, const std::vector<HeldModel> &models, Instant now) const;
   /// The notice to send. It counts as told to all hosts.
-  HoldingsNotice tell(const EndpointName &engine, std::uint64_t term,
-                      const std::vector<HeldModel> &models, Instant now);
+  HoldingsNotice tell(const EndpointName &engine, std::uint64_t term, const LoadedModels &loaded,
+                      Instant now);
   /// The notice to send to one host; all others have still to be told.
   HoldingsNotice tellOne(const EndpointName &engine, std::uint64_t term,
-                         const std::vector<HeldModel> &models);
+                         const LoadedModels &loaded);
 
 private:
   struct Told {
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -30,6 +30,13 @@
     startList();
   }
 
+  void refresh() {
+    if (isListing || !everSynced || !isConnected)
+      return; // what is under way brings the newest state
+    ++epoch;
+    startWatch();
+  }
+
   void setConnected(bool now) {
     if (std::exchange(isConnected, now) != now && hooks.connection)
       hooks.connection(now);
@@ -101,7 +108,7 @@
   }
 
   void startWatch() {
-    feed.watch(options.kind, revision, options.maxWait,
+    feed.watch(options.kind, revision, options.limits,
                [self = shared_from_this(), epoch = epoch](const FeedPage &page) {
                  if (self->wanted(epoch))
                    self->onWatch(page);
@@ -138,7 +145,11 @@
     impl->restart();
 }
 
-void ObjectFollower::setMaxWait(Duration maxWait) { impl->options.maxWait = maxWait; }
+void ObjectFollower::refresh() { impl->refresh(); }
+
+std::uint64_t ObjectFollower::revision() const { return impl->revision; }
+
+void ObjectFollower::setWatchLimits(const WatchLimits &limits) { impl->options.limits = limits; }
 
 void ObjectFollower::setBatchPause(Duration pause) { impl->options.batchPause = pause; }
 
--- a/src/object_follower_p.h
+++ b/src/object_follower_p.h
@@ -40,19 +40,24 @@
 };
 using FeedDone = std::function<void(FeedPage)>;
 
+struct WatchLimits {
+  Duration maxWait{};
+  bool mayBeStale = false; ///< changes may come seconds late, which costs the store less
+};
+
 /// Reads kinds of objects. Every callback runs later.
 class ObjectFeed {
 public:
   virtual ~ObjectFeed() = default;
   virtual void list(const std::string &kind, const std::string &after, FeedDone done) = 0;
-  /// Answers when something has changed after `revision`, or empty after `maxWait`.
-  virtual void watch(const std::string &kind, std::uint64_t revision, Duration maxWait,
+  /// Answers when something has changed after `revision`, or empty after the longest wait.
+  virtual void watch(const std::string &kind, std::uint64_t revision, const WatchLimits &limits,
                      FeedDone done) = 0;
 };
 
 struct FollowerOptions {
   std::string kind;
-  Duration maxWait = std::chrono::seconds(20);
+  WatchLimits limits{.maxWait = std::chrono::seconds(20)};
   /// Pause after a watch that answered with changes, so that several changes share one call.
   Duration batchPause = std::chrono::milliseconds(250);
   Duration retryPause = std::chrono::milliseconds(300);
@@ -74,8 +79,12 @@
   void restart();
   /// Starts again from a list unless one is being read.
   void catchUp();
+  /// Watches again from the newest known revision, in place of a pause or of the watch under way.
+  void refresh();
+  /// Of the store, up to which all changes are known.
+  std::uint64_t revision() const;
   /// Of the watches that begin later.
-  void setMaxWait(Duration maxWait);
+  void setWatchLimits(const WatchLimits &limits);
   void setBatchPause(Duration pause);
   bool synced() const; ///< a whole list has been read since the start
   /// True while the newest call has been answered, or waits as a watch does.
--- /dev/null
+++ b/tests/buffer_budget_test.cpp
@@ -0,0 +1,33 @@
+#include "buffer_budget_p.h"
+
+#include <gtest/gtest.h>
+
+namespace catkin {
+namespace {
+
+// Guards against one endless answer that takes all memory, and against many of them at once.
+TEST(BufferBudgetTest, BoundsOneAnswerAndAllTogether) {
+  BufferBudget budget({.perAnswer = 10, .total = 15});
+  BufferBudget::Share one(budget);
+  BufferBudget::Share other(budget);
+  EXPECT_TRUE(one.resize(10));
+  EXPECT_FALSE(one.resize(11));
+  EXPECT_TRUE(other.resize(5));
+  EXPECT_FALSE(other.resize(6));
+  EXPECT_EQ(budget.usedBytes(), 15U);
+  EXPECT_TRUE(one.resize(3));
+  EXPECT_TRUE(other.resize(10));
+}
+
+// Guards against answers that are over but still count.
+TEST(BufferBudgetTest, EndedAnswersGiveTheirShareBack) {
+  BufferBudget budget({.perAnswer = 10, .total = 10});
+  {
+    BufferBudget::Share share(budget);
+    EXPECT_TRUE(share.resize(10));
+  }
+  EXPECT_EQ(budget.usedBytes(), 0U);
+}
+
+} // namespace
+} // namespace catkin
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -1,5 +1,6 @@
 #include "config.h"
 #include "demand_meter_p.h"
+#include "digest_book_p.h"
 #include "fleet_demand_p.h"
 #include "fleet_messages_p.h"
 #include "fleet_peers_p.h"
@@ -101,16 +102,24 @@
                                        .storeConnected = true,
                                        .configVersion = 12,
                                        .plannerTerm = 4,
-                                       .loads = {{EndpointName("e"), 3}}});
+                                       .loads = {{EndpointName("e"), 3}},
+                                       .leavingEndpoints = {{EndpointName("g"), 12}},
+                                       .departures = {{EndpointName("d"), 31}},
+                                       .newestArrival = 44});
   EXPECT_EQ(beat.incarnation, 7U);
   EXPECT_TRUE(beat.storeConnected);
   EXPECT_EQ(beat.configVersion, 12U);
   EXPECT_EQ(beat.plannerTerm, 4U);
   EXPECT_EQ(beat.loads[0].inFlight, 3);
+  EXPECT_EQ(beat.departures, (std::vector{Departure{EndpointName("d"), 31}}));
+  EXPECT_EQ(beat.newestArrival, 44U);
+  EXPECT_EQ(beat.leavingEndpoints, (std::vector{LeavingEndpoint{EndpointName("g"), 12}}));
   auto need = roundTrip(ModelNeed{HostName("h"), ServiceName("s"), {ModelName("m"), "a1"}, 2});
   EXPECT_EQ(need.model, (ModelRef{ModelName("m"), "a1"}));
   HoldingsNotice notice{EndpointName("e"), 9, 4, 5, {{ModelName("m"), {"a1", "a2"}}}};
   EXPECT_EQ(roundTrip(HoldingsNotices{{notice}}).notices[0].models, notice.models);
+  notice.orderCount = 8;
+  EXPECT_EQ(roundTrip(HoldingsNotices{{notice}}).notices[0].orderCount, 8U);
   DemandReport demand{HostName("h"),
                       3s,
                       {{ServiceName("s"), {ModelName("m"), {}}, 0.5, 2.0}},
@@ -122,6 +131,23 @@
   EXPECT_EQ(report.failing, demand.failing);
 }
 
+TEST(FleetMessages, DigestsSurviveTheWire) {
+  DataCentreDigest digest{.dataCentre = DataCentreName("x"),
+                          .configVersion = 5,
+                          .plannerTerm = 3,
+                          .plannerAddress = {"10.0.0.1", 7},
+                          .exceptions = {{HostName("a"), true, false, true, true}},
+                          .leavingEndpoints = {{EndpointName("g"), 12}}};
+  auto read = roundTrip(
+      FleetDigests{.passedOn = true, .digests = {digest}, .loads = {{EndpointName("e"), 3}}});
+  EXPECT_TRUE(read.passedOn);
+  EXPECT_EQ(read.loads[0].inFlight, 3);
+  ASSERT_EQ(read.digests.size(), 1U);
+  EXPECT_EQ(read.digests[0].plannerAddress, digest.plannerAddress);
+  EXPECT_EQ(read.digests[0].exceptions, digest.exceptions);
+  EXPECT_EQ(read.digests[0].leavingEndpoints, digest.leavingEndpoints);
+}
+
 // Guards against acting on what another program sends to the port.
 TEST(FleetMessages, RejectsWhatIsNone) {
   for (const char *it : {"", "x", "[]", "{}", R"({"type":"other"})",
@@ -228,12 +254,144 @@
   EXPECT_EQ(countSentinels(large, Start), config::FleetSentinels);
 }
 
+// Guards against hosts that go on relying on sentinels which have died or lost the store.
+TEST(FleetPeersTest, SentinelsThatFallSilentAreMissedSoon) {
+  auto fleet = makeFleet(83, equalCapacity);
+  EXPECT_TRUE(fleet[0].hearsSentinel(Start));
+  EXPECT_FALSE(fleet[0].hearsSentinel(Start + config::FleetSentinelSilentAfter));
+  for (int i = 0; i < 83; ++i)
+    fleet[0].onHeartbeat({.host = HostName("h" + std::to_string(i)),
+                          .incarnation = 1,
+                          .ready = true,
+                          .storeConnected = false},
+                         Start);
+  EXPECT_FALSE(fleet[0].hearsSentinel(Start));
+}
+
 // Guards against a host that relies on sentinels which it does not hear.
 TEST(FleetPeersTest, AHostThatHearsNobodyWatchesClosely) {
   auto fleet = makeFleet(83, equalCapacity);
   EXPECT_EQ(countSentinels(fleet, Start + 1min), 83);
 }
 
+/// A host in data centre x that knows 20 hosts there and 20 in y, and has heard those there.
+FleetPeers makeRelay() {
+  FleetPeers relay(host("x0", "x", 1));
+  for (int i = 1; i < 20; ++i)
+    relay.put(host("x" + std::to_string(i), "x", static_cast<std::uint16_t>(1 + i)));
+  for (int i = 0; i < 20; ++i)
+    relay.put(host("y" + std::to_string(i), "y", static_cast<std::uint16_t>(101 + i)));
+  for (int i = 1; i < 20; ++i)
+    relay.onHeartbeat({.host = HostName("x" + std::to_string(i)),
+                       .incarnation = 1,
+                       .ready = true,
+                       .storeConnected = true,
+                       .configVersion = 4,
+                       .plannerTerm = i == 5 ? 9U : 0U,
+                       .loads = {{EndpointName("e"), 2}}},
+                      Start);
+  return relay;
+}
+
+FleetPeers makeDistantHost() {
+  FleetPeers distant(host("y0", "y", 101));
+  for (int i = 1; i < 20; ++i)
+    distant.put(host("y" + std::to_string(i), "y", static_cast<std::uint16_t>(101 + i)));
+  for (int i = 0; i < 20; ++i)
+    distant.put(host("x" + std::to_string(i), "x", static_cast<std::uint16_t>(1 + i)));
+  return distant;
+}
+
+const FleetHeartbeat OwnState{
+    .host = HostName("x0"), .incarnation = 1, .ready = true, .storeConnected = true};
+
+// Guards against a data centre whose hosts count as dead, or dead ones as alive, where only a
+// digest of it is heard.
+TEST(FleetPeersTest, DigestTellsWhoIsAliveInADataCentre) {
+  const Instant later = Start + config::FleetPeerSilentAfter;
+  auto relay = makeRelay();
+  for (int i = 2; i < 20; ++i) // all but x1 are heard again
+    relay.onHeartbeat({.host = HostName("x" + std::to_string(i)),
+                       .incarnation = 1,
+                       .ready = true,
+                       .leaving = i == 2,
+                       .storeConnected = i != 3,
+                       .configVersion = i == 4 ? 8U : 4U,
+                       .plannerTerm = i == 5 ? 9U : 0U},
+                      later);
+  const auto digest = relay.makeDigest(OwnState, later);
+  EXPECT_EQ(digest.exceptions.size(), 3U);
+  EXPECT_EQ(digest.plannerTerm, 9U);
+  EXPECT_EQ(digest.plannerAddress.port, 1006);
+  auto distant = makeDistantHost();
+  EXPECT_EQ(distant.aliveCount(later), 1);
+  distant.onDigest(digest, later);
+  EXPECT_EQ(distant.aliveCount(later), 20);
+  EXPECT_EQ(distant.newestConfig(later), 8U);
+  EXPECT_EQ(distant.callerAddresses(DataCentreName("x"), false, later).size(), 18U);
+  EXPECT_EQ(distant.plannerCandidates(true, later).size(), 18U); // with itself
+}
+
+// Guards against a digest that comes back to its own data centre and keeps dead hosts alive there.
+TEST(FleetPeersTest, OwnDataCentreIsKnownByHeartbeatsOnly) {
+  auto relay = makeRelay();
+  const auto digest = relay.makeDigest(OwnState, Start);
+  relay.onDigest(digest, Start + 1min);
+  EXPECT_EQ(relay.aliveCount(Start + 1min), 1);
+}
+
+// Guards against messages whose number grows with the hosts of other data centres, and against
+// data centres that nobody tells anything while their relays are unknown.
+TEST(FleetPeersTest, OtherDataCentresAreToldThroughAFewHosts) {
+  auto distant = makeDistantHost();
+  EXPECT_TRUE(distant.relayAddresses(Start).empty());
+  EXPECT_EQ(distant.unheardAddresses(Start).size(), 20U);
+  distant.onDigest(makeRelay().makeDigest(OwnState, Start), Start);
+  EXPECT_EQ(distant.relayAddresses(Start).size(), static_cast<std::size_t>(config::FleetSentinels));
+  EXPECT_EQ(distant.relayAddressEach(Start, 7).size(), 1U);
+  EXPECT_TRUE(distant.unheardAddresses(Start).empty());
+  EXPECT_EQ(distant.unheardAddresses(Start + 1min).size(), 20U);
+}
+
+// Guards against weak hosts that must pass on messages while able ones are there.
+TEST(FleetPeersTest, AbleHostsPassMessagesOn) {
+  auto fleet = makeFleet(20, [](int i) { return i < 4 ? 1.0 : 0.1; });
+  for (int i = 0; i < 20; ++i)
+    if (fleet[i].isSentinel(true, Start))
+      EXPECT_LT(i, 4);
+}
+
+// Guards against requests of other data centres that count twice or for ever.
+TEST(DigestBookTest, LoadsOfOtherDataCentresCountOnce) {
+  DigestBook book;
+  auto digestOf = [](const char *dataCentre, int n) {
+    return FleetDigests{.passedOn = false,
+                        .digests = {{.dataCentre = DataCentreName(dataCentre)}},
+                        .loads = {{EndpointName("e"), n}}};
+  };
+  book.onDigests(digestOf("x", 3), Start);
+  book.onDigests(digestOf("x", 4), Start); // of its other relay
+  book.onDigests(digestOf("y", 5), Start);
+  const auto received = book.toPassOn(Start);
+  ASSERT_TRUE(received.has_value());
+  EXPECT_EQ(received->digests.size(), 2U);
+  EXPECT_TRUE(received->passedOn);
+  EXPECT_EQ(received->loads[0].inFlight, 9);
+  book.onDigests(*received, Start); // from a neighbour
+  std::map<EndpointName, int> loads;
+  book.addLoads(loads, Start);
+  EXPECT_EQ(loads[EndpointName("e")], 9);
+  EXPECT_FALSE(book.toPassOn(Start + 1min).has_value());
+  loads.clear();
+  book.addLoads(loads, Start + 1min);
+  EXPECT_TRUE(loads.empty());
+  DigestBook neighbour;
+  neighbour.onDigests(*received, Start);
+  neighbour.addLoads(loads, Start);
+  EXPECT_EQ(loads[EndpointName("e")], 9);
+  EXPECT_FALSE(neighbour.toPassOn(Start).has_value()); // it has them from here
+}
+
 // Guards against a planner on a host whose link cannot carry the planner's messages: on a 10 Mbit/s
 // link neither orders nor demand reports arrived.
 TEST(FleetPeersTest, OnlyAbleHostsMayPlan) {
@@ -274,7 +432,7 @@
   std::vector<std::uint64_t> numbers;
   for (Duration t{}; t < 1min; t += 50ms)
     if (notifier.isDue(Engine, After, Start + t))
-      numbers.push_back(notifier.tell(Engine, 3, After, Start + t).number);
+      numbers.push_back(notifier.tell(Engine, 3, {1, After}, Start + t).number);
   EXPECT_EQ(numbers, (std::vector<std::uint64_t>{1, 2, 3}));
 }
 
@@ -282,7 +440,7 @@
 TEST(HoldingsNotifier, TellingOneHostLeavesTheOthers) {
   HoldingsNotifier notifier;
   notifier.begin(Engine, 1, Before);
-  auto notice = notifier.tellOne(Engine, 3, After);
+  auto notice = notifier.tellOne(Engine, 3, {1, After});
   EXPECT_EQ(notice.models, After);
   EXPECT_EQ(notice.incarnation, 1U);
   EXPECT_TRUE(notifier.isDue(Engine, After, Start));
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -153,5 +153,161 @@
   EXPECT_EQ(woken, 2);
 }
 
+// Guards against new work for an endpoint that has said in an answer that it leaves, while its
+// registration still says otherwise, lapses, or returns.
+TEST(FleetViewTest, EndpointThatSaidItLeavesGetsNoWork) {
+  FleetView view;
+  view.putEndpoint(endpoint("a"), Start);
+  view.onLeaving({EndpointName("a"), 1}, Start);
+  EXPECT_EQ(choose(view), nullptr);
+  view.putEndpoint(endpoint("a"), Start);
+  EXPECT_EQ(choose(view), nullptr);
+  view.removeEndpoint(EndpointName("a"), Start);
+  view.expire(Start + 1min);
+  view.putEndpoint(endpoint("a"), Start + 1min);
+  EXPECT_EQ(choose(view), nullptr);
+  auto restarted = endpoint("a");
+  restarted.incarnation = 2;
+  view.putEndpoint(restarted, Start + 2min);
+  EXPECT_NE(choose(view), nullptr);
+}
+
+// Guards against hosts that go on sending to an endpoint of which another host knows that it
+// leaves, and against telling it on for ever.
+TEST(FleetViewTest, HostsTellEachOtherWhoLeaves) {
+  FleetView one;
+  FleetView other;
+  one.putEndpoint(endpoint("a"), Start);
+  other.putEndpoint(endpoint("a"), Start);
+  one.onLeaving({EndpointName("a"), 1}, Start);
+  const auto told = one.signals().toTell(Start);
+  ASSERT_EQ(told.size(), 1U);
+  other.onLeaving(told[0], Start, true);
+  EXPECT_EQ(choose(other), nullptr);
+  EXPECT_TRUE(other.signals().toTell(Start).empty());
+  EXPECT_TRUE(one.signals().toTell(Start + 1min).empty());
+}
+
+// Guards against requests to an endpoint that has asked for none, also if no other is left.
+TEST(FleetViewTest, EndpointThatWantsNoRequestsGetsNoneUntilItsTime) {
+  FleetView view;
+  const auto a = endpoint("a");
+  view.putEndpoint(a, Start);
+  view.onBackoff(a, 2s, Start);
+  view.onBackoff(a, 1s, Start); // a shorter time does not end the longer one
+  view.putEndpoint(a, Start);
+  EXPECT_EQ(choose(view), nullptr);
+  const EndpointQuery query{
+      .service = ServiceName("s"), .model = Model, .dataCentre = DataCentreName("x")};
+  EXPECT_EQ(firstReadyAgain(view, query, Start), Start + 2s);
+  EXPECT_EQ(chooseEndpoint(view, query, Start + 1999ms, 42), nullptr);
+  EXPECT_NE(chooseEndpoint(view, query, Start + 2s, 42), nullptr);
+  EXPECT_FALSE(firstReadyAgain(view, query, Start + 2s).has_value());
+}
+
+TEST(FleetViewTest, RestartedEndpointTakesRequestsAtOnce) {
+  FleetView view;
+  const auto a = endpoint("a");
+  view.putEndpoint(a, Start);
+  view.onBackoff(a, 1min, Start);
+  auto restarted = a;
+  restarted.incarnation = 2;
+  view.putEndpoint(restarted, Start);
+  EXPECT_NE(choose(view), nullptr);
+}
+
+FleetEndpoint registered(const char *name, std::uint64_t revision) {
+  auto e = endpoint(name);
+  e.revision = revision;
+  return e;
+}
+
+// Guards against work for an endpoint of which another host has read that it leaves or has gone,
+// and against avoiding one that has registered again since.
+TEST(FleetViewTest, DepartureThatAnotherHostHasReadCounts) {
+  FleetView view;
+  view.putEndpoint(registered("a", 7), Start);
+  view.onDeparture({EndpointName("a"), 6}); // of an earlier registration
+  EXPECT_NE(choose(view), nullptr);
+  view.onDeparture({EndpointName("a"), 7});
+  EXPECT_EQ(choose(view), nullptr);
+  view.putEndpoint(registered("a", 7), Start); // read late
+  EXPECT_EQ(choose(view), nullptr);
+  view.putEndpoint(registered("a", 9), Start);
+  EXPECT_NE(choose(view), nullptr);
+}
+
+// Guards against hosts that are never told who leaves, or are told for ever.
+TEST(FleetViewTest, WhatTheRegistryTakesAwayIsToldForAWhile) {
+  FleetView view;
+  view.putEndpoint(registered("a", 7), Start);
+  view.putEndpoint(registered("b", 8), Start);
+  EXPECT_TRUE(view.departures(Start).empty());
+  auto draining = registered("a", 9);
+  draining.liveness = Liveness::Leaving;
+  view.putEndpoint(draining, Start);
+  view.removeEndpoint(EndpointName("b"), Start + 1s);
+  EXPECT_EQ(view.departures(Start + 1s),
+            (std::vector{Departure{EndpointName("a"), 9}, Departure{EndpointName("b"), 8}}));
+  EXPECT_TRUE(view.departures(Start + 1min).empty());
+}
+
+// Guards against a host that reads the registry seldom and so has missed an outage of the store: it
+// dropped endpoints whose registrations had lapsed meanwhile and came back a moment later.
+TEST(FleetViewTest, RegistrationMayReturnWhereAnOutageMayHaveBeenMissed) {
+  FleetView view;
+  view.setRegistryConnected(true, Start - 1min);
+  view.setReadsSeldom(true);
+  view.putEndpoint(registered("a", 7), Start);
+  view.putEndpoint(registered("b", 8), Start);
+  view.removeEndpoint(EndpointName("a"), Start);
+  EXPECT_TRUE(view.awaitsReturn());
+  EXPECT_NE(choose(view), nullptr);
+  view.onDeparture({EndpointName("b"), 8}); // a host that has missed nothing has told it
+  view.removeEndpoint(EndpointName("b"), Start);
+  EXPECT_EQ(view.find(EndpointName("b")), nullptr);
+  view.putEndpoint(registered("a", 12), Start + 2s);
+  view.expire(Start + 1min);
+  EXPECT_NE(choose(view), nullptr);
+  EXPECT_FALSE(view.awaitsReturn());
+}
+
+// Guards against a registration of some seconds ago that hides what the planner has said since.
+TEST(FleetViewTest, RegistrationOfBeforeTheNewestOrderSaysLessThanItsNotice) {
+  FleetView view;
+  auto entry = registered("a", 7);
+  entry.holdings.orderCount = 3;
+  view.putEndpoint(entry, Start - 1min);
+  const HoldingsNotice notice{EndpointName("a"), 1, 4, 1, {{ModelName("n"), {}}}, 5};
+  view.applyNotice(notice, Start - 1min);
+  EXPECT_EQ(choose(view), nullptr);
+  EXPECT_NE(choose(view, {ModelName("n"), {}}), nullptr);
+  entry.holdings.orderCount = 5;
+  view.putEndpoint(entry, Start);
+  EXPECT_NE(choose(view), nullptr);
+}
+
+// Guards against a new endpoint that most hosts leave unused, and against reading the registry for
+// one that cannot serve yet.
+TEST(FleetViewTest, ArrivalsThatCanServeAreTold) {
+  FleetView view;
+  FleetConfig config{.version = 1};
+  config.services[ServiceName("s")] = {.name = ServiceName("s"), .hasEngines = true};
+  view.setConfig(config);
+  auto empty = registered("a", 7);
+  empty.holdings.models.clear();
+  view.putEndpoint(empty, Start);
+  EXPECT_EQ(view.newestArrival(), 0U);
+  auto plain = empty;
+  plain.name = EndpointName("p");
+  plain.service = ServiceName("plain");
+  plain.revision = 9;
+  view.putEndpoint(plain, Start);
+  EXPECT_EQ(view.newestArrival(), 9U);
+  plain.revision = 12; // an update of the same endpoint
+  view.putEndpoint(plain, Start);
+  EXPECT_EQ(view.newestArrival(), 9U);
+}
+
 } // namespace
 } // namespace catkin
--- a/tests/object_follower_test.cpp
+++ b/tests/object_follower_test.cpp
@@ -21,13 +21,13 @@
       return;
     env.after(1ms, [done, page] { done(page); });
   }
-  void watch(const std::string &, std::uint64_t revision, Duration maxWait,
+  void watch(const std::string &, std::uint64_t revision, const WatchLimits &limits,
              FeedDone done) override {
     watchedFrom.push_back(revision);
     if (watches.empty()) {
       // A watch without changes is answered when its time has passed, unless it has gone silent.
       if (!silent)
-        env.after(maxWait, [done, revision] {
+        env.after(limits.maxWait, [done, revision] {
           done(FeedPage{.status = FeedStatus::Ok, .objects = {}, .revision = revision});
         });
       return;
@@ -155,5 +155,31 @@
   EXPECT_EQ(known["a"], 2U);
 }
 
+// Guards against a host that hears of news and reads them only after a long pause or watch.
+TEST_F(ObjectFollowerTest, RefreshEndsAPauseAndAWatch) {
+  feed.listPage = page({}, 1);
+  feed.watches.push_back(page({{.name = "a", .revision = 2}}, 2));
+  follower->setBatchPause(1min);
+  follower->start();
+  env.run(1s); // in the pause after the first change
+  EXPECT_EQ(follower->revision(), 2U);
+  feed.watches.push_back(page({{.name = "a", .revision = 3}}, 3));
+  follower->refresh();
+  env.run(1s);
+  EXPECT_EQ(known["a"], 3U);
+  EXPECT_EQ(feed.lists, 1);
+}
+
+// Guards against a refresh that hides that the store does not answer.
+TEST_F(ObjectFollowerTest, RefreshLeavesAFailingListAlone) {
+  feed.listPage = {.status = FeedStatus::Failed};
+  follower->start();
+  env.run(1s);
+  follower->refresh();
+  env.run(1s);
+  EXPECT_FALSE(connected);
+  EXPECT_TRUE(feed.watchedFrom.empty());
+}
+
 } // namespace
 } // namespace catkin::fleet
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -148,6 +148,31 @@
   EXPECT_TRUE(codec.readHead(answer.base(), call, from).notRun);
 }
 
+// Guards against new work for an engine whose answers say that it leaves or wants no requests, and
+// against spoilt values that would silence an engine for good.
+TEST(RequestCodecTest, ReadsWhatAnEngineSaysOfItself) {
+  HeaderCodec codec;
+  CallerRequest call{.id = "id1"};
+  FleetEndpoint from{.name = EndpointName("i-9")};
+  HttpResponse answer{http::status::ok, 11};
+  answer.set("Request-Id", "id1");
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).leaving);
+  answer.set("Server-Leaving", "1");
+  EXPECT_TRUE(codec.readHead(answer.base(), call, from).leaving);
+  answer.set("Retry-After", "2.5");
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).backoff.has_value());
+  answer.result(503);
+  EXPECT_EQ(codec.readHead(answer.base(), call, from).backoff, std::chrono::milliseconds(2500));
+  for (const char *it : {"soon", "-1", "nan", "inf", ""}) {
+    answer.set("Retry-After", it);
+    auto backoff = codec.readHead(answer.base(), call, from).backoff;
+    EXPECT_LE(backoff.value_or(Duration::zero()), std::chrono::minutes(5)) << it;
+  }
+  answer.result(421);
+  answer.set("Instance", "i-2"); // another engine has the address now
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).leaving);
+}
+
 constexpr auto GoodSettings = "node_name=front-a-1\nip_address=10.1.0.38\nzone=z\n"
                               "listen_addresses.front=10.1.0.38:8149\n"
                               "listen_addresses.ready=10.1.0.38:8141\n"
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -321,5 +321,129 @@
   EXPECT_EQ(arrivals(), 0U);
 }
 
+/// Refuses like an endpoint that wants no requests for a while.
+HttpHandler refusingFor(const std::string &seconds) {
+  return [=](HttpExchange &exchange) -> asio::awaitable<void> {
+    HttpResponse response{http::status::service_unavailable, 11};
+    response.set("Request-Id", exchange.request()["Request-Id"]);
+    response.set("Not-Run", "1");
+    response.set(http::field::retry_after, seconds);
+    co_await exchange.respond(std::move(response));
+  };
+}
+
+// Guards against refusing a request that its only endpoint could take a moment later: an engine
+// answers that it does not hold a model while it still loads the adapter or the model, and a route
+// that allows one endpoint cannot go elsewhere.
+TEST_F(PlatformGatewayTest, RequestIsSentAgainToTheOnlyEndpointOnceItHoldsTheModel) {
+  auto entry = view.find(EndpointName("e0"))->entry;
+  entry.service = ServiceName("llm");
+  entry.holdings.models = {{ModelName("m"), {}}};
+  view.putEndpoint(entry, steadyNow());
+  const auto loading = [](HttpExchange &exchange) -> asio::awaitable<void> {
+    HttpResponse response{static_cast<http::status>(421), 11};
+    response.set("Request-Id", exchange.request()["Request-Id"]);
+    co_await exchange.respond(std::move(response));
+  };
+  endpoints[0].handler = loading;
+  asio::steady_timer loaded(io, 100ms);
+  loaded.async_wait([&](auto) { endpoints[0].handler = streaming("id: 1\ndata: a\n\n", true); });
+  auto request = makeCall("/model/x");
+  request.set("Model", "m");
+  auto result = call(request);
+  EXPECT_EQ(result.response.result_int(), 200U);
+  EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\n");
+  EXPECT_EQ(endpoints[0].seen.size(), 2U);
+}
+
+// Guards against a request that goes to an endpoint which wants none yet, though the endpoint will
+// take it in time.
+TEST_F(PlatformGatewayTest, RequestWaitsUntilItsEndpointsTakeRequestsAgain) {
+  for (auto &it : endpoints)
+    it.handler = refusingFor("0.6");
+  asio::steady_timer recovered(io, 300ms);
+  recovered.async_wait([&](auto) {
+    for (auto &it : endpoints)
+      it.handler = answering(200, "body");
+  });
+  auto began = steadyNow();
+  auto result = call(makeCall("/unsafe/x"));
+  EXPECT_EQ(result.response.result_int(), 200U);
+  EXPECT_GE(steadyNow() - began, 600ms);
+  EXPECT_EQ(arrivals(), 3U); // each endpoint once, and one of them again
+}
+
+// Guards against holding a request that no endpoint takes in time, and against sending its caller
+// back too soon.
+TEST_F(PlatformGatewayTest, EndpointsThatWantNoRequestsInTimeMeanARefusalAtOnce) {
+  for (auto &it : endpoints)
+    it.handler = refusingFor("5");
+  auto began = steadyNow();
+  auto result = call(makeCall("/unsafe/x"));
+  EXPECT_EQ(result.response.result_int(), 503U);
+  EXPECT_LT(steadyNow() - began, 500ms);
+  for (int i = 0; i < 5; ++i)
+    EXPECT_EQ(call(makeCall("/unsafe/x")).response.result_int(), 503U);
+  EXPECT_EQ(arrivals(), 2U);
+  const auto text = result.response[http::field::retry_after];
+  EXPECT_GE(std::stod(std::string(text.data(), text.size())), 0.5); // a third of the time left
+}
+
+// Guards against requests to an endpoint that has said in an answer that it leaves.
+TEST_F(PlatformGatewayTest, EndpointThatLeavesByItsAnswerGetsNoMoreRequests) {
+  for (auto &it : endpoints)
+    it.handler = [](HttpExchange &exchange) -> asio::awaitable<void> {
+      HttpResponse response{http::status::ok, 11};
+      response.set("Request-Id", exchange.request()["Request-Id"]);
+      response.set("Server-Leaving", "1");
+      response.body() = "body";
+      co_await exchange.respond(std::move(response));
+    };
+  for (int i = 0; i < 2; ++i)
+    EXPECT_EQ(call(makeCall("/unsafe/x")).response.body(), "body"); // each says it once
+  EXPECT_EQ(call(makeCall("/unsafe/x")).response.result_int(), 503U);
+  EXPECT_EQ(endpoints[0].seen.size(), 1U);
+  EXPECT_EQ(endpoints[1].seen.size(), 1U);
+}
+
+/// Sends `piece` until the connection is closed, and counts the bytes.
+HttpHandler sendingForEver(std::string piece, std::uint64_t &bytes) {
+  return [piece = std::move(piece), &bytes](HttpExchange &exchange) -> asio::awaitable<void> {
+    HttpResponse head{http::status::ok, 11};
+    head.set("Request-Id", exchange.request()["Request-Id"]);
+    bool open = co_await exchange.startStream(std::move(head));
+    while (open) {
+      open = co_await exchange.writeChunk(piece);
+      bytes += piece.size();
+    }
+  };
+}
+
+// Guards against memory without bound while an endpoint sends a body that never ends. The deadline
+// alone would let gigabytes in.
+TEST_F(PlatformGatewayTest, AnswerWithoutEndIsBroken) {
+  std::uint64_t bytes = 0;
+  for (auto &it : endpoints)
+    it.handler = sendingForEver(std::string(65536, 'x'), bytes);
+  auto began = steadyNow();
+  auto result = call(makeCall("/unsafe/x"));
+  EXPECT_EQ(result.response.result_int(), 502U);
+  EXPECT_LT(steadyNow() - began, 1500ms);
+  EXPECT_LT(bytes, 32U * 1024 * 1024);
+  EXPECT_EQ(arrivals(), 1U);
+}
+
+// The same for an event that never ends in a stream.
+TEST_F(PlatformGatewayTest, EventWithoutEndCutsItsStream) {
+  std::uint64_t bytes = 0;
+  for (auto &it : endpoints)
+    it.handler = sendingForEver("data: " + std::string(65536, 'x'), bytes);
+  auto began = steadyNow();
+  auto result = call(makeCall("/once/x"));
+  EXPECT_NE(result.response.result_int(), 200U);
+  EXPECT_LT(steadyNow() - began, 1500ms);
+  EXPECT_LT(bytes, 32U * 1024 * 1024);
+}
+
 } // namespace
 } // namespace catkin::platform
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -94,6 +94,38 @@
   EXPECT_EQ(after, before);
 }
 
+/// Runs of the first engine so far.
+int runsOfFirst(PlatformCluster &cluster) {
+  int n = 0;
+  cluster.run([&] { n = cluster.engines[0]->runs; });
+  return n;
+}
+
+// Guards against new work for an endpoint that says only in its answers that it leaves, while the
+// registry goes on to list it as ready.
+TEST_F(PlatformProcess, EngineThatLeavesByItsAnswersGetsNoNewWork) {
+  cluster.run([&] { cluster.engines[0]->leaving = true; });
+  for (int i = 0; i < 12; ++i)
+    EXPECT_TRUE(served(cluster.ask(i % 3, "m0")));
+  std::this_thread::sleep_for(2s); // the time that the platform allows
+  const int before = runsOfFirst(cluster);
+  for (int i = 0; i < 9; ++i) {
+    cluster.announce(0, "ready"); // an update of its registration changes nothing
+    EXPECT_TRUE(served(cluster.ask(i % 3, "m0")));
+  }
+  EXPECT_EQ(runsOfFirst(cluster), before);
+}
+
+// Guards against requests to an engine that has asked this host for none.
+TEST_F(PlatformProcess, EngineThatWantsNoRequestsIsLeftAlone) {
+  cluster.run([&] { cluster.engines[0]->backoffSeconds = 30; });
+  for (int i = 0; i < 40; ++i)
+    EXPECT_TRUE(served(cluster.ask(0, "m0"))) << i;
+  int refused = 0;
+  cluster.run([&] { refused = cluster.engines[0]->refused; });
+  EXPECT_LE(refused, 1);
+}
+
 // Guards against a stream that is cut although another engine could go on with it.
 TEST_F(PlatformProcessAllHeld, BrokenStreamGoesOnElsewhere) {
   constexpr int Streams = 16; // the first engine gets about half of them
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -263,6 +263,7 @@
   HttpResponse head{http::status::ok, 11};
   head.set("Request-Id", textOf(request["Request-Id"]));
   head.set("Server-Stamp", id);
+  signLeaving(head);
   co_await exchange.startStream(std::move(head));
   for (int i = first; i <= StreamEvents; ++i) {
     if (cut > 0 && i > cut) {
@@ -288,8 +289,26 @@
     else if (target == "/api/order")
       response = order(request);
     else if (models.count(textOf(request["Model"])) > 0)
-      co_return co_await stream(exchange);
+      co_return co_await answerRun(exchange);
   }
+  signLeaving(response);
+  co_await exchange.respond(std::move(response));
+}
+
+void StandinEngine::signLeaving(HttpResponse &response) const {
+  if (leaving)
+    response.set("Server-Leaving", "1");
+}
+
+asio::awaitable<void> StandinEngine::answerRun(HttpExchange &exchange) {
+  if (backoffSeconds <= 0)
+    co_return co_await stream(exchange);
+  ++refused;
+  HttpResponse response = answer(503);
+  response.set("Not-Run", "1");
+  response.set("Retry-After", std::to_string(backoffSeconds));
+  response.set("Request-Id", exchange.request()["Request-Id"]);
+  signLeaving(response);
   co_await exchange.respond(std::move(response));
 }
 
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -68,7 +68,10 @@
   std::set<std::string> models;
   Address address;
   int runs = 0;
-  int cutAfter = 0; ///< events after which the next stream breaks off; 0: never
+  int cutAfter = 0;          ///< events after which the next stream breaks off; 0: never
+  bool leaving = false;      ///< says so in all answers
+  double backoffSeconds = 0; ///< above 0: refuses requests for so long
+  int refused = 0;           ///< requests that were told to come later
   std::uint64_t orders = 0;
   std::uint64_t highestTerm = 0;
   std::set<std::string> holders; ///< of accepted orders
@@ -78,6 +81,8 @@
 
 private:
   HttpResponse order(const HttpRequest &request);
+  void signLeaving(HttpResponse &response) const;
+  asio::awaitable<void> answerRun(HttpExchange &exchange);
   asio::awaitable<void> stream(HttpExchange &exchange);
 };
 
--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -86,7 +86,7 @@
             R"("as_of":9)",
             "}"};
   std::optional<FeedPage> page;
-  client->watch("config", 6, 100ms, [&](const FeedPage &it) { page = it; });
+  client->watch("config", 6, {.maxWait = 100ms}, [&](const FeedPage &it) { page = it; });
   runUntil([&] { return page.has_value(); }, 5s);
   ASSERT_TRUE(page);
   EXPECT_EQ(page->status, FeedStatus::Ok);
@@ -106,5 +106,19 @@
   EXPECT_LT(steadyNow() - from, 2s);
 }
 
+// Guards against memory without bound while the store, or what answers in its place, sends a page
+// that never ends.
+TEST_F(PlatformStoreTest, AListWithoutEndIsGivenUp) {
+  pieces.assign(64, std::string(1024 * 1024, ' '));
+  pause = Duration::zero();
+  std::optional<FeedPage> page;
+  const Instant from = steadyNow();
+  client->list("config", "", [&](const FeedPage &it) { page = it; });
+  runUntil([&] { return page.has_value(); }, 5s);
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page->status, FeedStatus::Failed);
+  EXPECT_LT(steadyNow() - from, 2s);
+}
+
 } // namespace
 } // namespace catkin::platform
