Give an endpoint up that goes on not holding the model

Ruled out: refusing at the first such answer, as before; adapters and models that are being loaded are there a moment later. Change: after three such answers the caller is told to come back. Figures: the test sees three sends, within its second. Conclusion: another host, which may know another replica, gets the request.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -38,6 +38,9 @@
 // longer while runs of the model end. Doubles with each refusal.
 constexpr Duration RefusedPause = std::chrono::milliseconds(30);
 constexpr int MaxSends = 6; // of one request, counting refused ones
+// A model that is about to be loaded is there by then; else another host may know a better
+// endpoint.
+constexpr int MaxMissingAnswers = 2;
 
 /// Seconds with a fraction, as callers accept them.
 std::string secondsText(Duration d) {
@@ -127,6 +130,8 @@
   asio::awaitable<void> giveUp();
   std::string_view whyNotRun() const;
   asio::awaitable<void> respondFallback();
+  /// The endpoints that the request may go to go on saying that they do not hold the model.
+  bool givenUpByAll() const { return endpointsUsedUp() && missingAnswers > MaxMissingAnswers; }
   bool endpointsUsedUp() const { return static_cast<int>(sentTo.size()) >= route.maxEndpoints; }
   void onCallerGone();
   void logEnd(unsigned status, std::string_view outcome);
@@ -159,6 +164,7 @@
   EventRelay events;
   std::optional<HttpResponse> fallback; ///< an endpoint's own failure, if no other does better
   int sends = 0;
+  int missingAnswers = 0; ///< that an endpoint does not hold the model
   Duration waited{};
 };
 
@@ -301,6 +307,8 @@
 /// The endpoint to send to, after a wait for the model if no endpoint holds it. Null if there is
 /// none in time.
 asio::awaitable<const EndpointState *> Relay::findEndpoint() {
+  if (givenUpByAll())
+    co_return nullptr;
   auto *chosen = choose();
   if (chosen || exchange.callerGone())
     co_return chosen;
@@ -446,8 +454,10 @@
       failure = AttemptFailure::Refused;
       result = EndpointResult::Refused;
       bool missing = lastHead.status == 421 && !caller.model.empty();
-      if (missing && !lastHead.otherEndpoint)
+      if (missing && !lastHead.otherEndpoint) {
+        ++missingAnswers;
         g.view.onMissing(to.name, caller.model, g.hooks.now());
+      }
       if (lastHead.otherEndpoint)
         unreachable.insert(to.name);
     } else if (state.streaming && lastHead.status == 200) {
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -356,6 +356,23 @@
   EXPECT_EQ(endpoints[0].seen.size(), 2U);
 }
 
+// Guards against holding a request for an endpoint that never gets the model: its caller is better
+// off with another host, which may know another replica.
+TEST_F(PlatformGatewayTest, EndpointThatNeverHoldsTheModelIsGivenUpSoon) {
+  auto entry = view.find(EndpointName("e0"))->entry;
+  entry.service = ServiceName("llm");
+  entry.holdings.models = {{ModelName("m"), {}}};
+  view.putEndpoint(entry, steadyNow());
+  endpoints[0].handler = answering(421, "");
+  auto request = makeCall("/model/x");
+  request.set("Model", "m");
+  auto began = steadyNow();
+  auto result = call(request);
+  EXPECT_EQ(result.response.result_int(), 503U);
+  EXPECT_LT(steadyNow() - began, 1000ms);
+  EXPECT_EQ(endpoints[0].seen.size(), 3U);
+}
+
 // Guards against a request that goes to an endpoint which wants none yet, though the endpoint will
 // take it in time.
 TEST_F(PlatformGatewayTest, RequestWaitsUntilItsEndpointsTakeRequestsAgain) {
