Read numbers by endpoint in one place

Change: readByEndpoint serves both; a comment of DepartureLog named distant hosts, to which departures do not go. Ruled out as twins: EndpointSignals and DepartureLog tell for the same time, but one is keyed by incarnation and kept for an hour, the other by revision.

--- a/src/departure_log.cpp
+++ b/src/departure_log.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Heartbeats go to distant hosts at every second interval, and some are lost.
+// Some heartbeats, of which a few may be lost.
 constexpr Duration TellTime = 8 * config::FleetHeartbeat;
 
 } // namespace
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -27,17 +27,24 @@
   return out;
 }
 
-std::vector<Departure> readDepartures(JsonReader &in) {
-  std::vector<Departure> out;
-  auto *departures = in.raw().if_contains("departures");
-  if (!departures || !departures->is_object())
+/// Reads an object with endpoints as keys and whole numbers as values into items of {endpoint,
+/// number}. Other values are left out.
+template <class Item, class Number>
+std::vector<Item> readByEndpoint(JsonReader &in, std::string_view key) {
+  std::vector<Item> out;
+  auto *object = in.raw().if_contains(key);
+  if (!object || !object->is_object())
     return out;
-  for (auto &[endpoint, revision] : departures->get_object())
-    if (revision.is_int64() || revision.is_uint64())
-      out.push_back({EndpointName(std::string(endpoint)), revision.to_number<std::uint64_t>()});
+  for (auto &[endpoint, n] : object->get_object())
+    if (n.is_int64() || n.is_uint64())
+      out.push_back({EndpointName(std::string(endpoint)), n.template to_number<Number>()});
   return out;
 }
 
+std::vector<Departure> readDepartures(JsonReader &in) {
+  return readByEndpoint<Departure, std::uint64_t>(in, "departures");
+}
+
 std::vector<LeavingEndpoint> readLeavingEndpoints(JsonReader &in) {
   std::vector<LeavingEndpoint> out;
   in.objects("leaving_endpoints", [&](JsonReader &it) {
@@ -55,14 +62,7 @@
 }
 
 std::vector<EndpointLoad> readLoads(JsonReader &in) {
-  std::vector<EndpointLoad> out;
-  auto *loads = in.raw().if_contains("loads");
-  if (!loads || !loads->is_object())
-    return out;
-  for (auto &[endpoint, n] : loads->get_object())
-    if (n.is_int64() || n.is_uint64())
-      out.push_back({EndpointName(std::string(endpoint)), n.to_number<int>()});
-  return out;
+  return readByEndpoint<EndpointLoad, int>(in, "loads");
 }
 
 json::object write(const HostException &m) {
