--- a/tests/fault_proxy_helper.cpp
+++ b/tests/fault_proxy_helper.cpp
@@ -41,6 +41,11 @@
     });
   }
 
+  void silence() {
+    up.mute = true;
+    down.mute = true;
+  }
+
   void resetBoth() {
     reset(caller);
     reset(target);
@@ -136,4 +141,10 @@
   sessions.clear();
 }
 
+void FaultProxy::silenceAll() {
+  for (auto &it : sessions)
+    if (auto session = it.lock())
+      session->silence();
+}
+
 } // namespace catkin::platform
--- a/tests/fault_proxy_p.h
+++ b/tests/fault_proxy_p.h
@@ -32,6 +32,8 @@
   void setFaults(const ProxyFaults &now) { faults = now; }
   /// Resets all connections.
   void resetAll();
+  /// Nothing passes through the connections of now any more; new ones work.
+  void silenceAll();
 
 private:
   class Session;
