Let a host that is behind get the configuration from another host

What callers saw: 404 for a route that had been added and acknowledged (CONFIG). Cause: news of the configuration reach a host by one way only, its own call to the store, and noticing that this way has failed is a chain of time limits: a sentinel's watch (1.55 s), its heartbeat (0.5 s), a grace time counted in heartbeats (1.0 to 1.5 s), a list on another silent connection (1.0 s) and a pause (0.3 s). Class of fault: limits that are each within the bound and in sum beyond it, on a path without a second one. Ruled out: slow arrival (the object has 50 kB, 40 ms on the slowest link); time limits of routes (answers ended within 60 ms of their limit in all logs). Change: ConfigCatchUp decides, ConfigExchange passes the object from host to host, FleetConfiguration joins them with the store's follower (out of FleetHost). A host tells a new version at once; after a grace of 0.4 s the store and another host are asked side by side, without a connected store another host at once. A watch that is given up late is followed by a list without a further pause. Why it works: the longest way is now one sentinel's watch, a datagram, the grace and one transfer: 2.1 s at most.

--- a/src/config.h
+++ b/src/config.h
@@ -146,8 +146,17 @@
 constexpr auto FleetSentinelSilentAfter = 1300ms;
 // The others read the registry at this interval, well within the history that the store keeps.
 constexpr auto FleetFarReadPause = 8s;
-// A host that has not read a configuration this long after it heard of it reads it again.
-constexpr auto FleetConfigGrace = 1000ms;
+// A watch that is heard brings a configuration sooner than this after another host's heartbeat,
+// also in the pause after the change before it.
+constexpr auto FleetConfigGrace = 400ms;
+constexpr auto FleetConfigCheck = 100ms; // of a host that is behind
+constexpr auto FleetConfigAskPause =
+    300ms; // between two questions to other hosts; doubles each time
+constexpr auto FleetConfigAskPauseMax = 5s;
+constexpr auto FleetConfigSilence = 500ms; // of a host that was asked
+// For an object or page of 1 MB at most, over a slow link that carries other traffic. A transfer
+// that was given up would only begin again.
+constexpr auto FleetTransferTime = 6s;
 constexpr auto FleetPlannerSilentAfter = 2500ms; // two heartbeats to distant hosts and some delay
 constexpr auto FleetDistantPlannerSilentAfter = 4s; // in a large fleet, through two relays
 constexpr auto FleetNeedRepeat = 250ms;             // a waiting request asks the planner again
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -40,7 +40,8 @@
   DigestBook digests; ///< of other data centres
   FleetPlanner planner;
   FleetGateway gateway;
-  ObjectFollower configFollower;
+  ConfigExchange exchange;
+  FleetConfiguration configuration;
   ObjectFollower endpointFollower;
   ObjectFollower hostFollower;
   std::map<std::pair<ServiceName, ModelRef>, int> needs;
@@ -48,9 +49,7 @@
   bool stopping = false;
   bool everConnected = false;
   bool registryEverConnected = false;
-  bool wasSentinel = true;            ///< as every host is until it has heard others
-  std::optional<Instant> behindSince; ///< another host has a newer configuration
-  Instant catchUpFrom;
+  bool wasSentinel = true; ///< as every host is until it has heard others
   unsigned heartbeats = 0;
   unsigned demandIntervals = 0;
   Instant plannerHeardAt;
@@ -77,10 +76,17 @@
                  .needChanged = [this](auto &service, auto &model,
                                        int change) { onNeedChanged(service, model, change); },
                  .wanted = [this](auto &service, auto &model) { sendNeed(service, model, 1); }}),
-        configFollower(env, *adapter.feed,
-                       {.kind = options.configKind, .limits = {.maxWait = closeWatch()}},
-                       {.changed = [this](auto &it) { onConfig(it); },
-                        .connection = [this](bool on) { onConfigConnection(on); }}),
+        exchange(executor, options.self.peerAddress,
+                 [this]() -> const std::string & { return configuration.stored(); }),
+        configuration(env, *adapter.feed, exchange,
+                      {.kind = options.configKind,
+                       .name = options.configName,
+                       .watch = {.maxWait = closeWatch()}},
+                      {.read = adapter.readConfig,
+                       .apply = [this](FleetConfig it) { return view.setConfig(std::move(it)); },
+                       .applied = [this] { tellConfiguration(); },
+                       .holders = [this] { return peers.configHolders(env.now()); },
+                       .connection = [this](bool on) { onConfigConnection(on); }}),
         endpointFollower(env, *adapter.feed,
                          {.kind = options.endpointKind,
                           .limits = {.maxWait = closeWatch()},
@@ -101,30 +107,10 @@
   }
 
   /// The other hosts may rely on what this one reads.
-  bool storeConnected() const { return configFollower.connected() && endpointFollower.connected(); }
+  bool storeConnected() const { return configuration.connected() && endpointFollower.connected(); }
 
   // ---- What the store says ---------------------------------------------------------------------
 
-  void onConfig(const FeedObject &object) {
-    if (object.name != options.configName || object.removed)
-      return;
-    auto config = adapter.readConfig(object);
-    if (!config)
-      return logLine(LogLevel::Error, "configuration cannot be read, the old one stays",
-                     {{"revision", object.revision}});
-    auto version = config->version;
-    auto routes = config->routes.size();
-    bool applied = view.setConfig(std::move(*config));
-    const auto call = configFollower.lastCall();
-    logLine(LogLevel::Info, applied ? "configuration applied" : "older configuration ignored",
-            {{"version", version},
-             {"revision", object.revision},
-             {"routes", routes},
-             {"call", call.isList ? "list" : "watch"},
-             {"call_ms", toMillis(call.age)},
-             {"behind_ms", toMillis(behindFor(env.now()))}});
-  }
-
   void onEndpoint(const FeedObject &object) {
     auto entry = object.removed ? std::nullopt : adapter.readEndpoint(object);
     if (!entry) {
@@ -182,14 +168,14 @@
     const bool closely = peers.isSentinel(storeConnected(), now);
     const bool large = peers.isLargeFleet(now);
     if (!large)
-      configFollower.setWatchLimits({.maxWait = closeWatch()});
+      configuration.setWatchLimits({.maxWait = closeWatch()});
     else if (closely)
-      configFollower.setWatchLimits({.maxWait = sentinelWatch()});
+      configuration.setWatchLimits({.maxWait = sentinelWatch()});
     else
-      configFollower.setWatchLimits({.maxWait = MaxWatch, .mayBeStale = true});
+      configuration.setWatchLimits({.maxWait = MaxWatch, .mayBeStale = true});
     hostFollower.setWatchLimits({.maxWait = MaxWatch, .mayBeStale = large});
     if (!std::exchange(wasSentinel, closely) && closely)
-      configFollower.catchUp(); // its long watch may have gone silent
+      configuration.readAgain(); // its long watch may have gone silent
     adjustRegistryWatch(closely, now);
   }
 
@@ -229,43 +215,6 @@
     endpointFollower.refresh();
   }
 
-  /// Reads the configuration again if another host has had a newer one for a while.
-  void catchUpConfig(Instant now) {
-    const auto heard = peers.newestConfig(now);
-    if (heard <= configVersion()) {
-      behindSince.reset();
-      return;
-    }
-    if (!behindSince) {
-      behindSince = now;
-      catchUpFrom = now + config::FleetConfigGrace;
-      logBehind("another host has a newer configuration", heard);
-    }
-    if (now < catchUpFrom)
-      return;
-    catchUpFrom = now + config::FleetConfigGrace;
-    logBehind("another host has a newer configuration, reading it again", heard);
-    configFollower.catchUp();
-  }
-
-  void logBehind(std::string_view message, std::uint64_t heard) const {
-    const auto call = configFollower.lastCall();
-    logLine(LogLevel::Warn, message,
-            {{"heard", heard},
-             {"version", configVersion()},
-             {"store_connected", configFollower.connected()},
-             {"call", call.isList ? "list" : "watch"},
-             {"call_ms", toMillis(call.age)}});
-  }
-
-  /// Since this host heard that another one has a newer configuration.
-  Duration behindFor(Instant now) const { return behindSince ? now - *behindSince : Duration(0); }
-
-  std::uint64_t configVersion() const {
-    auto *config = view.config();
-    return config ? config->version : 0;
-  }
-
   void onConnection(std::string_view kind, bool connected) {
     logLine(connected ? LogLevel::Info : LogLevel::Warn,
             connected ? "store connected" : "store lost", {{"objects", kind}});
@@ -358,6 +307,7 @@
 
   void onHeartbeat(const FleetHeartbeat &message, const Address &from) {
     peers.onHeartbeat(message, env.now());
+    configuration.onHeard(message.configVersion);
     for (auto &it : message.leavingEndpoints)
       view.onLeaving(it, env.now(), true);
     for (auto &it : message.departures)
@@ -373,6 +323,7 @@
       if (digest.dataCentre == options.self.dataCentre)
         continue;
       peers.onDigest(digest, now);
+      configuration.onHeard(digest.configVersion);
       for (auto &it : digest.leavingEndpoints)
         view.onLeaving(it, now, true);
       onPlannerHeard(digest.plannerTerm, digest.plannerAddress);
@@ -411,16 +362,13 @@
     links.send(peers.nearbyAddresses(), copy);
   }
 
-  void heartbeat() {
-    env.after(config::FleetHeartbeat, [self = shared_from_this()] { self->heartbeat(); });
-    auto now = env.now();
-    view.expire(now);
+  FleetHeartbeat makeHeartbeat(Instant now) const {
     FleetHeartbeat m{.host = options.self.host,
                      .incarnation = options.self.incarnation,
                      .ready = ready(),
                      .leaving = stopping,
                      .storeConnected = storeConnected(),
-                     .configVersion = configVersion(),
+                     .configVersion = configuration.version(),
                      .plannerTerm = planner.active() ? planner.term() : 0,
                      .loads = {},
                      .leavingEndpoints = view.signals().toTell(now),
@@ -433,12 +381,29 @@
     for (auto &[name, it] : view.endpoints())
       if (it.ownInFlight > 0)
         m.loads.push_back({name, it.ownInFlight});
+    return m;
+  }
+
+  /// Tells of a new configuration at once. In a large fleet the few hosts that watch closely do.
+  void tellConfiguration() {
+    const Instant now = env.now();
+    const FleetHeartbeat m = makeHeartbeat(now);
+    if (!peers.isLargeFleet(now))
+      links.send(peers.peerAddresses(), m);
+    else if (wasSentinel)
+      links.send(peers.nearbyAddresses(), m);
+  }
+
+  void heartbeat() {
+    env.after(config::FleetHeartbeat, [self = shared_from_this()] { self->heartbeat(); });
+    auto now = env.now();
+    view.expire(now);
+    const FleetHeartbeat m = makeHeartbeat(now);
     links.send(peers.nearbyAddresses(), m);
     if (heartbeats++ % config::FleetDistantHeartbeats == 0)
       tellOtherDataCentres(m, now);
     applyPeerLoads(now);
     adjustWatches(now);
-    catchUpConfig(now);
     watchPlanner(now);
   }
 
@@ -527,9 +492,11 @@
 
 std::string FleetHost::start() {
   auto fault = impl->links.start(impl->options.self.peerAddress);
+  if (fault.empty())
+    fault = impl->exchange.start();
   if (!fault.empty())
     return fault;
-  impl->configFollower.start();
+  impl->configuration.start();
   impl->endpointFollower.start();
   impl->hostFollower.start();
   impl->registerSelf();
@@ -571,8 +538,8 @@
   FleetGauges gauges{.inFlight = static_cast<double>(host.gateway.active()),
                      .ready = host.ready() ? 1.0 : 0.0,
                      .planner = host.planner.active() ? 1.0 : 0.0,
-                     .configVersion = static_cast<double>(host.configVersion()),
-                     .configBehindSeconds = toSeconds(host.behindFor(now)),
+                     .configVersion = static_cast<double>(host.configuration.version()),
+                     .configBehindSeconds = toSeconds(host.configuration.behindFor()),
                      .endpoints = static_cast<double>(host.view.endpoints().size()),
                      .peersAlive = static_cast<double>(host.peers.aliveCount(now) - 1),
                      .storeConnected = host.endpointFollower.connected() ? 1.0 : 0.0};
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet_configuration_p.h"
 #include "fleet_gateway_p.h"
 #include "fleet_links_p.h"
 #include "fleet_peers_p.h"
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -244,12 +244,14 @@
   }
 }
 
-std::uint64_t FleetPeers::newestConfig(Instant now) const {
-  std::uint64_t newest = 0;
+std::vector<ConfigHolder> FleetPeers::configHolders(Instant now) const {
+  std::vector<ConfigHolder> out;
   for (auto &[host, peer] : peers)
     if (alive(peer, now))
-      newest = std::max(newest, peer.heartbeat.configVersion);
-  return newest;
+      out.push_back({.address = peer.entry.peerAddress,
+                     .version = peer.heartbeat.configVersion,
+                     .nearby = isNearby(peer)});
+  return out;
 }
 
 void FleetPeers::addLoads(const Peer &peer, Instant now, std::map<EndpointName, int> &total) const {
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config.h"
+#include "config_catch_up_p.h"
 #include "fleet_messages_p.h"
 
 #include <map>
@@ -58,8 +59,9 @@
   bool isSentinel(bool storeConnected, Instant now) const;
   /// True if a host of this data centre that watches the store closely was heard a moment ago.
   bool hearsSentinel(Instant now) const;
-  /// The newest configuration that a live host says is in force.
-  std::uint64_t newestConfig(Instant now) const;
+  /// The other live hosts and the configurations that they say are in force. Of a host in another
+  /// data centre of a large fleet, the newest one in force there is known.
+  std::vector<ConfigHolder> configHolders(Instant now) const;
   /// Requests of other hosts in progress, by endpoint.
   std::map<EndpointName, int> loads(Instant now) const;
   /// Only those of hosts in this data centre.
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -124,7 +124,9 @@
     if (page.status != FeedStatus::Ok) {
       setConnected(false);
       // A list is answered at once, so that the end of an outage is noticed sooner than by a watch.
-      return later(options.retryPause, &Impl::startList);
+      // After a watch that was given up late, there is no time for a pause.
+      const Duration paused = env.now() - calledAt;
+      return later(std::max(options.retryPause - paused, Duration::zero()), &Impl::startList);
     }
     setConnected(true);
     for (auto &it : page.objects)
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -327,7 +327,10 @@
   EXPECT_EQ(distant.aliveCount(later), 1);
   distant.onDigest(digest, later);
   EXPECT_EQ(distant.aliveCount(later), 20);
-  EXPECT_EQ(distant.newestConfig(later), 8U);
+  const auto holders = distant.configHolders(later);
+  EXPECT_EQ(holders.size(), 19U); // all but x1
+  for (auto &it : holders)
+    EXPECT_EQ(it.version, 8U);
   EXPECT_EQ(distant.callerAddresses(DataCentreName("x"), false, later).size(), 18U);
   EXPECT_EQ(distant.plannerCandidates(true, later).size(), 18U); // with itself
 }
--- a/tests/object_follower_test.cpp
+++ b/tests/object_follower_test.cpp
@@ -34,13 +34,14 @@
     }
     auto page = watches.front();
     watches.pop_front();
-    env.after(1ms, [done, page] { done(page); });
+    env.after(watchDelay, [done, page] { done(page); });
   }
 
   FeedPage listPage;
   FeedPage lastPage;
   std::deque<FeedPage> watches;
   std::vector<std::uint64_t> watchedFrom;
+  Duration watchDelay = 1ms; ///< of scripted answers to watches
   int lists = 0;
   bool silent = false;      ///< watches are never answered
   bool silentLists = false; ///< nor lists
@@ -143,6 +144,28 @@
   EXPECT_EQ(feed.lists, lists);
 }
 
+// Guards against a pause that is added to the time after which a silent watch is given up.
+TEST_F(ObjectFollowerTest, AWatchGivenUpLateIsFollowedByAListAtOnce) {
+  feed.listPage = page({{.name = "a", .revision = 1}}, 1);
+  feed.watches.push_back({.status = FeedStatus::Failed});
+  feed.watchDelay = 2s;
+  follower->start();
+  env.run(1s);
+  feed.listPage = page({{.name = "a", .revision = 2}}, 2);
+  env.run(1010ms);
+  EXPECT_EQ(known["a"], 2U);
+}
+
+// Guards against lists without a pause while the store answers them and refuses each watch.
+TEST_F(ObjectFollowerTest, AWatchRefusedAtOnceIsFollowedByAPause) {
+  feed.listPage = page({}, 1);
+  for (int i = 0; i < 100; ++i)
+    feed.watches.push_back({.status = FeedStatus::Failed});
+  follower->start();
+  env.run(3s);
+  EXPECT_LE(feed.lists, 11);
+}
+
 // Guards against a silent watch of a host that was told of news by another one.
 TEST_F(ObjectFollowerTest, CatchingUpLeavesASilentWatch) {
   feed.listPage = page({{.name = "a", .revision = 1}}, 1);
