Leave a silent endpoint only if another one can take the request over

Cause: silence for a share of the request's time ended an attempt whenever the route allows a further endpoint, whether or not one holds the model, takes requests and is in the retry budget. Class: leaving what one has before knowing that there is something else. The same for idempotent calls, whose slow answer was replaced by 502. Evidence: the two tests SilentStreamIsKeptWhileNoOtherEndpointCanTakeIt and SilentCallIsKept... fail without the change (cut after 1.5 s, 502 after 0.8 s); that streams still go on elsewhere is tested beside them. Change: StreamHooks::mayEndSilence is asked once the silence has passed, and again each 0.2 s; the gateway agrees if chooseEndpoint finds another endpoint now and the budget has a repeat left.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -125,6 +125,7 @@
   asio::awaitable<bool> forwardEvents(const std::string &events, const http::response_header<> &);
   AttemptFailure failureOf(const HttpStream &stream) const;
   HttpTimeouts timeouts() const;
+  bool mayLeave(const EndpointName &silent);
   bool mayRepeatNow(AttemptFailure why);
   asio::awaitable<void> refuse(unsigned status, std::string_view reason);
   asio::awaitable<void> giveUp();
@@ -394,12 +395,21 @@
   return std::max(fromSeconds(toSeconds(firstBy) * WaitShare), firstBy - FirstEventTime);
 }
 
+/// Silence ends an answer only if another endpoint can take the request over now. Else a slow
+/// answer would be lost for nothing.
+bool Relay::mayLeave(const EndpointName &silent) {
+  auto excluded = excludedEndpoints();
+  excluded.insert(silent);
+  return chooseEndpoint(g.view, queryWithout(excluded), g.hooks.now(), g.hooks.random()) &&
+         g.budget.allows(service, g.hooks.hostCount(), g.hooks.now());
+}
+
 HttpTimeouts Relay::timeouts() const {
   HttpTimeouts t;
   t.connect = std::min<Duration>(config::FleetConnectTimeout, left());
   t.total = left() + AnswerGrace;
   t.silence = t.total;
-  // Silence alone ends an answer only where another endpoint may give a better one.
+  // Only a request that may go to a further endpoint gains from leaving a silent one.
   bool elsewhere = static_cast<int>(sentTo.size()) + 1 < route.maxEndpoints && sends + 1 < MaxSends;
   if (!elsewhere)
     t.silence = t.total;
@@ -440,8 +450,9 @@
   ++g.running[runKey];
   g.view.onSent(to.name);
   result = EndpointResult::Failed;
-  std::function<void(HttpStream *)> started = [this](HttpStream *it) { current = it; };
-  auto stream = co_await g.client.open(to.address, std::move(request), limits, started);
+  const StreamHooks streamHooks{.started = [this](HttpStream *it) { current = it; },
+                                .mayEndSilence = [this, &to] { return mayLeave(to.name); }};
+  auto stream = co_await g.client.open(to.address, std::move(request), limits, streamHooks);
   Attempt ended = Attempt::Failed;
   lastHead = {};
   if (stream->status() == HttpStatus::Ok) {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -41,6 +41,7 @@
 constexpr int KeepAliveIdleSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 constexpr int UnacknowledgedMs = 2500;
+constexpr auto SilenceRecheck = std::chrono::milliseconds(200);
 
 void setOption(tcp::socket &socket, int level, int name, int value) {
   // A socket without the option still works, only slower at noticing a dead peer.
@@ -132,9 +133,9 @@
 class Call final : public HttpStream {
 public:
   Call(asio::any_io_executor ioExecutor, std::shared_ptr<Pool> pool, Address to,
-       HttpTimeouts timeouts)
+       HttpTimeouts timeouts, std::function<bool()> mayEndSilence = {})
       : ioExecutor(std::move(ioExecutor)), pool(std::move(pool)), to(std::move(to)),
-        timeouts(timeouts), socket(this->ioExecutor),
+        timeouts(timeouts), mayEndSilence(std::move(mayEndSilence)), socket(this->ioExecutor),
         buffer(MaxResponseHeaderBytes + ReadAheadBytes) {}
   ~Call() override { finish(); }
 
@@ -165,6 +166,7 @@
     closeSocket();
   }
   void onError(const error_code &ec);
+  void onExpire(WatchSlot slot);
   void finish();
   void closeSocket() {
     error_code ec;
@@ -175,6 +177,7 @@
   std::shared_ptr<Pool> pool;
   Address to;
   HttpTimeouts timeouts;
+  std::function<bool()> mayEndSilence; ///< as in StreamHooks
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
@@ -182,13 +185,13 @@
   HttpStatus state = HttpStatus::Ok;
   std::size_t sent = 0;
   bool kept = false;
+  bool connected = false;
   bool done = false;
 };
 
 asio::awaitable<void> Call::start(HttpRequest request, std::optional<std::uint64_t> bodyLimit) {
-  watch = std::make_shared<Watch>(co_await asio::this_coro::executor, [this](WatchSlot slot) {
-    fail(slot == WatchSlot::Total ? HttpStatus::Timeout : HttpStatus::Silent);
-  });
+  watch = std::make_shared<Watch>(co_await asio::this_coro::executor,
+                                  [this](WatchSlot slot) { onExpire(slot); });
   watch->expireAfter(WatchSlot::Total, timeouts.total);
   request.version(11);
   if (request.find(http::field::host) == request.end())
@@ -204,7 +207,7 @@
     parser.body_limit(boost::none);
 
   for (bool complete = false; !complete && state == HttpStatus::Ok;) {
-    const bool connected = co_await connect();
+    connected = co_await connect();
     if (!connected) {
       fail(HttpStatus::NotConnected);
       state = HttpStatus::NotConnected;
@@ -261,6 +264,14 @@
   co_return true;
 }
 
+void Call::onExpire(WatchSlot slot) {
+  if (slot == WatchSlot::Total)
+    return fail(HttpStatus::Timeout);
+  if (connected && mayEndSilence && !mayEndSilence())
+    return watch->expireAfter(WatchSlot::Progress, SilenceRecheck);
+  fail(HttpStatus::Silent);
+}
+
 void Call::onError(const error_code &ec) {
   const bool ended = ec == http::error::end_of_stream || ec == http::error::partial_message;
   const bool parse = ec.category() == http::make_error_code(http::error::bad_method).category();
@@ -338,11 +349,11 @@
 }
 
 asio::awaitable<std::unique_ptr<HttpStream>>
-HttpClient::open(Address to, HttpRequest request, HttpTimeouts timeouts,
-                 std::function<void(HttpStream *)> started) {
-  auto call = std::make_unique<Call>(impl->executor, impl->pool, std::move(to), timeouts);
-  if (started)
-    started(call.get());
+HttpClient::open(Address to, HttpRequest request, HttpTimeouts timeouts, StreamHooks hooks) {
+  auto call = std::make_unique<Call>(impl->executor, impl->pool, std::move(to), timeouts,
+                                     std::move(hooks.mayEndSilence));
+  if (hooks.started)
+    hooks.started(call.get());
   co_await call->start(std::move(request), std::nullopt);
   co_return call;
 }
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -136,6 +136,16 @@
   virtual void cancel() = 0;
 };
 
+/// How the caller of a stream takes part in its call. Either may be empty.
+struct StreamHooks {
+  /// Gets the stream before the call goes out, so that it can be cancelled while the head of the
+  /// response is awaited; the pointer is valid until the returned one is destroyed.
+  std::function<void(HttpStream *)> started;
+  /// Asked once the silence timeout has passed, and again in short intervals: false goes on
+  /// waiting.
+  std::function<bool()> mayEndSilence;
+};
+
 /// Keeps idle connections per address. A kept connection that fails before any byte of the response
 /// has arrived is not retried here, except when the peer had closed it before the request was sent.
 /// Calls may come from several strands; the coroutine that makes one must itself run on a strand or
@@ -148,11 +158,8 @@
   ~HttpClient();
   asio::awaitable<HttpResult> request(Address to, HttpRequest request, HttpTimeouts timeouts,
                                       std::size_t maxBodyBytes = MaxResponseBytes);
-  /// `started`, if set, gets the stream before the call goes out, so that it can be cancelled while
-  /// the head of the response is awaited; the pointer is valid until the returned one is destroyed.
   asio::awaitable<std::unique_ptr<HttpStream>> open(Address to, HttpRequest request,
-                                                    HttpTimeouts timeouts,
-                                                    std::function<void(HttpStream *)> started = {});
+                                                    HttpTimeouts timeouts, StreamHooks hooks = {});
   /// Closes idle connections to an address, after one of them went silent.
   void dropIdle(const Address &to);
 
--- a/src/retry_budget.cpp
+++ b/src/retry_budget.cpp
@@ -23,14 +23,18 @@
   window.requests.push_back(now);
 }
 
-bool RetryBudget::take(const ServiceName &service, int hosts, Instant now) {
+bool RetryBudget::allows(const ServiceName &service, int hosts, Instant now) {
   auto &window = windows[service];
   expire(window, now);
   double share = options.allowance / std::max(1, hosts);
   double allowed = Margin * (options.ratio * static_cast<double>(window.requests.size()) + share);
-  if (static_cast<double>(window.repeats.size()) + 1 > allowed)
+  return static_cast<double>(window.repeats.size()) + 1 <= allowed;
+}
+
+bool RetryBudget::take(const ServiceName &service, int hosts, Instant now) {
+  if (!allows(service, hosts, now))
     return false;
-  window.repeats.push_back(now);
+  windows[service].repeats.push_back(now);
   return true;
 }
 
--- a/src/retry_budget_p.h
+++ b/src/retry_budget_p.h
@@ -22,6 +22,8 @@
   explicit RetryBudget(RetryBudgetOptions options) : options(options) {}
 
   void onRequest(const ServiceName &service, Instant now);
+  /// True if the budget allows one more repeat.
+  bool allows(const ServiceName &service, int hosts, Instant now);
   /// Takes one repeat if the budget allows it.
   bool take(const ServiceName &service, int hosts, Instant now);
 
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -239,6 +239,58 @@
   EXPECT_EQ(endpoints[1].seen.size(), 1U);
 }
 
+/// Streams the first of two events, the second after a pause.
+HttpHandler stalling(Duration d) {
+  return [=](HttpExchange &exchange) -> asio::awaitable<void> {
+    HttpResponse head{http::status::ok, 11};
+    head.set("Request-Id", exchange.request()["Request-Id"]);
+    co_await exchange.startStream(std::move(head));
+    co_await exchange.writeChunk("id: 1\ndata: a\n\n");
+    co_await sleepFor(d);
+    co_await exchange.writeChunk("id: 2\ndata: b\n\n");
+    co_await exchange.endStream();
+  };
+}
+
+// Guards against a slow stream that is cut for its silence and that no other endpoint goes on with.
+TEST_F(PlatformGatewayTest, SilentStreamIsKeptWhileNoOtherEndpointCanTakeIt) {
+  view.removeEndpoint(EndpointName("e1"), steadyNow());
+  endpoints[0].handler = stalling(1800ms);
+  auto request = makeCall("/resume/x");
+  request.set("Deadline-Ms", "2900");
+  auto result = call(request);
+  EXPECT_EQ(result.status, HttpStatus::Ok);
+  EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+// Guards against the loss of a slow answer of the only endpoint.
+TEST_F(PlatformGatewayTest, SilentCallIsKeptWhileNoOtherEndpointCanTakeIt) {
+  view.removeEndpoint(EndpointName("e1"), steadyNow());
+  const auto late = answering(200, "late");
+  endpoints[0].handler = [&](HttpExchange &exchange) -> asio::awaitable<void> {
+    co_await sleepFor(1300ms);
+    co_await late(exchange);
+  };
+  auto result = call(makeCall("/safe/x"));
+  EXPECT_EQ(result.response.result_int(), 200U);
+  EXPECT_EQ(result.response.body(), "late");
+}
+
+// Guards against a caller that waits for a stalled endpoint although another one can go on.
+TEST_F(PlatformGatewayTest, SilentStreamGoesOnElsewhere) {
+  const auto first = stalling(1min);
+  const auto second = streaming("id: 2\ndata: b\n\n", true);
+  for (auto &it : endpoints)
+    it.handler = [&](HttpExchange &exchange) -> asio::awaitable<void> {
+      return exchange.request()["Last-Event-Id"] == "1" ? second(exchange) : first(exchange);
+    };
+  auto request = makeCall("/resume/x");
+  request.set("Deadline-Ms", "2900");
+  auto result = call(request);
+  EXPECT_EQ(result.status, HttpStatus::Ok);
+  EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
 // Guards against a cut stream that looks complete, and against a second run of it.
 TEST_F(PlatformGatewayTest, StreamThatCannotBeResumedIsCut) {
   for (auto &it : endpoints)
