Search endpoints in a module of its own; rank relays and add loads in one place; play more troubles

Behaviour stays but for one case: a host that stops refuses with the shortest time to come back, not with a third of the caller's time, since others can serve at once.

--- a/src/digest_book.cpp
+++ b/src/digest_book.cpp
@@ -10,11 +10,6 @@
 constexpr Duration DirectLifetime = std::chrono::milliseconds(2500);
 constexpr Duration PassedOnLifetime = std::chrono::milliseconds(3500);
 
-void add(const std::vector<EndpointLoad> &loads, std::map<EndpointName, int> &total) {
-  for (auto &it : loads)
-    total[it.endpoint] += it.inFlight;
-}
-
 } // namespace
 
 void DigestBook::onDigests(const FleetDigests &message, Instant now) {
@@ -31,10 +26,9 @@
     if (now - it.at >= DirectLifetime)
       continue;
     out.digests.push_back(it.message.digests.front());
-    add(it.message.loads, loads);
+    catkin::addLoads(it.message.loads, loads);
   }
-  for (auto &[endpoint, n] : loads)
-    out.loads.push_back({endpoint, n});
+  out.loads = listLoads(loads);
   return out.digests.empty() ? std::nullopt : std::optional(out);
 }
 
@@ -44,10 +38,10 @@
     if (now - it.at >= DirectLifetime)
       continue;
     anyDirect = true;
-    add(it.message.loads, loads);
+    catkin::addLoads(it.message.loads, loads);
   }
   if (!anyDirect && passedOn && now - passedOn->at < PassedOnLifetime)
-    add(passedOn->message.loads, loads);
+    catkin::addLoads(passedOn->message.loads, loads);
 }
 
 } // namespace catkin
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -3,6 +3,7 @@
 #include "attempt_p.h"
 #include "buffer_budget_p.h"
 #include "config.h"
+#include "endpoint_search_p.h"
 #include "event_relay_p.h"
 #include "json_p.h"
 #include "log_p.h"
@@ -110,12 +111,7 @@
   Instant waitEnd() const;
   asio::awaitable<void> pause(Duration d);
   Duration longestWait() const;
-  Duration soonestService() const;
-  Duration fastestLoad() const;
   Duration retryAfter() const;
-  std::set<EndpointName> excludedEndpoints() const;
-  EndpointQuery queryWithout(const std::set<EndpointName> &excluded) const;
-  std::optional<Duration> readyAgainIn() const;
   const EndpointState *choose() const;
   asio::awaitable<Attempt> attempt(const FleetEndpoint &to);
   void noteSignals(const FleetEndpoint &from);
@@ -132,8 +128,7 @@
   std::string_view whyNotRun() const;
   asio::awaitable<void> respondFallback();
   /// The endpoints that the request may go to go on saying that they do not hold the model.
-  bool givenUpByAll() const { return endpointsUsedUp() && missingAnswers > MaxMissingAnswers; }
-  bool endpointsUsedUp() const { return static_cast<int>(sentTo.size()) >= route.maxEndpoints; }
+  bool givenUpByAll() const { return search->usedUp() && missingAnswers > MaxMissingAnswers; }
   void onCallerGone();
   void logEnd(unsigned status, std::string_view outcome);
   void logAttempt(const FleetEndpoint &to);
@@ -154,9 +149,7 @@
   Duration limit{};   ///< for the whole answer
   Duration firstBy{}; ///< for its beginning; the caller leaves then
   HttpStream *current = nullptr;
-  std::set<EndpointName> sentTo;      ///< may have received the request
-  std::set<EndpointName> unreachable; ///< no connection
-  std::set<EndpointName> failedAt;    ///< received it and failed
+  std::optional<EndpointSearch> search; ///< set once the service is known
   boost::json::array choices; ///< for the log: each endpoint chosen, and what was known of it
   AttemptState state;
   AttemptFailure failure = AttemptFailure::NotConnected;
@@ -228,6 +221,11 @@
   g.budget.onRequest(service, arrivedAt);
   state.idempotent = route.kind == CallKind::Idempotent || route.resumable;
   state.streaming = route.kind == CallKind::Stream;
+  search.emplace(g.view, EndpointSearchOptions{.service = service,
+                                               .model = caller.model,
+                                               .dataCentre = g.options.dataCentre,
+                                               .affinity = caller.affinity,
+                                               .maxEndpoints = route.maxEndpoints});
   for (;;) {
     const EndpointState *chosen = co_await findEndpoint();
     if (exchange.callerGone()) {
@@ -272,37 +270,8 @@
   return true;
 }
 
-/// The endpoints that this request must not go to.
-std::set<EndpointName> Relay::excludedEndpoints() const {
-  std::set<EndpointName> excluded = unreachable;
-  excluded.insert(failedAt.begin(), failedAt.end());
-  // Once it has been at as many endpoints as allowed, only those that did not run it are left.
-  if (endpointsUsedUp())
-    for (auto &[name, it] : g.view.endpoints())
-      if (sentTo.count(name) == 0)
-        excluded.insert(name);
-  return excluded;
-}
-
-EndpointQuery Relay::queryWithout(const std::set<EndpointName> &excluded) const {
-  return {.service = service,
-          .model = caller.model,
-          .dataCentre = g.options.dataCentre,
-          .affinity = caller.affinity,
-          .excluded = &excluded};
-}
-
 const EndpointState *Relay::choose() const {
-  const auto excluded = excludedEndpoints();
-  return chooseEndpoint(g.view, queryWithout(excluded), g.hooks.now(), g.hooks.random());
-}
-
-/// Until the first endpoint that has refused such requests for now may take them again; empty if
-/// there is none.
-std::optional<Duration> Relay::readyAgainIn() const {
-  const auto excluded = excludedEndpoints();
-  const auto end = firstReadyAgain(g.view, queryWithout(excluded), g.hooks.now());
-  return end ? std::optional(*end - g.hooks.now()) : std::nullopt;
+  return search->choose(g.hooks.now(), g.hooks.random());
 }
 
 /// The endpoint to send to, after a wait for the model if no endpoint holds it. Null if there is
@@ -313,9 +282,9 @@
   auto *chosen = choose();
   if (chosen || exchange.callerGone())
     co_return chosen;
-  if (soonestService() >= longestWait() - (g.hooks.now() - arrivedAt)) {
+  if (search->soonestService(g.hooks.now()) >= longestWait() - (g.hooks.now() - arrivedAt)) {
     // The caller is told to come back; the load begins meanwhile.
-    if (!caller.model.empty() && !endpointsUsedUp())
+    if (!caller.model.empty() && !search->usedUp())
       g.hooks.wanted(service, caller.model);
     co_return nullptr;
   }
@@ -327,7 +296,7 @@
     if (!inTime)
       break;
     chosen = choose();
-    const bool hopeless = caller.model.empty() && !readyAgainIn();
+    const bool hopeless = caller.model.empty() && !search->readyAgainIn(g.hooks.now());
     if (hopeless)
       break;
   }
@@ -362,34 +331,6 @@
   (void)ec; // cancelled when the caller leaves, which the next step notices
 }
 
-/// The shortest time until an endpoint could take the request: after a load of its model, or once
-/// an endpoint that refuses it at present takes such requests again. Duration::max() if none will.
-Duration Relay::soonestService() const {
-  const Duration refusing = readyAgainIn().value_or(Duration::max());
-  const bool loadHelps = !caller.model.empty() && !endpointsUsedUp();
-  return loadHelps ? std::min(refusing, fastestLoad()) : refusing;
-}
-
-/// The shortest load of the model by an engine that takes requests now.
-Duration Relay::fastestLoad() const {
-  auto owner = g.view.config()->services.find(service);
-  if (owner == g.view.config()->services.end())
-    return Duration::max();
-  auto spec = owner->second.engine.models.find(caller.model.model);
-  if (spec == owner->second.engine.models.end())
-    return Duration::max();
-  Duration best = Duration::max();
-  for (auto &[name, it] : g.view.endpoints()) {
-    if (it.entry.service != service || !it.takesWork() || g.hooks.now() < it.backoffUntil)
-      continue;
-    auto d = loadTime(spec->second, sourceOf(it.entry.holdings, caller.model.model));
-    if (holds(it.models(g.hooks.now()), {caller.model.model, {}}))
-      d = Duration::zero();
-    best = std::min(best, d);
-  }
-  return best;
-}
-
 /// From its arrival, that the request waits for its model.
 Duration Relay::longestWait() const {
   return std::max(fromSeconds(toSeconds(firstBy) * WaitShare), firstBy - FirstEventTime);
@@ -398,10 +339,9 @@
 /// Silence ends an answer only if another endpoint can take the request over now. Else a slow
 /// answer would be lost for nothing.
 bool Relay::mayLeave(const EndpointName &silent) {
-  auto excluded = excludedEndpoints();
-  excluded.insert(silent);
-  return chooseEndpoint(g.view, queryWithout(excluded), g.hooks.now(), g.hooks.random()) &&
-         g.budget.allows(service, g.hooks.hostCount(), g.hooks.now());
+  const Instant now = g.hooks.now();
+  return search->hasOther(silent, now, g.hooks.random()) &&
+         g.budget.allows(service, g.hooks.hostCount(), now);
 }
 
 HttpTimeouts Relay::timeouts() const {
@@ -410,7 +350,7 @@
   t.total = left() + AnswerGrace;
   t.silence = t.total;
   // Only a request that may go to a further endpoint gains from leaving a silent one.
-  bool elsewhere = static_cast<int>(sentTo.size()) + 1 < route.maxEndpoints && sends + 1 < MaxSends;
+  bool elsewhere = search->allowsFurther() && sends + 1 < MaxSends;
   if (!elsewhere)
     t.silence = t.total;
   else if (route.kind == CallKind::Idempotent)
@@ -456,7 +396,7 @@
   Attempt ended = Attempt::Failed;
   lastHead = {};
   if (stream->status() == HttpStatus::Ok) {
-    sentTo.insert(to.name);
+    search->onReceived(to.name);
     lastHead = g.codec.readHead(stream->head(), caller, to);
     noteSignals(to);
     if (lastHead.otherRequest) {
@@ -470,7 +410,7 @@
         g.view.onMissing(to.name, caller.model, g.hooks.now());
       }
       if (lastHead.otherEndpoint)
-        unreachable.insert(to.name);
+        search->onUnreachable(to.name);
     } else if (state.streaming && lastHead.status == 200) {
       ended = co_await relayEvents(*stream);
     } else {
@@ -479,10 +419,10 @@
   } else {
     failure = failureOf(*stream);
     if (failure == AttemptFailure::NotConnected) {
-      unreachable.insert(to.name);
+      search->onUnreachable(to.name);
       result = EndpointResult::NotConnected;
     } else {
-      sentTo.insert(to.name);
+      search->onReceived(to.name);
     }
   }
   current = nullptr;
@@ -492,7 +432,7 @@
   if (ended == Attempt::Failed && blameless)
     result = EndpointResult::Abandoned;
   if (ended == Attempt::Failed && mayHaveRun(failure))
-    failedAt.insert(to.name);
+    search->onFailed(to.name);
   g.view.onEnded(to.name, result, g.hooks.now());
   if (--g.running[runKey] <= 0)
     g.running.erase(runKey);
@@ -650,9 +590,10 @@
   // An endpoint that refused the request once may take it a moment later, unless it asked for more
   // time.
   const bool noLoad = caller.model.empty() || sends > 0;
-  if (!config || (noLoad && !readyAgainIn()))
+  // A host without a configuration, or one that stops, leaves the request to others.
+  if (!search || (noLoad && !search->readyAgainIn(g.hooks.now())))
     return config::FleetRetryAfterMin;
-  auto soonest = soonestService();
+  auto soonest = search->soonestService(g.hooks.now());
   auto latest = std::max<Duration>(left() / 3, config::FleetRetryAfterMin);
   return soonest >= latest ? latest : soonest + config::FleetRetryAfterMin;
 }
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -420,12 +420,8 @@
   /// Of this data centre, with the requests in progress from all its hosts.
   FleetDigests ownDigest(const FleetHeartbeat &m, Instant now) const {
     auto loads = peers.nearbyLoads(now);
-    for (auto &it : m.loads)
-      loads[it.endpoint] += it.inFlight;
-    FleetDigests out{.passedOn = false, .digests = {peers.makeDigest(m, now)}, .loads = {}};
-    for (auto &[endpoint, n] : loads)
-      out.loads.push_back({endpoint, n});
-    return out;
+    addLoads(m.loads, loads);
+    return {.passedOn = false, .digests = {peers.makeDigest(m, now)}, .loads = listLoads(loads)};
   }
 
   void applyPeerLoads(Instant now) {
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -248,6 +248,18 @@
 
 } // namespace
 
+void addLoads(const std::vector<EndpointLoad> &loads, std::map<EndpointName, int> &total) {
+  for (auto &it : loads)
+    total[it.endpoint] += it.inFlight;
+}
+
+std::vector<EndpointLoad> listLoads(const std::map<EndpointName, int> &total) {
+  std::vector<EndpointLoad> out;
+  for (auto &[endpoint, n] : total)
+    out.push_back({endpoint, n});
+  return out;
+}
+
 std::string encodeFleetMessage(const FleetMessage &message) {
   return std::visit([](auto &m) { return json::serialize(write(m)); }, message);
 }
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -2,6 +2,7 @@
 
 #include "fleet_view_p.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,10 @@
   int inFlight = 0;
 };
 
+/// Adds `loads` to the sums by endpoint, and turns such sums into a list.
+void addLoads(const std::vector<EndpointLoad> &loads, std::map<EndpointName, int> &total);
+std::vector<EndpointLoad> listLoads(const std::map<EndpointName, int> &total);
+
 /// Sent to the hosts of the data centre at each heartbeat. In a small fleet, and where no digest of
 /// another data centre is heard, it goes there at every second one.
 struct FleetHeartbeat {
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -128,41 +128,42 @@
     return true;
   if (!storeConnected)
     return false;
-  const auto ahead = std::count_if(peers.begin(), peers.end(), [&](auto &it) {
-    auto &peer = it.second;
-    return isNearby(peer) && inTouch(peer, now) && relayRank(peer.entry) < relayRank(self);
-  });
+  const auto first = firstInRank(now)[self.dataCentre];
+  const auto ahead = std::count_if(
+      first.begin(), first.end(), [&](auto *it) { return relayRank(it->entry) < relayRank(self); });
   return ahead < config::FleetSentinels;
 }
 
 bool FleetPeers::hearsSentinel(Instant now) const {
   // The first few in the order of ranks watch closely, or will in a moment.
-  std::vector<std::pair<std::pair<bool, std::uint64_t>, Instant>> ranked;
-  for (auto &[host, peer] : peers)
-    if (isNearby(peer) && inTouch(peer, now))
-      ranked.emplace_back(relayRank(peer.entry), *peer.heardAt);
-  std::sort(ranked.begin(), ranked.end());
-  ranked.resize(std::min<std::size_t>(ranked.size(), config::FleetSentinels));
-  return std::any_of(ranked.begin(), ranked.end(),
-                     [&](auto &it) { return now - it.second < config::FleetSentinelSilentAfter; });
+  const auto first = firstInRank(now)[self.dataCentre];
+  return std::any_of(first.begin(), first.end(), [&](auto *it) {
+    return now - *it->heardAt < config::FleetSentinelSilentAfter;
+  });
 }
 
-std::map<DataCentreName, std::vector<Address>> FleetPeers::relays(Instant now) const {
-  std::map<DataCentreName, std::vector<const Peer *>> fit;
+FleetPeers::RankedPeers FleetPeers::firstInRank(Instant now) const {
+  RankedPeers out;
   for (auto &[host, peer] : peers)
-    if (!isNearby(peer) && inTouch(peer, now))
-      fit[peer.entry.dataCentre].push_back(&peer);
-  std::map<DataCentreName, std::vector<Address>> out;
-  for (auto &[dataCentre, hosts] : fit) {
+    if (inTouch(peer, now))
+      out[peer.entry.dataCentre].push_back(&peer);
+  for (auto &[dataCentre, hosts] : out) {
     std::sort(hosts.begin(), hosts.end(),
               [](auto *a, auto *b) { return relayRank(a->entry) < relayRank(b->entry); });
     hosts.resize(std::min<std::size_t>(hosts.size(), config::FleetSentinels));
-    for (auto *it : hosts)
-      out[dataCentre].push_back(it->entry.peerAddress);
   }
   return out;
 }
 
+std::map<DataCentreName, std::vector<Address>> FleetPeers::relays(Instant now) const {
+  std::map<DataCentreName, std::vector<Address>> out;
+  for (auto &[dataCentre, hosts] : firstInRank(now))
+    for (auto *it : hosts)
+      if (!isNearby(*it))
+        out[dataCentre].push_back(it->entry.peerAddress);
+  return out;
+}
+
 std::vector<Address> FleetPeers::relayAddresses(Instant now) const {
   std::vector<Address> out;
   for (auto &[dataCentre, addresses] : relays(now))
@@ -254,25 +255,19 @@
   return out;
 }
 
-void FleetPeers::addLoads(const Peer &peer, Instant now, std::map<EndpointName, int> &total) const {
-  if (!alive(peer, now))
-    return;
-  for (auto &it : peer.heartbeat.loads)
-    total[it.endpoint] += it.inFlight;
-}
-
 std::map<EndpointName, int> FleetPeers::loads(Instant now) const {
   std::map<EndpointName, int> total;
   for (auto &[host, peer] : peers)
-    addLoads(peer, now, total);
+    if (alive(peer, now))
+      addLoads(peer.heartbeat.loads, total);
   return total;
 }
 
 std::map<EndpointName, int> FleetPeers::nearbyLoads(Instant now) const {
   std::map<EndpointName, int> total;
   for (auto &[host, peer] : peers)
-    if (isNearby(peer))
-      addLoads(peer, now, total);
+    if (isNearby(peer) && alive(peer, now))
+      addLoads(peer.heartbeat.loads, total);
   return total;
 }
 
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -78,8 +78,11 @@
     FleetHeartbeat heartbeat;
     std::optional<Instant> heardAt;
   };
+  using RankedPeers = std::map<DataCentreName, std::vector<const Peer *>>;
+  /// In each data centre, the few other hosts that watch closely and pass messages on, unless this
+  /// one comes before them.
+  RankedPeers firstInRank(Instant now) const;
   bool alive(const Peer &peer, Instant now) const;
-  void addLoads(const Peer &peer, Instant now, std::map<EndpointName, int> &total) const;
   bool inTouch(const Peer &peer, Instant now) const;
   bool isNearby(const Peer &peer) const { return peer.entry.dataCentre == self.dataCentre; }
   std::map<DataCentreName, std::vector<Address>> relays(Instant now) const;
--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -18,6 +18,7 @@
 
 constexpr int Callers = 6;
 constexpr int UsualHosts = 4;
+constexpr unsigned FirstSeedWithSilence = 1000;
 constexpr int FaultsPerRun = 8;
 constexpr auto FaultPause = 600ms;
 constexpr auto RecoveryTime = 15s;
@@ -95,11 +96,14 @@
   // ---- Faults --------------------------------------------------------------------------------
 
   void disturb() {
-    const std::vector<void (FaultSoak::*)()> faults{
+    std::vector<void (FaultSoak::*)()> faults{
         &FaultSoak::killHost,    &FaultSoak::pauseHost,    &FaultSoak::stopHost,
         &FaultSoak::loseAnswers, &FaultSoak::storeDown,    &FaultSoak::storeLink,
         &FaultSoak::engineLink,  &FaultSoak::plainLink,    &FaultSoak::changeConfig,
         &FaultSoak::dropHistory, &FaultSoak::restartEngine};
+    // Earlier seeds keep their scripts.
+    if (GetParam() >= FirstSeedWithSilence)
+      faults.insert(faults.end(), {&FaultSoak::silenceStore, &FaultSoak::turnAway});
     for (int i = 0; i < FaultsPerRun; ++i) {
       (this->*faults[static_cast<std::size_t>(pick(static_cast<int>(faults.size())))])();
       runUntil(steadyNow() + FaultPause * pick(3) / 2);
@@ -209,6 +213,30 @@
     later(500ms * (1 + pick(5)), [this, proxy] { cluster.run([&] { proxy->setFaults({}); }); });
   }
 
+  /// All connections to the store go silent for good; new ones work. A change follows at times.
+  void silenceStore() {
+    note("silent connections to the store", 0);
+    cluster.run([&] {
+      for (auto &it : cluster.storeProxies)
+        it->silenceAll();
+    });
+    if (pick(2) == 0)
+      changeConfig();
+  }
+
+  /// The store turns one host away and serves the others, which hear of a change meanwhile.
+  void turnAway() {
+    const int n = pick(hosts);
+    note("store turns away host", n);
+    auto proxy = cluster.storeProxies[static_cast<std::size_t>(n)];
+    cluster.run([&] {
+      proxy->setFaults({.refuse = true});
+      proxy->resetAll();
+    });
+    changeConfig();
+    later(1s * (1 + pick(8)), [this, proxy] { cluster.run([&] { proxy->setFaults({}); }); });
+  }
+
   void storeLink() {
     const int n = pick(hosts);
     note("link to the store of host", n);
@@ -334,7 +362,7 @@
   if (n == 0)
     return {1, 2,
             // A restarted host ended with the thread of the test that had started it.
-            106};
+            106, FirstSeedWithSilence};
   const auto first = static_cast<unsigned>(numberFrom("CATKIN_SOAK_FIRST", 1));
   std::vector<unsigned> out;
   for (unsigned i = 0; i < static_cast<unsigned>(n); ++i)
