Leave a released lease to the candidates for two seconds

Cause: a host that had not heard the planner for a while (its relays were being stopped) counted that as leave to take a lease without a holder at once, though it was not among the candidates. A lease that runs out was already left to candidates for two seconds more. Ruled out: that it held itself for able (its capacity is a quarter of the best). Change: a lease without a holder, too, is taken by an outsider only two seconds after it was given up. Evidence: HostThatLostSightOfThePlannerLeavesTheLeaseToCandidatesFirst fails without the change.

--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -164,9 +164,9 @@
     // A former process of this host has ended, so that nobody else needs to wait for its lease.
     if (record.holder == options.host)
       return true;
+    const auto unchanged = env.now() - storedChanged;
     if (record.holder.empty())
-      return isCandidate() || plannerLost;
-    auto unchanged = env.now() - storedChanged;
+      return isCandidate() || unchanged >= OutsiderDelay;
     if (unchanged < config::LeaseTtl + config::LeaseCandidateMargin)
       return false;
     return isCandidate() ||
--- a/tests/fleet_planner_test.cpp
+++ b/tests/fleet_planner_test.cpp
@@ -151,6 +151,22 @@
   EXPECT_GT(second->term(), firstTerm);
 }
 
+// Guards against a weak host that takes the lease from able ones, only because it did not hear the
+// planner for a while when that gave the lease up.
+TEST_F(FleetPlannerTest, HostThatLostSightOfThePlannerLeavesTheLeaseToCandidatesFirst) {
+  const std::vector<HostName> able{HostName("a"), HostName("b")};
+  auto first = makePlanner("a", 1, able);
+  env.run(1s);
+  auto weak = makePlanner("weak", 1, able);
+  weak->setPlannerLost(true);
+  env.run(3s);
+  first->stop([] {});
+  env.run(1500ms); // candidates look at the lease once a second
+  EXPECT_FALSE(weak->active());
+  env.run(4s);
+  EXPECT_TRUE(weak->active()) << "no candidate was there";
+}
+
 // Guards against seconds without a planner after a restart of all hosts: the one that held the
 // lease takes it up again at once, also if it is not among the candidates by now.
 TEST_F(FleetPlannerTest, RestartedHolderTakesItsLeaseUpAgain) {
