Bound the planner's share of a host's time in a module with a test

Class: background work without a bound beside work with one. Ruled out: the object's size (50 kB), the watch (its answer lay unread), routes' time limits.

--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -6,6 +6,7 @@
 #include "holdings_notifier_p.h"
 #include "log_p.h"
 #include "store_load_meter_p.h"
+#include "work_share_p.h"
 
 #include <algorithm>
 #include <cmath>
@@ -24,10 +25,6 @@
 constexpr int CommandSends = 4; // of one order whose answers are lost
 constexpr Duration RefusedPause = std::chrono::milliseconds(400);
 constexpr std::size_t NoticesPerMessage = 4;
-// Between planning rounds, as multiples of the time that one takes: rounds must leave the host time
-// for its other work, also where engines are many and the processor is slow.
-constexpr int TickShare = 4;
-constexpr int EventShare = 2;
 
 } // namespace
 
@@ -44,8 +41,7 @@
   StoreLoadMeter storeLoads;
   HoldingsNotifier notifier;
   Instant acquiredAt;
-  Instant roundEnd;             ///< of the newest planning round
-  Duration roundTime{};         ///< that it took
+  WorkShare rounds;             ///< of planning
   std::uint64_t fencedTerm = 0; ///< an engine has seen a higher one
   bool stopped = false;
 
@@ -73,13 +69,14 @@
   void tick() {
     if (stopped)
       return;
-    env.after(std::max<Duration>(config::FleetPlanTick, TickShare * roundTime),
+    env.after(rounds.nextPause(config::FleetPlanTick),
               [self = shared_from_this()] { self->tick(); });
     if (!active())
       return;
     syncRecords();
+    const Instant now = env.now();
     for (auto &[name, record] : records)
-      pollStatus(record);
+      pollStatus(record, now);
     placeAll();
     sendNotices();
   }
@@ -122,12 +119,12 @@
     };
   }
 
-  void pollStatus(EngineRecord &record) {
-    if (record.statusUnderWay || env.now() < record.nextStatus)
+  void pollStatus(EngineRecord &record, Instant now) {
+    if (record.statusUnderWay || now < record.nextStatus)
       return;
     // An engine that wants no requests is asked only about what it was ordered to do.
     auto *state = view.find(record.entry.name);
-    if (state && env.now() < state->backoffUntil && !record.active)
+    if (state && now < state->backoffUntil && !record.active)
       return;
     record.statusUnderWay = true;
     engines.status(record.entry, forSame(record, [this](EngineRecord &it, const auto &status) {
@@ -198,7 +195,7 @@
   /// A round because of one event. The next tick plans as well, so that events that come faster
   /// than rounds can be planned share one.
   void placeSoon() {
-    if (env.now() - roundEnd >= EventShare * roundTime)
+    if (rounds.mayFollowEvent(env.now()))
       placeAll();
   }
 
@@ -209,8 +206,7 @@
     for (auto &[name, service] : view.config()->services)
       if (service.hasEngines)
         place(service);
-    roundEnd = env.now();
-    roundTime = roundEnd - began;
+    rounds.onDone(began, env.now());
   }
 
   void place(const FleetService &service) {
@@ -244,9 +240,9 @@
 
   void startOrder(EngineRecord &record, const PlacementOrder &order, const EngineSpec &spec) {
     bool ofModel = order.model.adapter.empty();
-    if (record.sending || (ofModel && record.active) || env.now() < record.pausedUntil)
+    const Instant now = env.now();
+    if (record.sending || (ofModel && record.active) || now < record.pausedUntil)
       return;
-    auto now = env.now();
     ActiveOrder active{.order = order, .expected = record.holdings.orderCount, .startedAt = now};
     active.dueAt = now + record.expectedTime(order, spec);
     if (order.remote)
