Watch from the revision of a list's first page; go on with the page that failed

What could be seen: an object of an early page that changes while later pages are read stays as it was, since the watch began at the last page's revision (an endpoint's leaving, for example, with more than 500 registered). And where all hosts read at once, a page that failed sent its host back to the first page. Change: the revision to watch from is the first page's, and a failed page is asked for again. Test: ReadsAllPagesThenWatches expected the last page's revision, which was the fault; it is replaced by ReadsAllPagesThenWatchesFromTheFirstOne, which expects the first one's, and AListGoesOnWithThePageThatFailed is new; both fail without the change.

--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -1,6 +1,7 @@
 #include "object_follower_p.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -13,6 +14,8 @@
   Hooks hooks;
   std::map<std::string, std::uint64_t> known; ///< revision by name
   std::set<std::string> listed;               ///< names in the pages of the list under way
+  std::string pageAfter;                      ///< name after which its next page begins
+  std::optional<std::uint64_t> listRevision;  ///< of its first page
   std::uint64_t revision = 0;
   bool everSynced = false;
   bool isConnected = false;
@@ -53,12 +56,14 @@
   void startList() {
     isListing = true;
     listed.clear();
-    listPage({});
+    listRevision.reset();
+    pageAfter.clear();
+    listPage();
   }
 
-  void listPage(const std::string &after) {
+  void listPage() {
     calledAt = env.now();
-    feed.list(options.kind, after,
+    feed.list(options.kind, pageAfter,
               [self = shared_from_this(), epoch = epoch](const FeedPage &page) {
                 if (self->wanted(epoch))
                   self->onList(page);
@@ -68,17 +73,20 @@
   void onList(const FeedPage &page) {
     if (page.status != FeedStatus::Ok) {
       setConnected(false);
-      return later(options.retryPause, &Impl::startList);
+      return later(options.retryPause, &Impl::listPage);
     }
+    listRevision = listRevision.value_or(page.revision);
     for (auto &it : page.objects) {
       listed.insert(it.name);
       apply(it);
     }
-    if (!page.nextAfter.empty())
-      return listPage(page.nextAfter);
+    pageAfter = page.nextAfter;
+    if (!pageAfter.empty())
+      return listPage();
     isListing = false;
     removeUnlisted();
-    revision = page.revision;
+    // Objects of the first page may have changed while the others were read.
+    revision = *listRevision;
     everSynced = true;
     setConnected(true);
     startWatch();
