--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -255,6 +255,7 @@
 
 std::vector<EndpointLoad> listLoads(const std::map<EndpointName, int> &total) {
   std::vector<EndpointLoad> out;
+  out.reserve(total.size());
   for (auto &[endpoint, n] : total)
     out.push_back({endpoint, n});
   return out;
