Explain a failed request from hosts' logs

Change: 'catkinctl explain ID' reads logs from standard input and walks the page's steps: refused for a model, failed, cut, and a route that was unknown at a host behind others. RequestExplainer has no sockets or clocks. Tests: one for each kind. The daemon does not use it.

--- a/tools/catkinctl.cpp
+++ b/tools/catkinctl.cpp
@@ -1,11 +1,13 @@
 #include "file_p.h"
 #include "operator_client_p.h"
+#include "request_explainer_p.h"
 
 #include <CLI/CLI.hpp>
 
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <iostream>
 #include <optional>
 #include <thread>
 
@@ -23,6 +25,7 @@
   catkinctl show replicas --output json
   catkinctl drain endpoint drafting-3
   catkinctl wait --revision 8 --timeout 20
+  cat logs/* | catkinctl explain 2885a8ab70f703db
 
 Exit codes: 0 done, 1 usage, 2 invalid list, 3 another operator was first, 4 not accepted,
 5 unknown whether accepted, 6 no host answered or key refused, 7 not in force in time.
@@ -35,7 +38,7 @@
     show) COMPREPLY=($(compgen -W "hosts endpoints models replicas plans decisions config" -- "$cur")) ;;
     drain) COMPREPLY=($(compgen -W "host endpoint" -- "$cur")) ;;
     *) if [ "$COMP_CWORD" -eq 1 ]; then
-         COMPREPLY=($(compgen -W "get diff validate apply show drain wait completion" -- "$cur"))
+         COMPREPLY=($(compgen -W "get diff validate apply show drain wait explain completion" -- "$cur"))
        else
          COMPREPLY=($(compgen -f -- "$cur"))
        fi ;;
@@ -86,6 +89,17 @@
   return waitFor(send, options, 0);
 }
 
+/// Reads the logs of the hosts from standard input.
+CtlResult explainRequest(const std::string &id) {
+  RequestExplainer explainer(id);
+  for (std::string line; std::getline(std::cin, line);)
+    explainer.add(line);
+  auto text = explainer.explain();
+  if (text.empty())
+    return {CtlExit::Usage, {}, "no log on standard input has a request " + id};
+  return {CtlExit::Ok, std::move(text), {}};
+}
+
 int finish(const CtlResult &result) {
   std::fputs(result.output.c_str(), stdout);
   if (!result.error.empty())
@@ -146,6 +160,9 @@
   for (auto *it : {wait, apply})
     it->add_option("--timeout", options.timeoutSeconds, "Seconds to wait")
         ->check(CLI::Range(1, 3600));
+  auto *explain =
+      app.add_subcommand("explain", "Tell why a request failed, by hosts' logs on standard input");
+  explain->add_option("id", options.name, "Request id")->required();
   auto *completion = app.add_subcommand("completion", "Print a completion script for bash");
 
   try {
@@ -160,6 +177,9 @@
   if (completion->parsed())
     return finish({CtlExit::Ok, BashCompletion, {}});
 
+  if (explain->parsed())
+    return finish(explainRequest(options.name));
+
   std::vector<Address> hosts;
   for (auto &it : options.hosts) {
     auto address = parseAddress(it);
