Do not ask whether to leave an endpoint before the request has gone out

Cause: found on reading the diff. After a kept connection had turned out closed, the new one's connect timeout was treated as the silence of an endpoint that has the request, and could be prolonged. Change: silence is asked about only once a byte of the request has been sent; the flag for it goes. No test: a connect that hangs after a kept connection was closed between its check and its use could not be brought about on loopback without a race.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -185,7 +185,6 @@
   HttpStatus state = HttpStatus::Ok;
   std::size_t sent = 0;
   bool kept = false;
-  bool connected = false;
   bool done = false;
 };
 
@@ -207,7 +206,7 @@
     parser.body_limit(boost::none);
 
   for (bool complete = false; !complete && state == HttpStatus::Ok;) {
-    connected = co_await connect();
+    const bool connected = co_await connect();
     if (!connected) {
       fail(HttpStatus::NotConnected);
       state = HttpStatus::NotConnected;
@@ -267,7 +266,8 @@
 void Call::onExpire(WatchSlot slot) {
   if (slot == WatchSlot::Total)
     return fail(HttpStatus::Timeout);
-  if (connected && mayEndSilence && !mayEndSilence())
+  const bool connecting = sent == 0;
+  if (!connecting && mayEndSilence && !mayEndSilence())
     return watch->expireAfter(WatchSlot::Progress, SilenceRecheck);
   fail(HttpStatus::Silent);
 }
