--- a/src/endpoint_signals.cpp
+++ b/src/endpoint_signals.cpp
@@ -15,15 +15,15 @@
 
 } // namespace
 
-bool EndpointSignals::onLeaving(const LeavingEndpoint &endpoint, Instant now) {
+bool EndpointSignals::onLeaving(const EndpointIncarnation &endpoint, Instant now) {
   return leaving.try_emplace(endpoint, Leaving{.since = now}).second;
 }
 
-bool EndpointSignals::onLeavingReportedByHost(const LeavingEndpoint &endpoint, Instant now) {
+bool EndpointSignals::onLeavingReportedByHost(const EndpointIncarnation &endpoint, Instant now) {
   return leaving.try_emplace(endpoint, Leaving{.since = now, .reportedByHost = true}).second;
 }
 
-bool EndpointSignals::isLeaving(const LeavingEndpoint &endpoint) const {
+bool EndpointSignals::isLeaving(const EndpointIncarnation &endpoint) const {
   return leaving.count(endpoint) > 0;
 }
 
@@ -41,8 +41,8 @@
   return same ? it->second.until : Instant{};
 }
 
-std::vector<LeavingEndpoint> EndpointSignals::leavingToAnnounce(Instant now) const {
-  std::vector<LeavingEndpoint> out;
+std::vector<EndpointIncarnation> EndpointSignals::leavingToAnnounce(Instant now) const {
+  std::vector<EndpointIncarnation> out;
   for (auto &[endpoint, it] : leaving)
     if (!it.reportedByHost && now - it.since < AnnouncementTime)
       out.push_back(endpoint);
--- a/src/endpoint_signals_p.h
+++ b/src/endpoint_signals_p.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "types_p.h"
+#include "fleet_types_p.h"
 
 #include <map>
 #include <vector>
@@ -10,23 +10,16 @@
 /// the registry, and survives a registration that expires and is renewed. Callers pass in the time.
 namespace catkin {
 
-/// An incarnation of an endpoint that has announced in an answer that it is about to stop.
-struct LeavingEndpoint {
-  EndpointName endpoint;
-  std::uint64_t incarnation = 0;
-  friend auto operator<=>(const LeavingEndpoint &, const LeavingEndpoint &) = default;
-};
-
 /// Keeps the announcements of all endpoints.
 class EndpointSignals {
 public:
   /// An answer to this host announced that the endpoint is leaving. Returns false if that was
   /// already known.
-  bool onLeaving(const LeavingEndpoint &endpoint, Instant now);
+  bool onLeaving(const EndpointIncarnation &endpoint, Instant now);
   /// Another host has reported that the endpoint is leaving. Returns false if that was already
   /// known.
-  bool onLeavingReportedByHost(const LeavingEndpoint &endpoint, Instant now);
-  bool isLeaving(const LeavingEndpoint &endpoint) const;
+  bool onLeavingReportedByHost(const EndpointIncarnation &endpoint, Instant now);
+  bool isLeaving(const EndpointIncarnation &endpoint) const;
   /// The endpoint wants no request from this host before `until`. An earlier time than one
   /// requested before by the same incarnation changes nothing.
   void onBackoff(const EndpointName &name, std::uint64_t incarnation, Instant until);
@@ -34,7 +27,7 @@
   Instant backoffUntil(const EndpointName &name, std::uint64_t incarnation) const;
   /// Returns the leaving endpoints that this host should announce to other hosts: those that it
   /// learnt of from answers to itself a short time ago.
-  std::vector<LeavingEndpoint> leavingToAnnounce(Instant now) const;
+  std::vector<EndpointIncarnation> leavingToAnnounce(Instant now) const;
   /// Forgets endpoints that must have stopped long ago, and backoffs that have ended.
   void expire(Instant now);
 
@@ -48,7 +41,7 @@
     std::uint64_t incarnation = 0;
     Instant until;
   };
-  std::map<LeavingEndpoint, Leaving> leaving;
+  std::map<EndpointIncarnation, Leaving> leaving;
   std::map<EndpointName, Backoff> backoffs;
 };
 
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -15,7 +15,7 @@
   return std::llround(perSecond * ThousandthsPerUnit);
 }
 
-json::array toJson(const std::vector<LeavingEndpoint> &endpoints) {
+json::array toJson(const std::vector<EndpointIncarnation> &endpoints) {
   json::array out;
   for (auto &it : endpoints)
     out.push_back(json::object{{"e", it.endpoint.value}, {"i", it.incarnation}});
@@ -47,8 +47,8 @@
   return readEndpointMap<Departure, std::uint64_t>(in, "departures");
 }
 
-std::vector<LeavingEndpoint> readLeavingEndpoints(JsonReader &in) {
-  std::vector<LeavingEndpoint> out;
+std::vector<EndpointIncarnation> readLeavingEndpoints(JsonReader &in) {
+  std::vector<EndpointIncarnation> out;
   in.objects("leaving_endpoints", [&](JsonReader &it) {
     out.push_back({it.name<EndpointName>("e"), it.unsignedInt("i")});
   });
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -38,7 +38,7 @@
   std::uint64_t plannerTerm = 0;   ///< term of the planner lease if this host holds it, otherwise 0
   std::vector<EndpointLoad> loads;
   /// Endpoints that have announced their shutdown in an answer to this host.
-  std::vector<LeavingEndpoint> leavingEndpoints;
+  std::vector<EndpointIncarnation> leavingEndpoints;
   std::vector<Departure> departures; ///< recently read in the registry by this host
   std::uint64_t newestArrival = 0;   ///< revision of the newest registration that can serve at once
 };
@@ -62,7 +62,7 @@
   std::uint64_t plannerTerm = 0;   ///< term of a planner there; 0 if there is none
   Address plannerAddress;
   std::vector<HostStatus> unhealthyHosts;
-  std::vector<LeavingEndpoint> leavingEndpoints;
+  std::vector<EndpointIncarnation> leavingEndpoints;
 };
 
 /// Digests of data centres in a large fleet. A relay sends the digest of its own data centre to the
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -104,6 +104,13 @@
   EngineHoldings holdings;
 };
 
+/// One incarnation of an endpoint: the time between two of its restarts.
+struct EndpointIncarnation {
+  EndpointName endpoint;
+  std::uint64_t incarnation = 0;
+  friend auto operator<=>(const EndpointIncarnation &, const EndpointIncarnation &) = default;
+};
+
 /// An engine's report about itself. It is some hundred milliseconds old.
 struct EngineStatus {
   std::uint64_t incarnation = 0;
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -206,7 +206,7 @@
     it->second.missingUntil[ref] = now + config::FleetModelMissingTime;
 }
 
-void FleetView::onLeaving(const LeavingEndpoint &endpoint, Instant now, bool reportedByHost) {
+void FleetView::onLeaving(const EndpointIncarnation &endpoint, Instant now, bool reportedByHost) {
   const bool isNewSignal = reportedByHost ? endpointSignals.onLeavingReportedByHost(endpoint, now)
                                           : endpointSignals.onLeaving(endpoint, now);
   auto it = states.find(endpoint.endpoint);
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -105,7 +105,7 @@
   void onModelMissing(const EndpointName &name, const ModelRef &ref, Instant now);
   /// The endpoint has announced in an answer that it is leaving. `reportedByHost`: another host got
   /// that answer.
-  void onLeaving(const LeavingEndpoint &endpoint, Instant now, bool reportedByHost = false);
+  void onLeaving(const EndpointIncarnation &endpoint, Instant now, bool reportedByHost = false);
   /// The endpoint has refused a request and wants none from this host for the time `d`.
   void onBackoff(const FleetEndpoint &endpoint, Duration d, Instant now);
   const EndpointSignals &signals() const { return endpointSignals; }
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -114,7 +114,7 @@
   EXPECT_EQ(heartbeat.loads[0].inFlight, 3);
   EXPECT_EQ(heartbeat.departures, (std::vector{Departure{EndpointName("d"), 31}}));
   EXPECT_EQ(heartbeat.newestArrival, 44U);
-  EXPECT_EQ(heartbeat.leavingEndpoints, (std::vector{LeavingEndpoint{EndpointName("g"), 12}}));
+  EXPECT_EQ(heartbeat.leavingEndpoints, (std::vector{EndpointIncarnation{EndpointName("g"), 12}}));
   auto need = roundTrip(ModelNeed{HostName("h"), ServiceName("s"), {ModelName("m"), "a1"}, 2});
   EXPECT_EQ(need.model, (ModelRef{ModelName("m"), "a1"}));
   HoldingsNotice notice{EndpointName("e"), 9, 4, 5, {{ModelName("m"), {"a1", "a2"}}}};
