Log the limits of requests that engines name, and the planner's calls to such engines

The header is now decoded once, in answers to requests, status calls and orders alike, into EndpointAnnouncements; each new, changed or ended limit is a log line, each choice of such an endpoint carries the limit, and the planner logs its calls to such an engine. RequestLimits keeps what is known; nothing acts on it yet.

Orders' answers used to be read for their status only: Server-Leaving in them was ignored. It is now handled as in any other answer.

--- a/src/endpoint_signals.cpp
+++ b/src/endpoint_signals.cpp
@@ -51,6 +51,7 @@
 
 void EndpointSignals::expire(Instant now) {
   std::erase_if(leaving, [&](auto &it) { return now - it.second.since > LeavingRetention; });
+  requestLimits.expire(now);
   std::erase_if(backoffs, [&](auto &it) { return now >= it.second.until; });
 }
 
--- a/src/endpoint_signals_p.h
+++ b/src/endpoint_signals_p.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet_types_p.h"
+#include "request_limits_p.h"
 
 #include <map>
 #include <vector>
@@ -23,6 +23,9 @@
   /// The endpoint wants no request from this host before `until`. An earlier time than one
   /// requested before by the same incarnation changes nothing.
   void onBackoff(const EndpointName &name, std::uint64_t incarnation, Instant until);
+  /// The limits of requests that endpoints have named.
+  const RequestLimits &limits() const { return requestLimits; }
+  RequestLimits &limits() { return requestLimits; }
   /// Returns when the endpoint accepts requests again; a time in the past if it accepts them now.
   Instant backoffUntil(const EndpointName &name, std::uint64_t incarnation) const;
   /// Returns the leaving endpoints that this host should announce to other hosts: those that it
@@ -43,6 +46,7 @@
   };
   std::map<EndpointIncarnation, Leaving> leaving;
   std::map<EndpointName, Backoff> backoffs;
+  RequestLimits requestLimits;
 };
 
 } // namespace catkin
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -121,7 +121,7 @@
   Duration retryAfter() const;
   const EndpointState *choose() const;
   asio::awaitable<AttemptOutcome> sendTo(const FleetEndpoint &to);
-  void recordSignals(const FleetEndpoint &from);
+  void recordSignals(const FleetEndpoint &from, Instant sentAt);
   asio::awaitable<AttemptOutcome> relayCompleteAnswer(HttpStream &stream, const AnswerHead &head);
   asio::awaitable<AttemptOutcome> relayEvents(HttpStream &stream);
   AttemptOutcome rejectOversizedAnswer();
@@ -403,6 +403,7 @@
   HttpRequest request = g.codec.buildForwardedRequest(exchange.request(), options);
   const HttpTimeouts limits = timeouts();
   const std::pair runKey(to.name, caller.model);
+  const Instant sentAt = g.hooks.now();
   ++sends;
   ++g.runningRequests[runKey];
   g.view.onSent(to.name);
@@ -415,7 +416,7 @@
   if (stream->status() == HttpTransferStatus::Ok) {
     search->onReceived(to.name);
     lastHead = g.codec.readHead(stream->head(), caller, to);
-    recordSignals(to);
+    recordSignals(to, sentAt);
     if (lastHead.wrongRequest) {
       failure = AttemptFailure::WrongAnswer;
     } else if (lastHead.notRun) {
@@ -458,12 +459,11 @@
 }
 
 /// Records what the head of an answer announces about the endpoint itself.
-void RequestForwarder::recordSignals(const FleetEndpoint &from) {
+void RequestForwarder::recordSignals(const FleetEndpoint &from, Instant sentAt) {
   const Instant now = g.hooks.now();
-  if (lastHead.wrongRequest)
-    return; // the answer may not come from this endpoint either
-  if (lastHead.leaving)
-    g.view.onLeaving({from.name, from.incarnation}, now);
+  if (lastHead.wrongRequest || lastHead.wrongEndpoint)
+    return; // the answer does not come from this endpoint, or may not
+  g.view.onAnnouncements(incarnationOf(from), lastHead.announced, sentAt, now);
   if (lastHead.backoff)
     g.view.onBackoff(from, *lastHead.backoff, now);
 }
@@ -630,6 +630,9 @@
                           {"own", chosen.ownInFlight},
                           {"peers", chosen.peersInFlight},
                           {"failure_share", chosen.failureShare}};
+  const auto limit = g.view.signals().limits().find(incarnationOf(chosen.entry));
+  if (limit.perSecond)
+    out["limit_per_second"] = *limit.perSecond;
   if (!chosen.notice || caller.model.empty())
     return out;
   out["notice_term"] = chosen.notice->term;
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -42,7 +42,7 @@
   bool notRun = false;             ///< the endpoint reports that it did not run the request
   bool wrongEndpoint = false;      ///< the address now belongs to another endpoint
   bool wrongRequest = false;       ///< the answer carries the id of another request
-  bool leaving = false;            ///< the endpoint is about to stop
+  EndpointAnnouncements announced; ///< none if the answer may be another endpoint's
   std::optional<Duration> backoff; ///< time in which the endpoint wants no request from this host
 };
 
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -506,6 +506,11 @@
 FleetHost::~FleetHost() = default;
 
 std::string FleetHost::start() {
+  impl->adapter.engines->setAnnouncementHandler(
+      [weak = std::weak_ptr(impl)](auto &from, auto &announced, Instant sentAt) {
+        if (auto self = weak.lock())
+          self->view.onAnnouncements(from, announced, sentAt, self->env.now());
+      });
   auto error = impl->links.start(impl->options.self.peerAddress);
   if (error.empty())
     error = impl->exchange.start();
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -132,6 +132,7 @@
     if (state && now < state->backoffUntil && !record.active)
       return;
     record.statusPending = true;
+    logCallUnderLimit(record, "status");
     engines.requestStatus(record.entry,
                           bindToEngine(record, [this](EngineRecord &it, const auto &status) {
                             it.statusPending = false;
@@ -139,6 +140,17 @@
                           }));
   }
 
+  /// Logs a call to an engine that has named a limit of requests, since it counts as a request.
+  void logCallUnderLimit(const EngineRecord &record, std::string_view call) const {
+    const auto limit = view.signals().limits().find(incarnationOf(record.entry));
+    if (limit.perSecond)
+      logLine(LogLevel::Info, "call to an engine with a request limit",
+              {{"endpoint", record.entry.name.value},
+               {"incarnation", record.entry.incarnation},
+               {"call", call},
+               {"per_second", *limit.perSecond}});
+  }
+
   void onStatus(EngineRecord &record, const std::optional<EngineStatus> &status) {
     auto now = env.now();
     record.nextStatus =
@@ -153,8 +165,6 @@
     if (record.isSilent())
       logLine(LogLevel::Info, "engine answers again", {{"endpoint", record.entry.name.value}});
     record.statusFailures = 0;
-    if (status->leaving)
-      view.onLeaving({record.entry.name, record.entry.incarnation}, now);
     // Reports lag. One from before the newest accepted order contains no news.
     if (record.hasStatus && status->holdings.orderCount < record.holdings.orderCount)
       return;
@@ -292,6 +302,7 @@
   void send(EngineRecord &record) {
     auto &sending = *record.sending;
     ++sending.sendCount;
+    logCallUnderLimit(record, "order");
     engines.sendCommand(record.entry, makeCommand(sending.order, sending.orderCountBefore),
                         bindToEngine(record, [this](auto &it, CommandResult result) {
                           onCommandDone(it, result);
@@ -369,6 +380,7 @@
     if (!record.active || record.active->order.action != PlacementAction::Unload ||
         record.sending || !canOrder())
       return;
+    logCallUnderLimit(record, "order");
     engines.sendCommand(record.entry, makeCommand(record.active->order, record.holdings.orderCount),
                         bindToEngine(record, [this](auto &it, CommandResult result) {
                           onUnloadChecked(it, result);
--- a/src/fleet_planner_p.h
+++ b/src/fleet_planner_p.h
@@ -51,6 +51,22 @@
   virtual void sendCommand(const FleetEndpoint &to, const EngineCommand &command,
                            CommandDone done) = 0;
   virtual void requestStatus(const FleetEndpoint &to, StatusDone done) = 0;
+
+  /// Gets what an engine announces in its answer to a call that was sent at `sentAt`, before the
+  /// callback of that call.
+  using AnnouncementHandler = std::function<void(const EndpointIncarnation &,
+                                                 const EndpointAnnouncements &, Instant sentAt)>;
+  void setAnnouncementHandler(AnnouncementHandler handler) { onAnnouncement = std::move(handler); }
+
+protected:
+  void announce(const EndpointIncarnation &from, const EndpointAnnouncements &announced,
+                Instant sentAt) const {
+    if (onAnnouncement)
+      onAnnouncement(from, announced, sentAt);
+  }
+
+private:
+  AnnouncementHandler onAnnouncement;
 };
 
 struct FleetPlannerOptions {
--- a/src/fleet_types.cpp
+++ b/src/fleet_types.cpp
@@ -5,6 +5,10 @@
 
 namespace catkin {
 
+EndpointIncarnation incarnationOf(const FleetEndpoint &entry) {
+  return {entry.name, entry.incarnation};
+}
+
 std::string toText(const ModelRef &ref) {
   return ref.adapter.empty() ? ref.model.value : ref.model.value + "/" + ref.adapter;
 }
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -3,6 +3,7 @@
 #include "types_p.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -111,11 +112,21 @@
   friend auto operator<=>(const EndpointIncarnation &, const EndpointIncarnation &) = default;
 };
 
+/// Returns the incarnation that the registration describes.
+EndpointIncarnation incarnationOf(const FleetEndpoint &entry);
+
+/// What an endpoint says about itself in the head of any answer.
+struct EndpointAnnouncements {
+  bool leaving = false; ///< it is about to stop
+  /// Requests a second that it takes from all hosts together. Empty if it names no limit.
+  std::optional<double> requestsPerSecond;
+  bool limitIsUnreadable = false; ///< it names a limit that is not a number of at least 0
+};
+
 /// An engine's report about itself. It is some hundred milliseconds old.
 struct EngineStatus {
   std::uint64_t incarnation = 0;
-  bool busy = false;    ///< the engine is carrying out an order
-  bool leaving = false; ///< the engine is about to stop
+  bool busy = false; ///< the engine is carrying out an order
   EngineHoldings holdings;
 };
 
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -219,6 +219,37 @@
            {"heard", reportedByHost}});
 }
 
+void FleetView::onAnnouncements(const EndpointIncarnation &endpoint,
+                                const EndpointAnnouncements &announced, Instant sentAt,
+                                Instant now) {
+  if (announced.leaving)
+    onLeaving(endpoint, now);
+  if (announced.limitIsUnreadable)
+    return logLine(LogLevel::Warn, "request limit cannot be read",
+                   {{"endpoint", endpoint.endpoint.value}, {"incarnation", endpoint.incarnation}});
+  auto &limits = endpointSignals.limits();
+  const bool changed = limits.onAnswer(endpoint, announced.requestsPerSecond, sentAt, now);
+  if (changed)
+    logLimit(endpoint, false);
+}
+
+void FleetView::onLimitReportedByHost(const RequestLimit &limit, Instant now) {
+  const bool changed = endpointSignals.limits().onReportedByHost(limit, now);
+  if (changed)
+    logLimit(limit.endpoint, true);
+}
+
+void FleetView::logLimit(const EndpointIncarnation &endpoint, bool reportedByHost) const {
+  const RequestLimit limit = endpointSignals.limits().find(endpoint);
+  logLine(LogLevel::Info,
+          limit.perSecond ? "endpoint names a request limit" : "endpoint names no request limit",
+          {{"endpoint", endpoint.endpoint.value},
+           {"incarnation", endpoint.incarnation},
+           {"per_second", limit.perSecond.value_or(0)},
+           {"limit_version", limit.version},
+           {"heard", reportedByHost}});
+}
+
 void FleetView::onBackoff(const FleetEndpoint &endpoint, Duration d, Instant now) {
   endpointSignals.onBackoff(endpoint.name, endpoint.incarnation, now + d);
   auto it = states.find(endpoint.name);
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -103,9 +103,14 @@
   void onEnded(const EndpointName &name, EndpointResult result, Instant now);
   /// The endpoint has answered that it does not hold `ref`.
   void onModelMissing(const EndpointName &name, const ModelRef &ref, Instant now);
+  /// An answer of the endpoint to a call that was sent at `sentAt` carries these announcements.
+  void onAnnouncements(const EndpointIncarnation &endpoint, const EndpointAnnouncements &announced,
+                       Instant sentAt, Instant now);
   /// The endpoint has announced in an answer that it is leaving. `reportedByHost`: another host got
   /// that answer.
   void onLeaving(const EndpointIncarnation &endpoint, Instant now, bool reportedByHost = false);
+  /// Another host has observed this limit of an endpoint.
+  void onLimitReportedByHost(const RequestLimit &limit, Instant now);
   /// The endpoint has refused a request and wants none from this host for the time `d`.
   void onBackoff(const FleetEndpoint &endpoint, Duration d, Instant now);
   const EndpointSignals &signals() const { return endpointSignals; }
@@ -129,6 +134,7 @@
 
 private:
   void notifyWaiters();
+  void logLimit(const EndpointIncarnation &endpoint, bool reportedByHost) const;
   /// Sets the state of an endpoint by its announcements and by the departures of other hosts.
   void applySignals(EndpointState &state) const;
   void recordArrival(const EndpointState &state, bool isNew);
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -156,9 +156,9 @@
   FleetEndpoint from{.name = EndpointName("i-9")};
   HttpResponse answer{http::status::ok, 11};
   answer.set("Request-Id", "id1");
-  EXPECT_FALSE(codec.readHead(answer.base(), call, from).leaving);
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).announced.leaving);
   answer.set("Server-Leaving", "1");
-  EXPECT_TRUE(codec.readHead(answer.base(), call, from).leaving);
+  EXPECT_TRUE(codec.readHead(answer.base(), call, from).announced.leaving);
   answer.set("Retry-After", "2.5");
   EXPECT_FALSE(codec.readHead(answer.base(), call, from).backoff.has_value());
   answer.result(503);
@@ -170,7 +170,24 @@
   }
   answer.result(421);
   answer.set("Instance", "i-2"); // another engine uses the address now
-  EXPECT_FALSE(codec.readHead(answer.base(), call, from).leaving);
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).announced.leaving);
+}
+
+// Guards against a limit of requests that is ignored, and against invalid values that would set or
+// end one.
+TEST(RequestCodecTest, ReadsTheLimitThatAnEngineNames) {
+  HttpResponse answer{http::status::ok, 11};
+  EXPECT_FALSE(readAnnouncements(answer.base()).requestsPerSecond.has_value());
+  EXPECT_FALSE(readAnnouncements(answer.base()).limitIsUnreadable);
+  for (auto [text, rate] : {std::pair{"1", 1.0}, {"0.25", 0.25}, {"0", 0.0}, {"1500", 1500.0}}) {
+    answer.set("Server-Limit", text);
+    EXPECT_EQ(readAnnouncements(answer.base()).requestsPerSecond, rate) << text;
+  }
+  for (const char *it : {"soon", "-1", "nan", "inf", "", "1 a second"}) {
+    answer.set("Server-Limit", it);
+    EXPECT_FALSE(readAnnouncements(answer.base()).requestsPerSecond.has_value()) << it;
+    EXPECT_TRUE(readAnnouncements(answer.base()).limitIsUnreadable) << it;
+  }
 }
 
 constexpr auto GoodSettings = "node_name=front-a-1\nip_address=10.1.0.38\nzone=z\n"
