--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -2,6 +2,7 @@
 
 #include "json_p.h"
 #include "process_cluster_p.h"
+#include "real_env_p.h"
 #include "standin_p.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -14,6 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -235,7 +237,7 @@
   if (term < highestTerm)
     return makeResponse(412);
   highestTerm = term;
-  if (body["expect"].to_number<std::uint64_t>() != acceptedOrders)
+  if (rejectsOrders || body["expect"].to_number<std::uint64_t>() != acceptedOrders)
     return makeResponse(409);
   auto model = textOf(body["model"].as_string());
   bool load = body["operation"].as_string() == "loading";
@@ -264,7 +266,7 @@
   HttpResponse head{http::status::ok, 11};
   head.set("Request-Id", textOf(request["Request-Id"]));
   head.set("Server-Stamp", id);
-  setLeavingHeader(head);
+  setAnnouncements(head);
   co_await exchange.startStream(std::move(head));
   for (int i = first; i <= StreamEventCount; ++i) {
     if (cut > 0 && i > cut) {
@@ -285,6 +287,7 @@
   HttpResponse response = makeResponse(421);
   response.set("Instance", id);
   if (request["Expect-Instance"] == id) {
+    calls.push_back(steadyNow());
     if (target == "/api/report")
       response = makeResponse(200, registryEntry("ready"));
     else if (target == "/api/order")
@@ -292,13 +295,28 @@
     else if (models.count(textOf(request["Model"])) > 0)
       co_return co_await handleModelRequest(exchange);
   }
-  setLeavingHeader(response);
+  setAnnouncements(response);
   co_await exchange.respond(std::move(response));
 }
 
-void StandinEngine::setLeavingHeader(HttpResponse &response) const {
+void StandinEngine::setAnnouncements(HttpResponse &response) const {
   if (leaving)
     response.set("Server-Leaving", "1");
+  if (limitPerSecond)
+    response.set("Server-Limit", std::to_string(*limitPerSecond));
+}
+
+int allowedInWindow(double perSecond) {
+  constexpr double Excess = 1.5;
+  constexpr int Allowance = 5;
+  return static_cast<int>(Excess * perSecond * toSeconds(LimitWindow)) + Allowance;
+}
+
+int largestWindowCount(const std::vector<Instant> &calls, Duration window) {
+  std::ptrdiff_t most = 0;
+  for (auto first = calls.begin(); first != calls.end(); ++first)
+    most = std::max(most, std::lower_bound(first, calls.end(), *first + window) - first);
+  return static_cast<int>(most);
 }
 
 asio::awaitable<void> StandinEngine::handleModelRequest(HttpExchange &exchange) {
@@ -309,7 +327,7 @@
   response.set("Not-Run", "1");
   response.set("Retry-After", std::to_string(backoffSeconds));
   response.set("Request-Id", exchange.request()["Request-Id"]);
-  setLeavingHeader(response);
+  setAnnouncements(response);
   co_await exchange.respond(std::move(response));
 }
 
@@ -383,7 +401,8 @@
 } // namespace
 
 PlatformCluster::PlatformCluster(int hosts, const std::vector<std::set<std::string>> &held,
-                                 PlatformClusterOptions options) {
+                                 PlatformClusterOptions options)
+    : dataCentres(options.dataCentres) {
   char path[] = "/tmp/catkin-platform-XXXXXX";
   directory = ::mkdtemp(path);
   base = findFreePorts(hosts * PortsPerHost);
@@ -450,6 +469,11 @@
   done.get_future().wait();
 }
 
+std::string PlatformCluster::dataCentreOf(int host) const {
+  const int n = host % dataCentres;
+  return n == 0 ? "z" : "z" + std::to_string(n);
+}
+
 std::string PlatformCluster::settingsPath(int n) const {
   return directory + "/host-" + std::to_string(n) + ".conf";
 }
@@ -459,7 +483,8 @@
   const auto proxied = static_cast<std::size_t>(n) < storeProxies.size();
   const Address storeAddress =
       proxied ? storeProxies[static_cast<std::size_t>(n)]->address() : servers.front()->address();
-  std::ofstream(settingsPath(n)) << "node_name=host-" << n << "\nip_address=127.0.0.1\nzone=z\n"
+  std::ofstream(settingsPath(n)) << "node_name=host-" << n
+                                 << "\nip_address=127.0.0.1\nzone=" << dataCentreOf(n) << "\n"
                                  << "listen_addresses.front=" << at(0)
                                  << "\nlisten_addresses.ready=" << at(1)
                                  << "\nlisten_addresses.directory=" << at(2)
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -11,9 +11,11 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 /// Stand-ins for the platform in process tests: the object store, model engines and plain
 /// endpoints, all served by one thread of the test. Other threads must access them through
@@ -79,6 +81,10 @@
   bool leaving = false;      ///< announced in all responses
   double backoffSeconds = 0; ///< above 0: refuses requests with this Retry-After
   int refusedRequests = 0;   ///< model requests refused because of backoffSeconds
+  /// Requests a second, named in all responses as the limit for all hosts together.
+  std::optional<double> limitPerSecond;
+  std::vector<Instant> calls; ///< arrivals of all calls: requests, reports and orders
+  bool rejectsOrders = false; ///< answers all orders as busy
   std::uint64_t acceptedOrders = 0;
   std::uint64_t highestTerm = 0;
   std::set<std::string> orderHolders; ///< holders that sent the accepted orders
@@ -88,11 +94,18 @@
 
 private:
   HttpResponse applyOrder(const HttpRequest &request);
-  void setLeavingHeader(HttpResponse &response) const;
+  void setAnnouncements(HttpResponse &response) const;
   asio::awaitable<void> handleModelRequest(HttpExchange &exchange);
   asio::awaitable<void> sendStream(HttpExchange &exchange);
 };
 
+/// Span in which the platform counts the calls to an engine that has named a limit.
+constexpr auto LimitWindow = std::chrono::seconds(4);
+/// Returns the number of calls that the platform allows in LimitWindow.
+int allowedInWindow(double perSecond);
+/// Returns the largest number of `calls`, which are in order, in any span of `window`.
+int largestWindowCount(const std::vector<Instant> &calls, Duration window);
+
 constexpr int StreamEventCount = 5;
 /// Returns event `n` of a stream, as an engine sends it.
 std::string streamEvent(int n);
@@ -114,6 +127,7 @@
 struct PlatformClusterOptions {
   bool proxied = false; ///< connect hosts to the store and the endpoints through proxies
   int plainEndpoints = 0;
+  int dataCentres = 1; ///< the hosts are assigned to them in turn
 };
 
 /// The parts of the configuration that tests change.
@@ -175,10 +189,13 @@
                   const std::string &model) const;
   std::uint16_t port(int offset) const { return static_cast<std::uint16_t>(base + offset); }
   std::string settingsPath(int n) const;
+  /// Name of the data centre that a host is assigned to.
+  std::string dataCentreOf(int host) const;
 
   std::vector<std::unique_ptr<HttpServer>> servers;
   std::thread thread;
   std::uint16_t base = 0;
+  int dataCentres = 1;
   std::string directory;
   std::map<int, pid_t> children;
   std::mutex childrenMutex; ///< guards children
