Keep all calls of all hosts to an endpoint within the limit that it names

Cause: an endpoint's wish that binds all hosts together had no place in the design.

Change: one live host, found by a hash of the endpoint's name, issues the permits for an endpoint with a limit (PermitIssuer, one call an interval with a small burst; RequestPermits asks it by datagram). Requests, retries, resumed streams, status calls and orders all need a permit. A request with another endpoint goes there if no permit is free; one without waits up to 1.5 s for a reserved place, or is refused at once with the time of the next one. Limits travel in heartbeats and digests with a version; one ends when an answer to a call sent after the newest naming does not name it. A host that takes over the issuing first lets the former permits run out; in a partition each side issues its part. The planner polls a limited engine less, and counts it as unusable for placement while the demand for its models is above the limit, so that they are loaded elsewhere.

Test replaced: WhatIsOverTheLimitOfTheOnlyEngine... let the other engine reject all orders, which hosts cannot know, and expected them not to wait for its load; it now uses an endpoint without models, with the same bounds and one check more (refused requests did not run). What it showed about models is ModelOfAnEngineWithALowLimitIsNotLoadedElsewhere.

--- a/src/config.h
+++ b/src/config.h
@@ -181,7 +181,13 @@
 // later.
 constexpr auto FleetLocalLoadMargin = 20ms;
 constexpr auto FleetOrderTimeout = 600ms;
-constexpr auto FleetStopMin = 4000ms; // callers that keep addresses longest have then left
+// Permits for calls to an endpoint that has named a limit of requests. A call waits for its permit
+// for FleetPermitMaxWait at most; a host that takes over the issuing waits as long for the permits
+// of the former issuer.
+constexpr auto FleetPermitMaxWait = 1500ms;
+constexpr auto FleetPermitTakeoverPause = FleetPermitMaxWait;
+constexpr auto FleetPermitTimeout = 100ms; // then the issuer is asked again
+constexpr auto FleetStopMin = 4000ms;      // callers that keep addresses longest have then left
 constexpr std::size_t FleetBodyBytes = 4 * 1024 * 1024 + 4096;
 constexpr std::size_t FleetHeaderBytes = 32 * 1024;
 constexpr std::size_t FleetBufferedBytes = 64 * 1024 * 1024;
--- a/src/endpoint_search.cpp
+++ b/src/endpoint_search.cpp
@@ -21,9 +21,12 @@
           .excluded = &endpoints};
 }
 
-const EndpointState *EndpointSearch::choose(Instant now, std::uint64_t random) const {
+const EndpointState *EndpointSearch::choose(Instant now, std::uint64_t random,
+                                            Duration maxPermitWait) const {
   const auto out = excludedEndpoints();
-  return chooseEndpoint(view, queryExcluding(out), now, random);
+  auto query = queryExcluding(out);
+  query.maxPermitWait = maxPermitWait;
+  return chooseEndpoint(view, query, now, random);
 }
 
 bool EndpointSearch::hasAlternative(const EndpointName &current, Instant now,
@@ -39,6 +42,17 @@
   return end ? std::optional(*end - now) : std::nullopt;
 }
 
+std::optional<Duration> EndpointSearch::timeUntilPermit(Instant now) const {
+  const auto out = excludedEndpoints();
+  const auto end = earliestPermitTime(view, queryExcluding(out), now);
+  return end ? std::optional(*end - now) : std::nullopt;
+}
+
+bool EndpointSearch::isStillUsable(const FleetEndpoint &endpoint) const {
+  auto *state = view.find(endpoint.name);
+  return state && state->acceptsRequests() && state->entry.incarnation == endpoint.incarnation;
+}
+
 Duration EndpointSearch::shortestWait(Instant now) const {
   const Duration refusing = timeUntilReady(now).value_or(Duration::max());
   const bool loadHelps = !options.model.empty() && !hasReachedEndpointLimit();
@@ -57,7 +71,8 @@
     return Duration::max();
   Duration best = Duration::max();
   for (auto &[name, it] : view.endpoints()) {
-    if (it.entry.service != options.service || !it.acceptsRequests() || now < it.backoffUntil)
+    const bool refuses = now < it.backoffUntil || now < it.permitAfter;
+    if (it.entry.service != options.service || !it.acceptsRequests() || refuses)
       continue;
     auto d = loadTime(spec->second, sourceOf(it.entry.holdings, model));
     if (holds(it.models(now), {model, {}}))
--- a/src/endpoint_search_p.h
+++ b/src/endpoint_search_p.h
@@ -25,15 +25,23 @@
       : view(view), options(std::move(options)) {}
 
   /// Returns the best endpoint that can take the request now, or null if there is none.
-  const EndpointState *choose(Instant now, std::uint64_t random) const;
+  /// An endpoint with a limit of requests counts if a permit is likely within `maxPermitWait`.
+  const EndpointState *choose(Instant now, std::uint64_t random,
+                              Duration maxPermitWait = Duration::zero()) const;
   /// Returns true if an endpoint other than `current` can take the request now.
   bool hasAlternative(const EndpointName &current, Instant now, std::uint64_t random) const;
   /// Returns the time until the first endpoint that refuses such requests at present may take them
   /// again. Empty if no endpoint refuses them at present.
   std::optional<Duration> timeUntilReady(Instant now) const;
+  /// Returns the time until the first endpoint whose limit of requests is used up takes one more.
+  /// Empty if there is no such endpoint.
+  std::optional<Duration> timeUntilPermit(Instant now) const;
+  /// Returns true if the endpoint may still get requests, in the same incarnation.
+  bool isStillUsable(const FleetEndpoint &endpoint) const;
   /// Returns the shortest time until an endpoint could take the request: after a load of the model,
   /// or once an endpoint that refuses such requests at present takes them again. Duration::max() if
-  /// no endpoint will.
+  /// no endpoint will. Endpoints whose limit of requests is used up do not count: other requests
+  /// may take what they allow next.
   Duration shortestWait(Instant now) const;
 
   /// The endpoint has received the request, or may have.
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -9,6 +9,8 @@
 #include "log_p.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -47,6 +49,7 @@
 // A model that is about to be loaded is present after this many answers that it is missing. If it
 // is not, another host may know a better endpoint.
 constexpr int MaxMissingAnswers = 2;
+constexpr int MaxPermitDenials = 3; // then the request is refused
 
 /// Formats seconds with milliseconds for the Retry-After header.
 std::string secondsText(Duration d) {
@@ -120,6 +123,9 @@
   Duration maxModelWait() const;
   Duration retryAfter() const;
   const EndpointState *choose() const;
+  asio::awaitable<bool> obtainPermit(const FleetEndpoint &to);
+  asio::awaitable<Permit> askForPermit(const FleetEndpoint &to, Duration maxDelay);
+  Duration maxPermitWait() const;
   asio::awaitable<AttemptOutcome> sendTo(const FleetEndpoint &to);
   void recordSignals(const FleetEndpoint &from, Instant sentAt);
   asio::awaitable<AttemptOutcome> relayCompleteAnswer(HttpStream &stream, const AnswerHead &head);
@@ -169,6 +175,7 @@
   /// Newest complete answer of an endpoint, used if no other endpoint gives a better one.
   std::optional<HttpResponse> fallback;
   int sends = 0;
+  int permitDenials = 0;
   int missingAnswers = 0;   ///< answers that an endpoint does not hold the model
   Duration modelWaitTime{}; ///< total time spent waiting for the model
 };
@@ -244,12 +251,15 @@
       logRequest(0, "caller_gone");
       co_return;
     }
-    if (!chosen) {
+    if (!chosen || permitDenials >= MaxPermitDenials) {
       co_await finishUnanswered();
       co_return;
     }
     const FleetEndpoint to = chosen->entry;
     choices.push_back(describeChoice(*chosen));
+    const bool permitted = co_await obtainPermit(to);
+    if (!permitted)
+      continue;
     const AttemptOutcome attemptOutcome = co_await sendTo(to);
     if (attemptOutcome == AttemptOutcome::Finished)
       co_return;
@@ -283,8 +293,54 @@
   return true;
 }
 
+/// Returns the best endpoint that can take the request now. Only if there is none, an endpoint for
+/// whose permit the request would have to wait.
 const EndpointState *RequestForwarder::choose() const {
-  return search->choose(g.hooks.now(), g.hooks.random());
+  const Instant now = g.hooks.now();
+  const std::uint64_t random = g.hooks.random();
+  auto *chosen = search->choose(now, random, Duration::zero());
+  return chosen ? chosen : search->choose(now, random, maxPermitWait());
+}
+
+Duration RequestForwarder::maxPermitWait() const {
+  return std::clamp<Duration>(waitDeadline() - g.hooks.now(), Duration::zero(),
+                              config::FleetPermitMaxWait);
+}
+
+/// Obtains the permission to send to the endpoint if it has named a limit of requests, which may
+/// include a wait. Returns false if there is none, or if the endpoint must not get the request any
+/// more; the next choice takes that into account.
+asio::awaitable<bool> RequestForwarder::obtainPermit(const FleetEndpoint &to) {
+  if (!g.view.limitOf(to).perSecond)
+    co_return true;
+  const bool hasOther = search->hasAlternative(to.name, g.hooks.now(), g.hooks.random());
+  const Duration maxDelay = hasOther ? Duration::zero() : maxPermitWait();
+  const Permit permit = co_await askForPermit(to, maxDelay);
+  g.metrics.onPermit(permit.granted);
+  auto &choice = choices.back().as_object();
+  choice["permit"] = permit.granted;
+  choice["permit_delay_ms"] = toMillis(permit.delay);
+  if (!permit.granted) {
+    ++permitDenials;
+    g.view.onPermitDenied(incarnationOf(to), permit.delay, g.hooks.now());
+    co_return false;
+  }
+  if (permit.delay > Duration::zero())
+    co_await pause(permit.delay);
+  co_return !exchange.isCallerGone() && search->isStillUsable(to);
+}
+
+asio::awaitable<Permit> RequestForwarder::askForPermit(const FleetEndpoint &to, Duration maxDelay) {
+  auto start = [this, endpoint = incarnationOf(to), maxDelay](auto handler) {
+    auto resume = std::make_shared<decltype(handler)>(std::move(handler));
+    // Resumes the coroutine from the executor, since the hook may answer before it returns.
+    auto done = [resume, executor = g.executor](const Permit &permit) {
+      asio::post(executor, [resume, permit] { std::move (*resume)(permit); });
+    };
+    g.hooks.acquirePermit(endpoint, maxDelay, std::move(done));
+  };
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>, void(Permit)>(
+      std::move(start), asio::use_awaitable);
 }
 
 /// Returns the endpoint to send to, after a wait for the model if no endpoint holds it. Null if
@@ -593,6 +649,8 @@
 std::string_view RequestForwarder::notRunReason() const {
   if (sends > 0)
     return "not run";
+  if (search->timeUntilPermit(g.hooks.now()))
+    return "the request limit of the endpoints is used up";
   return caller.model.empty() ? "no endpoint takes the request in time"
                               : "no endpoint holds the model in time";
 }
@@ -616,9 +674,13 @@
   // longer backoff.
   const bool noLoad = caller.model.empty() || sends > 0;
   // Other hosts can serve the request at once if this host has no configuration or is stopping.
-  if (!search || (noLoad && !search->timeUntilReady(g.hooks.now())))
+  if (!search)
+    return config::FleetRetryAfterMin;
+  const Instant now = g.hooks.now();
+  const auto permitWait = search->timeUntilPermit(now);
+  if (noLoad && !permitWait && !search->timeUntilReady(now))
     return config::FleetRetryAfterMin;
-  auto soonest = search->shortestWait(g.hooks.now());
+  auto soonest = std::min(search->shortestWait(now), permitWait.value_or(Duration::max()));
   auto latest = std::max<Duration>(remainingTime() / 3, config::FleetRetryAfterMin);
   return soonest >= latest ? latest : soonest + config::FleetRetryAfterMin;
 }
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -38,6 +38,7 @@
   FleetView view;
   FleetPeers peers;
   FleetLinks links;
+  RequestPermits permits;
   DigestCache digests; ///< digests of other data centres
   FleetPlanner planner;
   FleetGateway gateway;
@@ -63,6 +64,10 @@
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
       : options(std::move(o)), adapter(std::move(a)), env(*adapter.env), peers(options.self),
         links(executor, [this](auto &message, auto &from) { onMessage(message, from); }),
+        permits(env, view,
+                {.issuer = [this](auto &it) { return permitIssuer(it); },
+                 .share = [this] { return peers.permitShare(env.now()); },
+                 .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
         planner(env, view, *adapter.engines,
                 {.host = options.self.host,
                  .incarnation = options.self.incarnation,
@@ -70,13 +75,17 @@
                  .firstOrderDelay = options.firstOrderDelay,
                  .ceilingWindow = options.ceilingWindow},
                 {.broadcast = [this](auto &message) { broadcast(message); },
-                 .send = [this](auto &to, auto &message) { sendNotices(to, message); }}),
+                 .send = [this](auto &to, auto &message) { sendNotices(to, message); },
+                 .acquirePermit = [this](auto &to, Duration maxDelay,
+                                         auto done) { permits.acquire(to, maxDelay, done); }}),
         gateway(
             executor, view, *adapter.codec,
             {.dataCentre = options.self.dataCentre, .budget = options.budget},
             {.now = [this] { return env.now(); },
              .random = [this] { return env.random(); },
              .hostCount = [this] { return peers.hostCount(); },
+             .acquirePermit = [this](auto &to, Duration maxDelay,
+                                     auto done) { permits.acquire(to, maxDelay, done); },
              .onModelNeedChanged = [this](auto &service, auto &model,
                                           int change) { onNeedChanged(service, model, change); },
              .onModelUnavailable = [this](auto &service,
@@ -316,6 +325,14 @@
       onNotices(*m, from);
     else if (auto *m = std::get_if<FleetDigests>(&message))
       onDigests(*m);
+    else if (auto *m = std::get_if<PermitRequest>(&message))
+      permits.onRequest(*m, from);
+    else if (auto *m = std::get_if<PermitReply>(&message))
+      permits.onReply(*m);
+  }
+
+  Address permitIssuer(const EndpointName &endpoint) const {
+    return peers.permitIssuer(endpoint, stopping, env.now());
   }
 
   void onHeartbeat(const FleetHeartbeat &message, const Address &from) {
@@ -323,6 +340,8 @@
     configuration.onPeerVersion(message.configVersion);
     for (auto &it : message.leavingEndpoints)
       view.onLeaving(it, env.now(), true);
+    for (auto &it : message.limits)
+      view.onLimitReportedByHost(it, env.now());
     for (auto &it : message.departures)
       view.onDeparture(it);
     newestPeerArrival = std::max(newestPeerArrival, message.newestArrival);
@@ -339,6 +358,8 @@
       configuration.onPeerVersion(digest.configVersion);
       for (auto &it : digest.leavingEndpoints)
         view.onLeaving(it, now, true);
+      for (auto &it : digest.limits)
+        view.onLimitReportedByHost(it, now);
       onPlannerHeard(digest.plannerTerm, digest.plannerAddress);
     }
   }
@@ -385,6 +406,7 @@
                      .plannerTerm = planner.isActive() ? planner.term() : 0,
                      .loads = {},
                      .leavingEndpoints = view.signals().leavingToAnnounce(now),
+                     .limits = view.signals().limits().toAnnounce(now),
                      .departures = {},
                      .newestArrival = 0};
     if (wasSentinel) {
@@ -412,6 +434,7 @@
     env.after(config::FleetHeartbeat, [self = shared_from_this()] { self->heartbeat(); });
     auto now = env.now();
     view.expire(now);
+    permits.expire();
     const FleetHeartbeat m = makeHeartbeat(now);
     links.send(peers.nearbyAddresses(), m);
     if (heartbeats++ % config::FleetDistantHeartbeats == 0)
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -6,6 +6,7 @@
 #include "fleet_peers_p.h"
 #include "fleet_planner_p.h"
 #include "object_follower_p.h"
+#include "request_permits_p.h"
 
 #include <functional>
 #include <memory>
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -55,6 +55,49 @@
   return out;
 }
 
+json::object toJson(const RequestLimit &m) {
+  json::object out{
+      {"e", m.endpoint.endpoint.value}, {"i", m.endpoint.incarnation}, {"v", m.version}};
+  if (m.perSecond)
+    out["r"] = *m.perSecond;
+  return out;
+}
+
+json::array toJson(const std::vector<RequestLimit> &limits) {
+  json::array out;
+  for (auto &it : limits)
+    out.push_back(toJson(it));
+  return out;
+}
+
+RequestLimit readLimit(JsonReader &in) {
+  RequestLimit limit{.endpoint = {in.name<EndpointName>("e"), in.unsignedInt("i")},
+                     .version = in.unsignedInt("v"),
+                     .perSecond = std::nullopt};
+  if (in.raw().contains("r"))
+    limit.perSecond = in.number("r");
+  in.ok = in.ok && limit.perSecond.value_or(0) >= 0;
+  return limit;
+}
+
+std::vector<RequestLimit> readLimits(JsonReader &in) {
+  std::vector<RequestLimit> out;
+  in.objects("limits", [&](JsonReader &it) { out.push_back(readLimit(it)); });
+  return out;
+}
+
+/// Reads the limit in a message about a permit.
+RequestLimit readOwnLimit(JsonReader &in) {
+  auto *limit = in.raw().if_contains("limit");
+  in.ok = in.ok && limit && limit->is_object();
+  if (!in.ok)
+    return {};
+  JsonReader limitReader(limit->get_object());
+  RequestLimit out = readLimit(limitReader);
+  in.ok = limitReader.ok;
+  return out;
+}
+
 // The names are keys of one object, which keeps the encoding short: loads are most of the bytes
 // that data centres exchange.
 json::object toJson(const std::vector<EndpointLoad> &loads) {
@@ -92,6 +135,8 @@
                    {"config", m.configVersion},
                    {"exceptions", std::move(unhealthyHosts)},
                    {"leaving_endpoints", toJson(m.leavingEndpoints)}};
+  if (!m.limits.empty())
+    out["limits"] = toJson(m.limits);
   if (m.plannerTerm > 0) {
     out["planner"] = m.plannerTerm;
     out["planner_address"] = m.plannerAddress.toString();
@@ -103,7 +148,8 @@
   DataCentreDigest m{.dataCentre = in.name<DataCentreName>("data_centre"),
                      .configVersion = in.unsignedInt("config"),
                      .unhealthyHosts = {},
-                     .leavingEndpoints = readLeavingEndpoints(in)};
+                     .leavingEndpoints = readLeavingEndpoints(in),
+                     .limits = readLimits(in)};
   if (in.raw().contains("planner")) {
     m.plannerTerm = in.unsignedInt("planner");
     m.plannerAddress = in.address("planner_address");
@@ -135,6 +181,8 @@
       {"config", m.configVersion}, {"planner", m.plannerTerm}, {"loads", toJson(m.loads)}};
   if (!m.leavingEndpoints.empty())
     out["leaving_endpoints"] = toJson(m.leavingEndpoints);
+  if (!m.limits.empty())
+    out["limits"] = toJson(m.limits);
   if (!m.departures.empty())
     out["departures"] = toJson(m.departures);
   if (m.newestArrival > 0)
@@ -193,6 +241,32 @@
   return out;
 }
 
+json::object toJson(const PermitRequest &m) {
+  return {{"type", "permit_request"},
+          {"id", m.id},
+          {"limit", toJson(m.limit)},
+          {"max_delay_us", m.maxDelay.count()}};
+}
+
+json::object toJson(const PermitReply &m) {
+  return {{"type", "permit"},
+          {"id", m.id},
+          {"limit", toJson(m.limit)},
+          {"granted", m.permit.granted},
+          {"delay_us", m.permit.delay.count()}};
+}
+
+PermitRequest readPermitRequest(JsonReader &in) {
+  return {
+      .id = in.unsignedInt("id"), .limit = readOwnLimit(in), .maxDelay = in.micros("max_delay_us")};
+}
+
+PermitReply readPermitReply(JsonReader &in) {
+  return {.id = in.unsignedInt("id"),
+          .limit = readOwnLimit(in),
+          .permit = {.granted = in.flag("granted"), .delay = in.micros("delay_us")}};
+}
+
 FleetHeartbeat readHeartbeat(JsonReader &in) {
   return {.host = in.name<HostName>("host"),
           .incarnation = in.unsignedInt("incarnation"),
@@ -203,6 +277,7 @@
           .plannerTerm = in.unsignedInt("planner"),
           .loads = readLoads(in),
           .leavingEndpoints = readLeavingEndpoints(in),
+          .limits = readLimits(in),
           .departures = readDepartures(in),
           .newestArrival = in.raw().contains("arrival") ? in.unsignedInt("arrival") : 0};
 }
@@ -287,6 +362,10 @@
     message = readNotices(in);
   else if (type == "digests")
     message = readDigests(in);
+  else if (type == "permit_request")
+    message = readPermitRequest(in);
+  else if (type == "permit")
+    message = readPermitReply(in);
   return in.ok ? message : std::nullopt;
 }
 
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet_view_p.h"
+#include "permit_issuer_p.h"
 
 #include <map>
 #include <optional>
@@ -39,6 +40,7 @@
   std::vector<EndpointLoad> loads;
   /// Endpoints that have announced their shutdown in an answer to this host.
   std::vector<EndpointIncarnation> leavingEndpoints;
+  std::vector<RequestLimit> limits;  ///< named, changed or ended in an answer to this host
   std::vector<Departure> departures; ///< recently read in the registry by this host
   std::uint64_t newestArrival = 0;   ///< revision of the newest registration that can serve at once
 };
@@ -63,6 +65,7 @@
   Address plannerAddress;
   std::vector<HostStatus> unhealthyHosts;
   std::vector<EndpointIncarnation> leavingEndpoints;
+  std::vector<RequestLimit> limits; ///< the newest of each endpoint that a host there announces
 };
 
 /// Digests of data centres in a large fleet. A relay sends the digest of its own data centre to the
@@ -115,8 +118,22 @@
   bool forwardInDataCentre = false; ///< to the hosts of the receiver's data centre
 };
 
-using FleetMessage =
-    std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices, FleetDigests>;
+/// Asks the issuer for a permit for one call to an endpoint.
+struct PermitRequest {
+  std::uint64_t id = 0; ///< of the sender
+  RequestLimit limit;   ///< as the sender knows it
+  Duration maxDelay{};  ///< for which the call can wait
+};
+
+/// Answer to a PermitRequest.
+struct PermitReply {
+  std::uint64_t id = 0; ///< of the request
+  RequestLimit limit;   ///< as the issuer knows it
+  Permit permit;
+};
+
+using FleetMessage = std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices,
+                                  FleetDigests, PermitRequest, PermitReply>;
 
 /// Encodes a message as JSON.
 std::string encodeFleetMessage(const FleetMessage &message);
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -119,6 +119,23 @@
   return out;
 }
 
+Address FleetPeers::permitIssuer(const EndpointName &endpoint, bool leaving, Instant now) const {
+  auto rank = [&](const FleetHostEntry &entry) {
+    const auto hash = XXH64(endpoint.value.data(), endpoint.value.size(), relayRank(entry).second);
+    return std::pair(entry.capacity < MinRelayCapacity, hash);
+  };
+  const FleetHostEntry *best = leaving ? nullptr : &self;
+  for (auto &[host, peer] : peers)
+    if (isAlive(peer, now) && !peer.heartbeat.leaving && (!best || rank(peer.entry) < rank(*best)))
+      best = &peer.entry;
+  return best && best != &self ? best->peerAddress : Address{};
+}
+
+double FleetPeers::permitShare(Instant now) const {
+  constexpr double MaxSumOfShares = 1.4; // endpoints tolerate half as much again as their limit
+  return std::min(1.0, MaxSumOfShares * aliveCount(now) / hostCount());
+}
+
 int FleetPeers::aliveCount(Instant now) const {
   auto n =
       std::count_if(peers.begin(), peers.end(), [&](auto &it) { return isAlive(it.second, now); });
@@ -200,7 +217,8 @@
                        .plannerTerm = state.plannerTerm,
                        .plannerAddress = self.peerAddress,
                        .unhealthyHosts = {},
-                       .leavingEndpoints = state.leavingEndpoints};
+                       .leavingEndpoints = state.leavingEndpoints,
+                       .limits = state.limits};
   const HostStatus own{self.host, true, state.ready, state.leaving, state.storeConnected};
   if (!own.ready || own.leaving || !own.storeConnected)
     out.unhealthyHosts.push_back(own);
@@ -218,6 +236,8 @@
     for (auto &it : heartbeat.leavingEndpoints)
       if (std::count(out.leavingEndpoints.begin(), out.leavingEndpoints.end(), it) == 0)
         out.leavingEndpoints.push_back(it);
+    for (auto &it : heartbeat.limits)
+      addNewerLimit(out.limits, it);
     if (heartbeat.plannerTerm <= out.plannerTerm)
       continue;
     out.plannerTerm = heartbeat.plannerTerm;
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -63,6 +63,13 @@
   /// with at least half the capacity of the strongest of them. This host is included if
   /// `storeConnected`.
   std::vector<HostName> plannerCandidates(bool storeConnected, Instant now) const;
+  /// Returns the host that issues the permits for calls to an endpoint with a limit of requests:
+  /// one of the live hosts that are not leaving. Empty if that is this host, which counts unless it
+  /// is `leaving`.
+  Address permitIssuer(const EndpointName &endpoint, bool leaving, Instant now) const;
+  /// Returns the part of a limit that this host may issue, at most 1. If the fleet is partitioned,
+  /// the parts of the issuers on all sides add up to little more than 1.
+  double permitShare(Instant now) const;
   /// Returns the number of live hosts, this one included; at least 1.
   int aliveCount(Instant now) const;
   /// Returns true if there are too many live hosts for each to watch the store with short limits
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -26,6 +26,11 @@
 constexpr int MaxCommandSends = 4; // attempts for one order whose answers are lost
 constexpr Duration RejectedOrderPause = std::chrono::milliseconds(400);
 constexpr std::size_t NoticesPerMessage = 4;
+// Calls of the planner count towards an engine's limit of requests. Status calls use this share of
+// it; the rest is for callers.
+constexpr double StatusShareOfLimit = 0.2;
+constexpr Duration MaxStatusInterval = std::chrono::seconds(30);
+constexpr Duration OrderPermitWait = std::chrono::milliseconds(500);
 
 } // namespace
 
@@ -132,6 +137,15 @@
     if (state && now < state->backoffUntil && !record.active)
       return;
     record.statusPending = true;
+    withPermit(
+        record, Duration::zero(), [this](EngineRecord &it) { requestStatus(it); },
+        [this](EngineRecord &it, Duration d) {
+          it.statusPending = false;
+          it.nextStatus = env.now() + std::max(d, statusInterval(it));
+        });
+  }
+
+  void requestStatus(EngineRecord &record) {
     logCallUnderLimit(record, "status");
     engines.requestStatus(record.entry,
                           bindToEngine(record, [this](EngineRecord &it, const auto &status) {
@@ -140,6 +154,37 @@
                           }));
   }
 
+  /// Time between two status calls to the engine.
+  Duration statusInterval(const EngineRecord &record) const {
+    const Duration usual =
+        record.active ? config::FleetStatusRetry : Duration(config::FleetStatusInterval);
+    const auto limit = view.limitOf(record.entry).perSecond;
+    if (!limit)
+      return usual;
+    const double perSecond =
+        std::max(*limit * StatusShareOfLimit, 1 / toSeconds(MaxStatusInterval));
+    return std::max(usual, fromSeconds(1 / perSecond));
+  }
+
+  /// Runs `step` once a call to the engine is permitted, within `maxDelay`. Otherwise runs `denied`
+  /// with the time until a permit is likely.
+  template <class Step, class Denied>
+  void withPermit(EngineRecord &record, Duration maxDelay, Step step, Denied denied) {
+    const bool needsPermit = links.acquirePermit && view.limitOf(record.entry).perSecond;
+    if (!needsPermit)
+      return step(record);
+    links.acquirePermit(
+        incarnationOf(record.entry), maxDelay,
+        bindToEngine(record, [this, step, denied](EngineRecord &it, const Permit &permit) {
+          if (!permit.granted)
+            denied(it, permit.delay);
+          else if (permit.delay > Duration::zero())
+            runLater(permit.delay, it, step);
+          else
+            step(it);
+        }));
+  }
+
   /// Logs a call to an engine that has named a limit of requests, since it counts as a request.
   void logCallUnderLimit(const EngineRecord &record, std::string_view call) const {
     const auto limit = view.signals().limits().find(incarnationOf(record.entry));
@@ -153,8 +198,7 @@
 
   void onStatus(EngineRecord &record, const std::optional<EngineStatus> &status) {
     auto now = env.now();
-    record.nextStatus =
-        now + (record.active ? config::FleetStatusRetry : Duration(config::FleetStatusInterval));
+    record.nextStatus = now + statusInterval(record);
     if (!status || status->incarnation != record.entry.incarnation) {
       const bool wasSilent = record.isSilent();
       ++record.statusFailures;
@@ -203,7 +247,7 @@
     else if (active.order.remote)
       storeLoadMeter.onAbandoned(record.entry.name, now);
     record.active.reset();
-    record.nextStatus = now + config::FleetStatusInterval;
+    record.nextStatus = now + statusInterval(record);
   }
 
   // ---- Planning --------------------------------------------------------------------------------
@@ -249,9 +293,24 @@
       input.allEnginesKnown = input.allEnginesKnown && (record.hasStatus || record.isSilent());
     }
     demand.fillPlacementInput(service.name, now - acquiredAt, input);
+    for (auto &it : input.engines)
+      it.usable = it.usable && !isLimitTooLow(it, input);
     return input;
   }
 
+  /// Returns true if the engine's limit of requests is below the demand for its models, so that
+  /// they are needed elsewhere.
+  bool isLimitTooLow(const PlacementEngine &engine, const PlacementInput &input) const {
+    const auto limit = view.limitOf(records.at(engine.name).entry).perSecond;
+    if (!limit)
+      return false;
+    double perSecond = 0;
+    for (auto &it : engine.models)
+      if (auto found = input.demand.find(it.model); found != input.demand.end())
+        perSecond += found->second.perSecond;
+    return perSecond > *limit;
+  }
+
   // ---- Orders ----------------------------------------------------------------------------------
 
   void startOrder(EngineRecord &record, const PlacementOrder &order, const EngineSpec &spec) {
@@ -300,6 +359,20 @@
   }
 
   void send(EngineRecord &record) {
+    withPermit(
+        record, OrderPermitWait, [this](EngineRecord &it) { sendNow(it); },
+        [this](EngineRecord &it, Duration d) {
+          onCommandDone(it, CommandResult::NotSent);
+          it.pausedUntil = std::max(it.pausedUntil, env.now() + d);
+          it.nextStatus = env.now() + d;
+        });
+  }
+
+  void sendNow(EngineRecord &record) {
+    if (!record.sending)
+      return;
+    if (!canOrder()) // the lease may have been lost during a wait for a permit
+      return onCommandDone(record, CommandResult::NotSent);
     auto &sending = *record.sending;
     ++sending.sendCount;
     logCallUnderLimit(record, "order");
@@ -380,6 +453,14 @@
     if (!record.active || record.active->order.action != PlacementAction::Unload ||
         record.sending || !canOrder())
       return;
+    withPermit(
+        record, Duration::zero(), [this](EngineRecord &it) { repeatUnload(it); },
+        [this](EngineRecord &it, Duration) { onUnloadChecked(it, CommandResult::Busy); });
+  }
+
+  void repeatUnload(EngineRecord &record) {
+    if (!record.active || !canOrder())
+      return;
     logCallUnderLimit(record, "order");
     engines.sendCommand(record.entry, makeCommand(record.active->order, record.holdings.orderCount),
                         bindToEngine(record, [this](auto &it, CommandResult result) {
--- a/src/fleet_planner_p.h
+++ b/src/fleet_planner_p.h
@@ -84,6 +84,10 @@
 struct FleetPlannerLinks {
   std::function<void(const HoldingsNotices &)> broadcast; ///< to all hosts including this one
   std::function<void(const Address &to, const HoldingsNotices &)> send;
+  /// Asks for permission to make one call that can wait for `maxDelay` to an engine with a limit of
+  /// requests. Calls `done` once. If empty, every call is permitted.
+  std::function<void(const EndpointIncarnation &, Duration maxDelay, std::function<void(Permit)>)>
+      acquirePermit;
 };
 
 /// Acquires the lease and plans while this host holds it.
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -65,6 +65,7 @@
     state.failureShare = 0;
     state.failuresInRow = 0;
     state.avoidUntil = now;
+    state.permitAfter = {};
   }
   state.missingUntil.clear();
   state.expiresAt.reset();
@@ -230,16 +231,22 @@
   auto &limits = endpointSignals.limits();
   const bool changed = limits.onAnswer(endpoint, announced.requestsPerSecond, sentAt, now);
   if (changed)
-    logLimit(endpoint, false);
+    onLimitChanged(endpoint, false);
 }
 
 void FleetView::onLimitReportedByHost(const RequestLimit &limit, Instant now) {
   const bool changed = endpointSignals.limits().onReportedByHost(limit, now);
   if (changed)
-    logLimit(limit.endpoint, true);
+    onLimitChanged(limit.endpoint, true);
 }
 
-void FleetView::logLimit(const EndpointIncarnation &endpoint, bool reportedByHost) const {
+void FleetView::onPermitDenied(const EndpointIncarnation &endpoint, Duration d, Instant now) {
+  auto it = states.find(endpoint.endpoint);
+  if (it != states.end() && it->second.entry.incarnation == endpoint.incarnation)
+    it->second.permitAfter = now + d;
+}
+
+void FleetView::onLimitChanged(const EndpointIncarnation &endpoint, bool reportedByHost) {
   const RequestLimit limit = endpointSignals.limits().find(endpoint);
   logLine(LogLevel::Info,
           limit.perSecond ? "endpoint names a request limit" : "endpoint names no request limit",
@@ -248,6 +255,11 @@
            {"per_second", limit.perSecond.value_or(0)},
            {"limit_version", limit.version},
            {"heard", reportedByHost}});
+  auto it = states.find(endpoint.endpoint);
+  if (limit.perSecond || it == states.end())
+    return;
+  it->second.permitAfter = {};
+  notifyWaiters();
 }
 
 void FleetView::onBackoff(const FleetEndpoint &endpoint, Duration d, Instant now) {
@@ -334,7 +346,8 @@
                                     std::uint64_t random) {
   std::vector<const EndpointState *> candidates;
   for (auto &[name, state] : view.endpoints())
-    if (now >= state.readyTime(query.model) && canServe(state, query, now))
+    if (now >= state.readyTime(query.model) && now + query.maxPermitWait >= state.permitAfter &&
+        canServe(state, query, now))
       candidates.push_back(&state);
   auto *preferred = preferredEndpoint(candidates, query.affinity, now);
   const EndpointState *best = nullptr;
@@ -351,15 +364,32 @@
   return best;
 }
 
-std::optional<Instant> earliestReadyTime(const FleetView &view, const EndpointQuery &query,
-                                         Instant now) {
+namespace {
+
+/// Returns the earliest of the times that `timeOf` gives for the endpoints that can serve such
+/// requests, among those after `now`. Empty if there is none.
+template <class TimeOf>
+std::optional<Instant> earliestTimeAfter(const FleetView &view, const EndpointQuery &query,
+                                         Instant now, TimeOf timeOf) {
   std::optional<Instant> first;
   for (auto &[name, state] : view.endpoints()) {
-    const Instant ready = state.readyTime(query.model);
-    if (now < ready && canServe(state, query, now))
-      first = std::min(first.value_or(Instant::max()), ready);
+    const Instant time = timeOf(state);
+    if (now < time && canServe(state, query, now))
+      first = std::min(first.value_or(Instant::max()), time);
   }
   return first;
 }
 
+} // namespace
+
+std::optional<Instant> earliestReadyTime(const FleetView &view, const EndpointQuery &query,
+                                         Instant now) {
+  return earliestTimeAfter(view, query, now, [&](auto &it) { return it.readyTime(query.model); });
+}
+
+std::optional<Instant> earliestPermitTime(const FleetView &view, const EndpointQuery &query,
+                                          Instant now) {
+  return earliestTimeAfter(view, query, now, [](auto &it) { return it.permitAfter; });
+}
+
 } // namespace catkin
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -56,6 +56,7 @@
   int failuresInRow = 0;
   Instant avoidUntil;   ///< no requests before this time, unless no other endpoint is left
   Instant backoffUntil; ///< no requests before this time, at the endpoint's request
+  Instant permitAfter;  ///< no permit for a request is likely before this time
   /// When to remove the endpoint; set if its registration disappeared around a store outage.
   std::optional<Instant> expiresAt;
   std::optional<std::uint64_t> departedRevision; ///< registrations up to this revision are void
@@ -111,6 +112,12 @@
   void onLeaving(const EndpointIncarnation &endpoint, Instant now, bool reportedByHost = false);
   /// Another host has observed this limit of an endpoint.
   void onLimitReportedByHost(const RequestLimit &limit, Instant now);
+  /// No permit for a request to the endpoint is likely to be issued for the time `d`.
+  void onPermitDenied(const EndpointIncarnation &endpoint, Duration d, Instant now);
+  /// Returns the limit of requests that the endpoint has named.
+  RequestLimit limitOf(const FleetEndpoint &endpoint) const {
+    return endpointSignals.limits().find(incarnationOf(endpoint));
+  }
   /// The endpoint has refused a request and wants none from this host for the time `d`.
   void onBackoff(const FleetEndpoint &endpoint, Duration d, Instant now);
   const EndpointSignals &signals() const { return endpointSignals; }
@@ -134,7 +141,8 @@
 
 private:
   void notifyWaiters();
-  void logLimit(const EndpointIncarnation &endpoint, bool reportedByHost) const;
+  /// Logs a changed limit. If it has ended, requests go to the endpoint again.
+  void onLimitChanged(const EndpointIncarnation &endpoint, bool reportedByHost);
   /// Sets the state of an endpoint by its announcements and by the departures of other hosts.
   void applySignals(EndpointState &state) const;
   void recordArrival(const EndpointState &state, bool isNew);
@@ -159,6 +167,7 @@
   DataCentreName dataCentre;  ///< of this host
   std::uint64_t affinity = 0; ///< requests with the same value share parts of the prompt; 0 if none
   const std::set<EndpointName> *excluded = nullptr; ///< endpoints not to choose; null if none
+  Duration maxPermitWait{};                         ///< for which the request can wait for a permit
 };
 
 /// Chooses the endpoint for one request; null if none can take it. The rule suits a few engines
@@ -174,4 +183,9 @@
 std::optional<Instant> earliestReadyTime(const FleetView &view, const EndpointQuery &query,
                                          Instant now);
 
+/// Returns when the first endpoint that can serve such requests, but whose limit of requests is
+/// used up, is likely to take one more. Empty if there is none.
+std::optional<Instant> earliestPermitTime(const FleetView &view, const EndpointQuery &query,
+                                          Instant now);
+
 } // namespace catkin
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -148,6 +148,11 @@
                                                           .Name("catkin_failed_attempts_total")
                                                           .Help("Failed attempts by failure")
                                                           .Register(registry);
+  prometheus::Family<prometheus::Counter> &permits =
+      BuildCounter()
+          .Name("catkin_permits_total")
+          .Help("Permits for requests to endpoints with a limit, by result")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram> &durations =
       BuildHistogram()
           .Name("catkin_request_seconds")
@@ -183,6 +188,10 @@
   impl->failures.Add({{"failure", std::string(failure)}}).Increment();
 }
 
+void FleetMetrics::onPermit(bool granted) {
+  impl->permits.Add({{"result", granted ? "granted" : "denied"}}).Increment();
+}
+
 std::string FleetMetrics::text(const FleetGauges &gauges) {
   for (std::size_t i = 0; i < FleetGaugeTable.size(); ++i)
     impl->gauges[i]->Set(gauges.*FleetGaugeTable[i].second);
--- a/src/metrics_p.h
+++ b/src/metrics_p.h
@@ -46,6 +46,8 @@
   /// Records how long a request waited for its model.
   void onModelWait(Duration d);
   void onFailedAttempt(std::string_view failure);
+  /// Counts a permit for a request to an endpoint with a limit, or the denial of one.
+  void onPermit(bool granted);
   /// Returns all metrics in the Prometheus text format.
   std::string text(const FleetGauges &gauges);
 
--- a/src/request_limits.cpp
+++ b/src/request_limits.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace catkin {
@@ -22,6 +23,19 @@
 
 } // namespace
 
+bool isNewer(const RequestLimit &a, const RequestLimit &b) {
+  return observationOrder(a) > observationOrder(b);
+}
+
+void addNewerLimit(std::vector<RequestLimit> &limits, const RequestLimit &limit) {
+  auto it = std::find_if(limits.begin(), limits.end(),
+                         [&](auto &known) { return known.endpoint == limit.endpoint; });
+  if (it == limits.end())
+    limits.push_back(limit);
+  else if (isNewer(limit, *it))
+    *it = limit;
+}
+
 bool RequestLimits::onAnswer(const EndpointIncarnation &endpoint, std::optional<double> perSecond,
                              Instant sentAt, Instant now) {
   auto it = entries.find(endpoint);
@@ -37,9 +51,9 @@
 }
 
 bool RequestLimits::onReportedByHost(const RequestLimit &limit, Instant now) {
-  auto &entry = entries[limit.endpoint];
-  if (observationOrder(limit) <= observationOrder(entry.limit))
+  if (!isNewer(limit, find(limit.endpoint)))
     return false;
+  auto &entry = entries[limit.endpoint];
   const bool changed = entry.limit.perSecond != limit.perSecond;
   entry.limit = limit;
   entry.namedAt = now;
--- a/src/request_limits_p.h
+++ b/src/request_limits_p.h
@@ -20,6 +20,12 @@
   std::optional<double> perSecond;
 };
 
+/// Returns true if `a` is a newer observation of the endpoint than `b`, or a lower limit of the
+/// same version.
+bool isNewer(const RequestLimit &a, const RequestLimit &b);
+/// Adds the limit, in place of an older one of the same endpoint.
+void addNewerLimit(std::vector<RequestLimit> &limits, const RequestLimit &limit);
+
 /// Keeps the newest known limit of each endpoint.
 class RequestLimits {
 public:
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -62,6 +62,7 @@
             .now = [] { return steadyNow(); },
             .random = [this] { return ++randomCounter; },
             .hostCount = [] { return 1; },
+            .acquirePermit = [](auto &, Duration, auto done) { done({.granted = true}); },
             .onModelNeedChanged = [this](auto &, auto &, int n) { needCount += n > 0 ? 1 : 0; },
             .onModelUnavailable = [this](auto &, auto &) { ++needCount; }});
     frontServer = std::make_unique<HttpServer>(
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -237,7 +237,7 @@
   if (term < highestTerm)
     return makeResponse(412);
   highestTerm = term;
-  if (rejectsOrders || body["expect"].to_number<std::uint64_t>() != acceptedOrders)
+  if (body["expect"].to_number<std::uint64_t>() != acceptedOrders)
     return makeResponse(409);
   auto model = textOf(body["model"].as_string());
   bool load = body["operation"].as_string() == "loading";
@@ -287,7 +287,7 @@
   HttpResponse response = makeResponse(421);
   response.set("Instance", id);
   if (request["Expect-Instance"] == id) {
-    calls.push_back(steadyNow());
+    limit.calls.push_back(steadyNow());
     if (target == "/api/report")
       response = makeResponse(200, registryEntry("ready"));
     else if (target == "/api/order")
@@ -302,8 +302,12 @@
 void StandinEngine::setAnnouncements(HttpResponse &response) const {
   if (leaving)
     response.set("Server-Leaving", "1");
-  if (limitPerSecond)
-    response.set("Server-Limit", std::to_string(*limitPerSecond));
+  limit.announce(response);
+}
+
+void StandinLimit::announce(HttpResponse &response) const {
+  if (perSecond)
+    response.set("Server-Limit", std::to_string(*perSecond));
 }
 
 int allowedInWindow(double perSecond) {
@@ -350,6 +354,7 @@
   HttpResponse response = makeResponse(421);
   response.set("Instance", id);
   if (request["Expect-Instance"] == id) {
+    limit.calls.push_back(steadyNow());
     ++runsById[requestId];
     co_await sleepFor(EventPause);
     response = makeResponse(200);
@@ -357,6 +362,7 @@
     response.set("Server-Stamp", id);
   }
   response.set("Request-Id", requestId);
+  limit.announce(response);
   co_await exchange.respond(std::move(response));
 }
 
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -64,6 +64,13 @@
   std::uint64_t revision = 0;
 };
 
+/// A limit of requests that a stand-in names in all its responses, and the calls that it gets.
+struct StandinLimit {
+  std::optional<double> perSecond; ///< for all hosts together
+  std::vector<Instant> calls;      ///< arrivals of all calls: requests, reports and orders
+  void announce(HttpResponse &response) const;
+};
+
 /// A model engine that takes orders and serves streams.
 class StandinEngine {
 public:
@@ -81,10 +88,7 @@
   bool leaving = false;      ///< announced in all responses
   double backoffSeconds = 0; ///< above 0: refuses requests with this Retry-After
   int refusedRequests = 0;   ///< model requests refused because of backoffSeconds
-  /// Requests a second, named in all responses as the limit for all hosts together.
-  std::optional<double> limitPerSecond;
-  std::vector<Instant> calls; ///< arrivals of all calls: requests, reports and orders
-  bool rejectsOrders = false; ///< answers all orders as busy
+  StandinLimit limit;
   std::uint64_t acceptedOrders = 0;
   std::uint64_t highestTerm = 0;
   std::set<std::string> orderHolders; ///< holders that sent the accepted orders
@@ -120,6 +124,7 @@
 
   const std::string id;
   Address address;
+  StandinLimit limit;
   std::map<std::string, int> runsById;
 };
 
--- a/tests/request_limit_test.cpp
+++ b/tests/request_limit_test.cpp
@@ -30,7 +30,8 @@
 protected:
   RequestLimit()
       : hosts(GetParam()), dataCentres(hosts > SmallFleet ? 3 : 1),
-        cluster(hosts, {{"m0", "m1"}, {"m0", "m2"}}, {.dataCentres = dataCentres}) {}
+        cluster(hosts, {{"m0", "m1"}, {"m0", "m2"}},
+                {.plainEndpoints = 1, .dataCentres = dataCentres}) {}
 
   void SetUp() override {
     ASSERT_TRUE(pollUntil([&] { return cluster.areAllHostsReady(); }));
@@ -42,7 +43,8 @@
 
   void TearDown() override { stopCallers(); }
 
-  /// Starts callers that send requests for `model` to all hosts in turn, with a pause after each.
+  /// Starts callers that send requests for `model`, or to the plain endpoint if it is empty, to all
+  /// hosts in turn, with a pause after each.
   void startCallers(const std::string &model, Duration pause, CallerResults &results) {
     for (int i = 0; i < Callers; ++i)
       callers.emplace_back([this, i, model, pause, &results] {
@@ -55,7 +57,9 @@
 
   void recordCall(const std::string &model, int host, CallerResults &results) {
     const Instant start = steadyNow();
-    const auto result = cluster.requestStream(host, model);
+    std::string id;
+    const auto result =
+        model.empty() ? cluster.requestOnce(host, id) : cluster.requestStream(host, model);
     const bool complete = result.status == HttpTransferStatus::Ok;
     const unsigned status = complete ? result.response.result_int() : 0;
     if (status == 200)
@@ -75,15 +79,15 @@
     callers.clear();
   }
 
-  void nameLimit(std::optional<double> perSecond) {
-    cluster.run([&] { cluster.engines[0]->limitPerSecond = perSecond; });
+  void nameLimit(StandinLimit &limit, std::optional<double> perSecond) {
+    cluster.run([&] { limit.perSecond = perSecond; });
   }
 
-  /// Returns the times of all calls to the limited engine since `from`.
-  std::vector<Instant> callsSince(Instant from) {
+  /// Returns the times of all calls to the limited endpoint since `from`.
+  std::vector<Instant> callsSince(const StandinLimit &limit, Instant from) {
     std::vector<Instant> out;
     cluster.run([&] {
-      for (auto &it : cluster.engines[0]->calls)
+      for (auto &it : limit.calls)
         if (it >= from)
           out.push_back(it);
     });
@@ -108,12 +112,12 @@
   CallerResults results;
   startCallers("m0", 40ms, results);
   std::this_thread::sleep_for(1s);
-  nameLimit(PerSecond);
+  nameLimit(cluster.engines[0]->limit, PerSecond);
   std::this_thread::sleep_for(ReactionTime);
   const Instant from = steadyNow();
   const int runsBefore = runsOf(0);
   std::this_thread::sleep_for(ObservedTime);
-  const auto calls = callsSince(from);
+  const auto calls = callsSince(cluster.engines[0]->limit, from);
   EXPECT_LE(largestWindowCount(calls, LimitWindow), allowedInWindow(PerSecond));
   // Callers get half of what the limit allows at least; the rest is for the planner's calls.
   EXPECT_GE(runsOf(0) - runsBefore, PerSecond * toSeconds(ObservedTime) / 2);
@@ -124,10 +128,10 @@
 
 TEST_P(RequestLimit, LimitOutlivesTheAnswersThatNamedIt) {
   CallerResults results;
-  nameLimit(2);
+  nameLimit(cluster.engines[0]->limit, 2);
   startCallers("m0", 40ms, results);
   std::this_thread::sleep_for(ReactionTime);
-  nameLimit(std::nullopt);
+  nameLimit(cluster.engines[0]->limit, std::nullopt);
   std::this_thread::sleep_for(ReactionTime);
   const int first = runsOf(0);
   const int second = runsOf(1);
@@ -135,23 +139,37 @@
   EXPECT_GT(3 * (runsOf(0) - first), runsOf(1) - second);
 }
 
-// The model stands at the limited engine alone, and no other engine may load it in time.
-TEST_P(RequestLimit, WhatIsOverTheLimitOfTheOnlyEngineIsHeldOrRefusedFalsely) {
+TEST_P(RequestLimit, WhatIsOverTheLimitOfTheOnlyEndpointIsHeldOrRefusedFalsely) {
   constexpr double PerSecond = 0.5; // less than one request a host and window
-  cluster.run([&] { cluster.engines[1]->rejectsOrders = true; });
-  nameLimit(PerSecond);
+  auto &endpoint = *cluster.plainEndpoints[0];
+  nameLimit(endpoint.limit, PerSecond);
   CallerResults results;
-  startCallers("m1", 150ms, results);
+  startCallers("", 100ms, results);
   std::this_thread::sleep_for(ReactionTime);
   const Instant from = steadyNow();
-  const int runsBefore = runsOf(0);
   std::this_thread::sleep_for(ObservedTime);
-  EXPECT_LE(largestWindowCount(callsSince(from), LimitWindow), allowedInWindow(PerSecond));
-  EXPECT_GE(runsOf(0) - runsBefore, 2);
+  const auto calls = callsSince(endpoint.limit, from);
+  EXPECT_LE(largestWindowCount(calls, LimitWindow), allowedInWindow(PerSecond));
+  EXPECT_GE(calls.size(), 3U);
   stopCallers();
   EXPECT_GT(results.refused, 50);
   EXPECT_EQ(results.lateRefusals, 0);
   EXPECT_EQ(results.other, 0);
+  std::size_t runs = 0;
+  cluster.run([&] { runs = endpoint.runsById.size(); });
+  EXPECT_EQ(runs, static_cast<std::size_t>(results.answered)); // refused requests did not run
+}
+
+TEST_P(RequestLimit, ModelOfAnEngineWithALowLimitIsNotLoadedElsewhere) {
+  nameLimit(cluster.engines[0]->limit, 0.5);
+  CallerResults results;
+  startCallers("m1", 100ms, results); // no other engine holds it
+  std::this_thread::sleep_for(2 * ReactionTime);
+  const int answered = results.answered;
+  const int failed = results.refused + results.other;
+  std::this_thread::sleep_for(ReactionTime);
+  EXPECT_GT(results.answered - answered, 50);
+  EXPECT_EQ(results.refused + results.other, failed);
 }
 
 INSTANTIATE_TEST_SUITE_P(Hosts, RequestLimit, ::testing::Values(SmallFleet, LargeFleet));
