--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -163,6 +163,8 @@
   EXPECT_FALSE(codec.readHead(answer.base(), call, from).backoff.has_value());
   answer.result(503);
   EXPECT_EQ(codec.readHead(answer.base(), call, from).backoff, std::chrono::milliseconds(2500));
+  answer.result(429);
+  EXPECT_EQ(codec.readHead(answer.base(), call, from).backoff, std::chrono::milliseconds(2500));
   for (const char *it : {"soon", "-1", "nan", "inf", ""}) {
     answer.set("Retry-After", it);
     auto backoff = codec.readHead(answer.base(), call, from).backoff;
