Play fleets of 3 to 300 hosts before an endpoint with a limit; spread their questions

A virtual clock, callers that want far more than the limit, and hosts that stop, freeze and wake, join, lose touch or lose a fifth of their messages, with limits from 0.2 to 50 requests a second. The calls of all hosts in any 4 s stay within one and a half times the limit plus 5, and callers get four fifths of it at least.

Found with it: at 300 hosts and 50 requests a second the hosts sent 2,392 messages a second about permits, most of them denials, since each denied host asked again at the next interval or a few later. A denied host now asks again after the hosts that were denied before it: the bound of 1,000 messages a second holds.

--- a/src/permit_issuer.cpp
+++ b/src/permit_issuer.cpp
@@ -13,9 +13,9 @@
 constexpr double MinCallsPerSecond = 0.05;
 // Unused calls of this time may be made at once later.
 constexpr double BurstSeconds = 0.25;
-// A host that is denied a permit asks again later by half an interval for each of this many denials
-// before it, so that the hosts of a large fleet do not all ask at each interval.
-constexpr int MaxCountedDenials = 16;
+// A host that is denied a permit asks again later by one interval for each host that is assumed to
+// ask before it. Otherwise all hosts of a large fleet would ask at each interval.
+constexpr int MaxAssumedAskers = 256;
 constexpr Duration MaxDenialPause = std::chrono::seconds(2);
 constexpr Duration ScheduleRetention = std::chrono::minutes(1);
 
@@ -37,14 +37,17 @@
              {"per_second", rate}});
   }
   schedule.askedAt = now;
-  schedule.next = std::max(schedule.next, now);
+  if (schedule.next <= now) {
+    schedule.next = now;
+    schedule.askers = 0;
+  }
   const Duration delay = std::max(schedule.next - burst - now, Duration::zero());
   if (delay > maxDelay) {
-    schedule.denials = std::min(schedule.denials + 1, MaxCountedDenials);
-    const Duration pause = std::min(interval * (schedule.denials - 1) / 2, MaxDenialPause);
+    const Duration pause = std::min(interval * schedule.askers, MaxDenialPause);
+    schedule.askers = std::min(schedule.askers + 1, MaxAssumedAskers);
     return {.granted = false, .delay = delay + pause};
   }
-  schedule.denials = 0;
+  schedule.askers = std::max(schedule.askers - 1, 0);
   schedule.next += interval;
   return {.granted = true, .delay = delay};
 }
--- a/src/permit_issuer_p.h
+++ b/src/permit_issuer_p.h
@@ -29,7 +29,7 @@
   struct Schedule {
     Instant next;    ///< time of the next call if no burst is due
     Instant askedAt; ///< newest request for a permit
-    int denials = 0; ///< since the newest permit, at most MaxCountedDenials
+    int askers = 0;  ///< denied hosts that are assumed to ask again
   };
   std::map<EndpointIncarnation, Schedule> schedules;
 };
--- a/tests/fleet_world_helper.cpp
+++ b/tests/fleet_world_helper.cpp
@@ -121,6 +121,7 @@
 
 void FakeEngines::requestStatus(const FleetEndpoint &to, StatusDone done) {
   auto &engine = engines.at(to.name);
+  ++engine.statusCount;
   if (!engine.reachable)
     return env.after(LostAnswerTimeout, [done] { done(std::nullopt); });
   finishDueCommand(engine);
--- a/tests/fleet_world_p.h
+++ b/tests/fleet_world_p.h
@@ -69,6 +69,8 @@
   bool overcommitted = false; ///< an order exceeded the memory or the adapter limit
   int remoteLoadCount = 0;
   int commandCount = 0;
+  int statusCount = 0;
+  int callCount() const { return commandCount + statusCount; }
 };
 
 /// Executes the planner's commands on fake engines, with delays.
