Load only those models elsewhere that an engine's limit leaves no room for

While an engine's limit was below the demand for its models, the planner counted none of them as available and moved them all, on sites whose engines have memory for each model about once. Now its models count as replicas up to the limit, those with the fewest requests first; the others get a replica elsewhere.

LimitOfRequestsDropsMoreReplicasThanItMust needs the new function; the planner's test plays a model over the limit, needed by hosts, that is loaded elsewhere while its neighbour stays.

--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -294,23 +294,11 @@
     }
     demand.fillPlacementInput(service.name, now - acquiredAt, input);
     for (auto &it : input.engines)
-      it.usable = it.usable && !isLimitTooLow(it, input);
+      if (const auto limit = view.limitOf(records.at(it.name).entry).perSecond)
+        applyRequestLimit(it, *limit, input);
     return input;
   }
 
-  /// Returns true if the engine's limit of requests is below the demand for its models, so that
-  /// they are needed elsewhere.
-  bool isLimitTooLow(const PlacementEngine &engine, const PlacementInput &input) const {
-    const auto limit = view.limitOf(records.at(engine.name).entry).perSecond;
-    if (!limit)
-      return false;
-    double perSecond = 0;
-    for (auto &it : engine.models)
-      if (auto found = input.demand.find(it.model); found != input.demand.end())
-        perSecond += found->second.perSecond;
-    return perSecond > *limit;
-  }
-
   // ---- Orders ----------------------------------------------------------------------------------
 
   void startOrder(EngineRecord &record, const PlacementOrder &order, const EngineSpec &spec) {
--- a/src/model_placement.cpp
+++ b/src/model_placement.cpp
@@ -93,6 +93,8 @@
         continue;
       std::set<ModelName> planned;
       for (auto &held : it.models) {
+        if (it.overLimit.count(held.model) > 0)
+          continue;
         planned.insert(held.model);
         ++counts[held.model].held;
       }
@@ -535,6 +537,27 @@
   return std::clamp(n, 1, std::max(1, engines));
 }
 
+void applyRequestLimit(PlacementEngine &engine, double perSecond, const PlacementInput &input) {
+  std::vector<std::pair<double, ModelName>> rates;
+  for (auto &held : engine.models) {
+    const auto holders = std::count_if(input.engines.begin(), input.engines.end(), [&](auto &it) {
+      return it.usable && holds(it.models, {held.model, {}});
+    });
+    auto demand = input.demand.find(held.model);
+    if (demand != input.demand.end())
+      rates.emplace_back(demand->second.perSecond / std::max<std::ptrdiff_t>(1, holders),
+                         held.model);
+  }
+  std::sort(rates.begin(), rates.end());
+  double sum = 0;
+  for (auto &[rate, model] : rates) {
+    sum += rate;
+    if (sum > perSecond)
+      engine.overLimit.insert(model);
+  }
+  engine.idle = engine.idle && engine.overLimit.empty();
+}
+
 std::vector<PlacementOrder> planPlacement(const PlacementInput &input) {
   if (!input.spec)
     return {};
--- a/src/model_placement_p.h
+++ b/src/model_placement_p.h
@@ -37,6 +37,9 @@
   /// Models and adapters of orders that are not known to be complete. They use memory but are not
   /// available.
   std::vector<HeldModel> pending;
+  /// Held models whose requests the engine's limit leaves no room for. They do not count as
+  /// replicas.
+  std::set<ModelName> overLimit;
   std::set<ModelName> inMemory; ///< copies of weights in host memory
   std::set<ModelName> onDisk;   ///< copies of weights on disk
   /// Model for whose load the engine unloads others. The load is carried out even if the demand
@@ -95,6 +98,11 @@
   PlacementReason nextReason = PlacementReason::Waiting; ///< reason for that load
 };
 
+/// Marks the models of an engine with a limit of `perSecond` requests that are over it: those with
+/// the most requests, so that most models keep their replica. An engine with such models gets no
+/// orders, which count towards the limit.
+void applyRequestLimit(PlacementEngine &engine, double perSecond, const PlacementInput &input);
+
 /// Returns the orders of one planning round, at most one for each engine.
 std::vector<PlacementOrder> planPlacement(const PlacementInput &input);
 
--- a/tests/fleet_planner_test.cpp
+++ b/tests/fleet_planner_test.cpp
@@ -16,6 +16,12 @@
         env, view.config()->services.at(ServiceName(EngineService)).engine);
   }
 
+  /// Makes the engine name a limit of requests.
+  void nameLimit(const std::string &engine, double perSecond) {
+    view.onAnnouncements({EndpointName(engine), 1}, {.requestsPerSecond = perSecond}, env.now(),
+                         env.now());
+  }
+
   std::unique_ptr<FleetPlanner> makePlanner(const std::string &host, std::uint64_t incarnation = 1,
                                             std::vector<HostName> hosts = {}) {
     FleetPlannerOptions options{
@@ -241,5 +247,32 @@
   EXPECT_FALSE(e0.overcommitted);
 }
 
+// Guards against callers that get only what the limit of a model's only engine allows, and against
+// moving the engine's other models, which fit into the limit.
+TEST_F(FleetPlannerTest, ModelOverItsEnginesLimitGetsNoOtherReplica) {
+  engines->add(view, "a", {"m0", "m1"});
+  engines->add(view, "b", {"m2"});
+  auto planner = makePlanner("h");
+  const std::map<std::string, double> rates{{"m0", 4}, {"m1", 0.3}, {"m2", 0.3}};
+  runWithDemand(*planner, 5s, rates);
+  nameLimit("a", 1);
+  runWithDemand(*planner, 10s, rates, "m0"); // hosts need m0, since "a" takes no more requests
+  EXPECT_TRUE(engines->holdsModel("b", "m0"));
+  EXPECT_FALSE(engines->holdsModel("b", "m1"));
+  EXPECT_TRUE(engines->holdsModel("a", "m0"));
+}
+
+// Guards against status calls that use up the limit of an engine, and against orders beside it.
+TEST_F(FleetPlannerTest, CallsOfThePlannerUseUpTheLimit) {
+  engines->add(view, "a", {"m0"});
+  auto planner = makePlanner("h");
+  runWithDemand(*planner, 5s, {{"m0", 0.3}});
+  nameLimit("a", 1);
+  runWithDemand(*planner, 2s, {{"m0", 0.3}});
+  const int before = engines->engines.at(EndpointName("a")).callCount();
+  runWithDemand(*planner, 20s, {{"m0", 0.3}});
+  EXPECT_LE(engines->engines.at(EndpointName("a")).callCount() - before, 5); // a quarter of it
+}
+
 } // namespace
 } // namespace catkin::fleet
--- a/tests/model_placement_test.cpp
+++ b/tests/model_placement_test.cpp
@@ -492,6 +492,24 @@
   EXPECT_GE(simulation.shareServedWithin(7s), 0.85);
 }
 
+// Guards against moving all models of an engine whose limit is too low for one of them.
+TEST(ModelPlacement, LimitOfRequestsDropsMoreReplicasThanItMust) {
+  const EngineSpec spec;
+  PlacementInput input = makeInput(spec);
+  input.engines = {
+      {.name = EndpointName("a"), .models = {{ModelName("m0"), {}}, {ModelName("m1"), {}}}}};
+  input.demand[ModelName("m0")].perSecond = 4;
+  input.demand[ModelName("m1")].perSecond = 0.3;
+  PlacementEngine limited = input.engines[0];
+  applyRequestLimit(limited, 1, input);
+  EXPECT_EQ(limited.overLimit, std::set{ModelName("m0")});
+  EXPECT_FALSE(limited.idle);
+  PlacementEngine roomy = input.engines[0];
+  applyRequestLimit(roomy, 5, input);
+  EXPECT_TRUE(roomy.overLimit.empty());
+  EXPECT_TRUE(roomy.idle);
+}
+
 TEST(ModelPlacement, ReplicasGrowWithDemand) {
   EXPECT_EQ(targetReplicas(0, 9), 1);
   EXPECT_EQ(targetReplicas(1, 9), 2);
