End a limit only by the answer to a request that was served

The planner's host would then have ended the limit with each status call, for all hosts, and a refusal without the header would have done the same. Both name a limit but no longer end one.

OnlyAServedRequestShowsThatThereIsNoLimit did not compile before; the gateway's tests of permits are new as well: elsewhere, refused at once, a reserved place, an endpoint that leaves meanwhile, retries.

--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -121,6 +121,9 @@
   /// Requests a second that it takes from all hosts together. Empty if it names no limit.
   std::optional<double> requestsPerSecond;
   bool limitIsUnreadable = false; ///< it names a limit that is not a number of at least 0
+  /// It has served a request and names no limit. Other answers without one leave a limit in force,
+  /// since an endpoint may name it in the answers to requests only.
+  bool servesWithoutLimit = false;
 };
 
 /// An engine's report about itself. It is some hundred milliseconds old.
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -228,6 +228,8 @@
   if (announced.limitIsUnreadable)
     return logLine(LogLevel::Warn, "request limit cannot be read",
                    {{"endpoint", endpoint.endpoint.value}, {"incarnation", endpoint.incarnation}});
+  if (!announced.requestsPerSecond && !announced.servesWithoutLimit)
+    return;
   auto &limits = endpointSignals.limits();
   const bool changed = limits.onAnswer(endpoint, announced.requestsPerSecond, sentAt, now);
   if (changed)
--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <mutex>
@@ -19,11 +21,13 @@
 constexpr int Callers = 6;
 constexpr int UsualHosts = 4;
 constexpr unsigned FirstSeedWithBlackholes = 1000;
+constexpr unsigned FirstSeedWithLimits = 2000;
 constexpr int FaultsPerRun = 8;
 constexpr auto FaultPause = 600ms;
 constexpr auto RecoveryTime = 15s;
 constexpr auto DrainBound = 2s;
 constexpr auto ConfigBound = 2s;
+constexpr auto LimitReactionTime = 3s; // also after a host has been disturbed
 constexpr double EngineMegabytes = 130'000;
 
 /// Returns the number in an environment variable, or `fallback` if it is not set.
@@ -106,6 +110,10 @@
     if (GetParam() >= FirstSeedWithBlackholes)
       faults.insert(faults.end(),
                     {&FaultSoak::blackholeStoreConnections, &FaultSoak::refuseHostAtStore});
+    if (GetParam() >= FirstSeedWithLimits) {
+      faults.insert(faults.end(), {&FaultSoak::nameLimit, &FaultSoak::nameLimit});
+      nameLimit();
+    }
     for (int i = 0; i < FaultsPerRun; ++i) {
       (this->*faults[static_cast<std::size_t>(randomBelow(static_cast<int>(faults.size())))])();
       endFaultsUntil(steadyNow() + FaultPause * randomBelow(3) / 2);
@@ -133,9 +141,17 @@
   /// Picks a random host. Returns -1 if another fault has stopped or paused it.
   int reserveHost() {
     const int n = randomBelow(hosts);
-    return disturbedHosts.insert(n).second ? n : -1;
+    const bool isFree = disturbedHosts.insert(n).second;
+    if (isFree)
+      disturbances.push_back({n, steadyNow(), Instant::max()});
+    return isFree ? n : -1;
+  }
+  void releaseHost(int n) {
+    disturbedHosts.erase(n);
+    for (auto &it : disturbances)
+      if (it.host == n && it.until == Instant::max())
+        it.until = steadyNow() + LimitReactionTime;
   }
-  void releaseHost(int n) { disturbedHosts.erase(n); }
 
   void killHost() {
     const int n = reserveHost();
@@ -195,6 +211,9 @@
     const int n = randomBelow(static_cast<int>(cluster.engines.size()));
     recordFault("restart engine", n);
     cluster.restartEngine(n);
+    auto limited = limitedSince.find(&cluster.engines[static_cast<std::size_t>(n)]->limit);
+    if (limited != limitedSince.end())
+      limited->second = steadyNow(); // the hosts learn the limit of the new incarnation
   }
 
   void changeConfig() {
@@ -261,6 +280,45 @@
     disturbLink(cluster.plainProxies[static_cast<std::size_t>(n)]);
   }
 
+  /// An engine or a plain endpoint names a limit of requests for some seconds.
+  void nameLimit() {
+    const auto engineCount = static_cast<int>(cluster.engines.size());
+    const int n = randomBelow(engineCount + static_cast<int>(cluster.plainEndpoints.size()));
+    const auto index = static_cast<std::size_t>(n < engineCount ? n : n - engineCount);
+    StandinLimit *limit =
+        n < engineCount ? &cluster.engines[index]->limit : &cluster.plainEndpoints[index]->limit;
+    constexpr std::array Limits{0.3, 2.0, 10.0};
+    const double perSecond = Limits[static_cast<std::size_t>(randomBelow(Limits.size()))];
+    if (!limitedSince.emplace(limit, steadyNow()).second)
+      return;
+    recordFault("limit of " + std::to_string(perSecond) + " named by endpoint", n);
+    cluster.run([&] { limit->perSecond = perSecond; });
+    scheduleAfter(1s * (6 + randomBelow(6)), [this, limit, n] { endLimit(*limit, n); });
+  }
+
+  void endLimit(StandinLimit &limit, int n) {
+    const Instant from = limitedSince.at(&limit) + LimitReactionTime;
+    limitedSince.erase(&limit);
+    std::vector<Instant> counted;
+    double perSecond = 0;
+    cluster.run([&] {
+      perSecond = *limit.perSecond;
+      limit.perSecond.reset();
+      for (auto &it : limit.calls)
+        if (it.at >= from && !isExcused(it))
+          counted.push_back(it.at);
+    });
+    EXPECT_LE(largestWindowCount(counted, LimitWindow), allowedInWindow(perSecond))
+        << "limit of endpoint " << n;
+  }
+
+  /// Returns whether the host that forwarded the call was stopped or paused, or a short time ago.
+  bool isExcused(const StandinCall &call) const {
+    return std::any_of(disturbances.begin(), disturbances.end(), [&](auto &it) {
+      return it.host == call.host && it.since <= call.at && call.at < it.until;
+    });
+  }
+
   void recordFault(const std::string &what, int n) {
     faultLog += what + " " + std::to_string(n) + "; ";
   }
@@ -349,6 +407,13 @@
   std::mutex mutex; ///< guards callerOutcomes
   std::vector<CallerOutcome> callerOutcomes;
   std::set<int> disturbedHosts;
+  struct Disturbance {
+    int host = 0;
+    Instant since;
+    Instant until; ///< of its effect
+  };
+  std::vector<Disturbance> disturbances;          ///< times at which a host was stopped or paused
+  std::map<StandinLimit *, Instant> limitedSince; ///< endpoints that name a limit at present
   std::atomic<bool> stopRequested = false;
   std::multimap<Instant, std::function<void()>> pendingEnds; ///< ends of the current faults
 };
@@ -378,7 +443,7 @@
   if (n == 0)
     return {1, 2,
             // A restarted host was killed when the test thread that had started it ended.
-            106, FirstSeedWithBlackholes};
+            106, FirstSeedWithBlackholes, FirstSeedWithLimits, FirstSeedWithLimits + 1};
   const auto first = static_cast<unsigned>(environmentNumber("CATKIN_SOAK_FIRST", 1));
   std::vector<unsigned> out;
   for (unsigned i = 0; i < static_cast<unsigned>(n); ++i)
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -192,6 +192,22 @@
   }
 }
 
+// Guards against an end of a limit in an answer that may lack the header for another reason.
+TEST(RequestCodecTest, OnlyAServedRequestShowsThatThereIsNoLimit) {
+  HeaderCodec codec;
+  CallerRequest call{.id = "id1"};
+  FleetEndpoint from{.name = EndpointName("i-9")};
+  HttpResponse answer{http::status::ok, 11};
+  EXPECT_TRUE(codec.readHead(answer.base(), call, from).announced.servesWithoutLimit);
+  EXPECT_FALSE(readAnnouncements(answer.base()).servesWithoutLimit); // of a status call
+  answer.set("Server-Limit", "0.5");
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).announced.servesWithoutLimit);
+  answer.erase("Server-Limit");
+  answer.result(503);
+  answer.set("Not-Run", "1");
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).announced.servesWithoutLimit);
+}
+
 constexpr auto GoodSettings = "node_name=front-a-1\nip_address=10.1.0.38\nzone=z\n"
                               "listen_addresses.front=10.1.0.38:8149\n"
                               "listen_addresses.ready=10.1.0.38:8141\n"
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -62,7 +62,11 @@
             .now = [] { return steadyNow(); },
             .random = [this] { return ++randomCounter; },
             .hostCount = [] { return 1; },
-            .acquirePermit = [](auto &, Duration, auto done) { done({.granted = true}); },
+            .acquirePermit =
+                [this](auto &endpoint, Duration maxDelay, auto done) {
+                  permitWaits.push_back(maxDelay);
+                  done(permits[endpoint.endpoint]);
+                },
             .onModelNeedChanged = [this](auto &, auto &, int n) { needCount += n > 0 ? 1 : 0; },
             .onModelUnavailable = [this](auto &, auto &) { ++needCount; }});
     frontServer = std::make_unique<HttpServer>(
@@ -179,6 +183,8 @@
   std::unique_ptr<HttpServer> frontServer;
   std::uint64_t randomCounter = 0;
   int needCount = 0;
+  std::map<EndpointName, Permit> permits; ///< answers to requests for permits
+  std::vector<Duration> permitWaits;      ///< for which these requests could wait
 };
 
 TEST_F(PlatformGatewayTest, RelaysAWholeAnswer) {
@@ -484,6 +490,83 @@
   EXPECT_EQ(endpoints[1].receivedRequests.size(), 1U);
 }
 
+/// Makes the endpoint name a limit of requests.
+void nameLimit(FleetView &view, const char *endpoint) {
+  view.onAnnouncements({EndpointName(endpoint), 1}, {.requestsPerSecond = 1.0}, steadyNow(),
+                       steadyNow());
+}
+
+// Guards against requests beyond the limit of one endpoint that are refused or held although
+// another endpoint takes them.
+TEST_F(PlatformGatewayTest, RequestWithoutAPermitIsNotSentElsewhere) {
+  for (auto &it : endpoints)
+    it.handler = makeAnswerHandler(200, "body");
+  nameLimit(view, "e0");
+  permits[EndpointName("e0")] = {.granted = false, .delay = 5s};
+  auto startTime = steadyNow();
+  for (int i = 0; i < 8; ++i)
+    EXPECT_EQ(call(makeCall("/unsafe/x")).response.result_int(), 200U);
+  EXPECT_LT(steadyNow() - startTime, 1s);
+  EXPECT_EQ(endpoints[0].receivedRequests.size(), 0U);
+  EXPECT_LE(permitWaits.size(), 1U); // it is not asked again before the named time
+}
+
+// Guards against holding a request that no endpoint takes in time, and against a false time to come
+// back.
+TEST_F(PlatformGatewayTest, RequestOverTheLimitOfAllEndpointsIsHeld) {
+  for (auto *it : {"e0", "e1"}) {
+    nameLimit(view, it);
+    permits[EndpointName(it)] = {.granted = false, .delay = 3s};
+  }
+  for (int i = 0; i < 3; ++i) {
+    auto startTime = steadyNow();
+    auto result = call(makeCall("/unsafe/x"));
+    EXPECT_EQ(result.response.result_int(), 503U);
+    EXPECT_LT(steadyNow() - startTime, 300ms);
+    const auto text = result.response[http::field::retry_after];
+    EXPECT_GE(std::stod(std::string(text.data(), text.size())), 0.5); // a third of the time left
+  }
+  EXPECT_EQ(receivedCount(), 0U);
+}
+
+// Guards against requests that are refused although a place is reserved for them, and against one
+// that is sent before its time.
+TEST_F(PlatformGatewayTest, RequestDoesNotWaitForItsReservedPlace) {
+  view.removeEndpoint(EndpointName("e1"), steadyNow());
+  endpoints[0].handler = makeAnswerHandler(200, "body");
+  nameLimit(view, "e0");
+  permits[EndpointName("e0")] = {.granted = true, .delay = 400ms};
+  auto startTime = steadyNow();
+  EXPECT_EQ(call(makeCall("/unsafe/x")).response.result_int(), 200U);
+  EXPECT_GE(steadyNow() - startTime, 400ms);
+  EXPECT_GT(permitWaits.at(0), 400ms);
+}
+
+// Guards against a request that goes to an endpoint which has announced its leaving meanwhile.
+TEST_F(PlatformGatewayTest, WaitForAPermitOutlivesItsEndpoint) {
+  view.removeEndpoint(EndpointName("e1"), steadyNow());
+  endpoints[0].handler = makeAnswerHandler(200, "body");
+  nameLimit(view, "e0");
+  permits[EndpointName("e0")] = {.granted = true, .delay = 400ms};
+  asio::steady_timer leavingTimer(io, 100ms);
+  leavingTimer.async_wait([&](auto) { view.onLeaving({EndpointName("e0"), 1}, steadyNow()); });
+  EXPECT_EQ(call(makeCall("/unsafe/x")).response.result_int(), 503U);
+  EXPECT_EQ(receivedCount(), 0U);
+}
+
+// Guards against a retry or a resumed stream that counts as no request.
+TEST_F(PlatformGatewayTest, RetryNeedsNoPermit) {
+  for (auto &it : endpoints)
+    it.handler = makeAnswerHandler(500, "failed");
+  for (auto *it : {"e0", "e1"}) {
+    nameLimit(view, it);
+    permits[EndpointName(it)] = {.granted = true};
+  }
+  call(makeCall("/safe/x"));
+  EXPECT_EQ(receivedCount(), 2U);
+  EXPECT_GE(permitWaits.size(), 2U);
+}
+
 /// Returns a handler that sends `piece` until the connection is closed, and adds to `bytes`.
 HttpHandler makeEndlessHandler(std::string piece, std::uint64_t &bytes) {
   return [piece = std::move(piece), &bytes](HttpExchange &exchange) -> asio::awaitable<void> {
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -287,7 +287,7 @@
   HttpResponse response = makeResponse(421);
   response.set("Instance", id);
   if (request["Expect-Instance"] == id) {
-    limit.calls.push_back(steadyNow());
+    limit.onCall(request);
     if (target == "/api/report")
       response = makeResponse(200, registryEntry("ready"));
     else if (target == "/api/order")
@@ -310,6 +310,15 @@
     response.set("Server-Limit", std::to_string(*perSecond));
 }
 
+void StandinLimit::onCall(const HttpRequest &request) {
+  calls.push_back({steadyNow(), hostOfRequest(request)});
+}
+
+int hostOfRequest(const HttpRequest &request) {
+  const auto id = textOf(request["Request-Id"]);
+  return id.empty() ? -1 : std::atoi(id.c_str() + 1);
+}
+
 int allowedInWindow(double perSecond) {
   constexpr double Excess = 1.5;
   constexpr int Allowance = 5;
@@ -354,7 +363,7 @@
   HttpResponse response = makeResponse(421);
   response.set("Instance", id);
   if (request["Expect-Instance"] == id) {
-    limit.calls.push_back(steadyNow());
+    limit.onCall(request);
     ++runsById[requestId];
     co_await sleepFor(EventPause);
     response = makeResponse(200);
@@ -545,17 +554,21 @@
   return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
 }
 
+std::string PlatformCluster::newRequestId(int host) const {
+  return "h" + std::to_string(host) + "-" + std::to_string(++lastRequestId);
+}
+
 HttpResult PlatformCluster::requestStream(int host, const std::string &model) const {
-  return post(host, "/s/x", "id-" + std::to_string(++lastRequestId), "9000", model);
+  return post(host, "/s/x", newRequestId(host), "9000", model);
 }
 
 HttpResult PlatformCluster::requestOnce(int host, std::string &id) const {
-  id = "once-" + std::to_string(++lastRequestId);
+  id = newRequestId(host);
   return post(host, "/u/x", id, "2500", {});
 }
 
 unsigned PlatformCluster::statusOfExtraRoute(int host) const {
-  return statusOf(post(host, "/x/x", "extra-" + std::to_string(++lastRequestId), "2500", {}));
+  return statusOf(post(host, "/x/x", newRequestId(host), "2500", {}));
 }
 
 void PlatformCluster::changeConfig(const StandinConfig &config) {
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -64,11 +64,18 @@
   std::uint64_t revision = 0;
 };
 
+/// The arrival of a call at a stand-in.
+struct StandinCall {
+  Instant at;
+  int host = -1; ///< that forwarded it; -1 for a report or an order
+};
+
 /// A limit of requests that a stand-in names in all its responses, and the calls that it gets.
 struct StandinLimit {
   std::optional<double> perSecond; ///< for all hosts together
-  std::vector<Instant> calls;      ///< arrivals of all calls: requests, reports and orders
+  std::vector<StandinCall> calls;  ///< requests, reports and orders
   void announce(HttpResponse &response) const;
+  void onCall(const HttpRequest &request);
 };
 
 /// A model engine that takes orders and serves streams.
@@ -109,6 +116,8 @@
 int allowedInWindow(double perSecond);
 /// Returns the largest number of `calls`, which are in order, in any span of `window`.
 int largestWindowCount(const std::vector<Instant> &calls, Duration window);
+/// Returns the number of the host to which a test sent the request; -1 for a call without an id.
+int hostOfRequest(const HttpRequest &request);
 
 constexpr int StreamEventCount = 5;
 /// Returns event `n` of a stream, as an engine sends it.
@@ -193,6 +202,8 @@
   HttpResult post(int host, const char *target, const std::string &id, const char *deadlineMs,
                   const std::string &model) const;
   std::uint16_t port(int offset) const { return static_cast<std::uint16_t>(base + offset); }
+  /// Returns an id that hostOfRequest() can read.
+  std::string newRequestId(int host) const;
   std::string settingsPath(int n) const;
   /// Name of the data centre that a host is assigned to.
   std::string dataCentreOf(int host) const;
--- a/tests/request_limit_test.cpp
+++ b/tests/request_limit_test.cpp
@@ -88,8 +88,8 @@
     std::vector<Instant> out;
     cluster.run([&] {
       for (auto &it : limit.calls)
-        if (it >= from)
-          out.push_back(it);
+        if (it.at >= from)
+          out.push_back(it.at);
     });
     return out;
   }
--- a/tests/request_permits_test.cpp
+++ b/tests/request_permits_test.cpp
@@ -210,7 +210,9 @@
     if (host.frozen)
       return;
     calls.push_back(env.now());
-    host.view.onAnnouncements(Endpoint, {.requestsPerSecond = namedLimit}, env.now(), env.now());
+    host.view.onAnnouncements(Endpoint,
+                              {.requestsPerSecond = namedLimit, .servesWithoutLimit = !namedLimit},
+                              env.now(), env.now());
   }
 
   FakeEnv env;
