Let the kernel decide which test gets which ports, and notice programs that end at start

The block of ports came from the process id modulo 170, so two tests whose ids are a multiple of 170 apart, or two clusters of one test, had the same one.

PortBlock holds a locked file for each 50 ports from choice to end, for both kinds of clusters and, through scripts/ports.sh, for cluster.sh and what uses it; it passes over ports that other programs have. A program that ends while its cluster starts fails the test at once with its name and its last line.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -6,11 +6,14 @@
 # CATKIN_ENGINE_FACTOR multiplies the engines (at most 100 in all); CATKIN_BASE_PORT is the first of 800 ports.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+# shellcheck source=scripts/ports.sh
+. scripts/ports.sh
 bin=build/bin
 run=${CATKIN_RUN_DIR:-build/run}
 base=${CATKIN_BASE_PORT:-21000}
 hosts=${CATKIN_HOSTS_COUNT:-8}
 factor=${CATKIN_ENGINE_FACTOR:-1}
+port_count=800
 export CATKIN_OPERATOR_KEY=${CATKIN_OPERATOR_KEY:-example-operator-key}
 
 platform=127.0.0.1:$base
@@ -122,6 +125,7 @@
   local i nodes=()
   mkdir -p "$run"
   stop_all
+  reserve_ports "$base" "$port_count"
   "shape_$1"
   start weights "$bin/catkin-weights" --listen "$weights" --bytes-per-second 2e10
   start platform "$bin/catkin-platform" --listen "$platform" --node-lag-ms 1000
--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -56,7 +56,7 @@
                 {.proxied = true, .plainEndpoints = 2}) {}
 
   void SetUp() override {
-    ASSERT_TRUE(pollUntil([&] { return cluster.areAllHostsReady(); }));
+    ASSERT_TRUE(cluster.waitUntilReady());
     ASSERT_TRUE(
         pollUntil([&] { return static_cast<int>(cluster.directoryAddresses(0).size()) == hosts; }));
   }
--- a/tests/platform_config_test.cpp
+++ b/tests/platform_config_test.cpp
@@ -22,7 +22,7 @@
       : hosts(GetParam()), cluster(hosts, {{"m0", "m1"}}, {.proxied = true, .plainEndpoints = 1}) {}
 
   void SetUp() override {
-    ASSERT_TRUE(pollUntil([&] { return cluster.areAllHostsReady(); }));
+    ASSERT_TRUE(cluster.waitUntilReady());
     ASSERT_TRUE(
         pollUntil([&] { return static_cast<int>(cluster.directoryAddresses(0).size()) == hosts; }));
     std::this_thread::sleep_for(2s); // time for the hosts to choose sentinels and a planner
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -25,7 +25,7 @@
                                                                                 {"m0", "m2"}})
       : cluster(3, engines) {}
   void SetUp() override {
-    ASSERT_TRUE(pollUntil([&] { return cluster.areAllHostsReady(); }));
+    ASSERT_TRUE(cluster.waitUntilReady());
     ASSERT_TRUE(pollUntil([&] { return cluster.directoryAddresses(0).size() == 3; }));
   }
   /// Returns the number of the host that holds the planner's lease; -1 if none does.
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -6,11 +6,12 @@
 #include "standin_p.h"
 
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <gtest/gtest.h>
+
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -20,7 +21,6 @@
 #include <cstdlib>
 #include <fstream>
 #include <future>
-#include <random>
 
 namespace catkin::platform {
 
@@ -380,34 +380,6 @@
 namespace {
 
 constexpr int PortsPerHost = 8;
-constexpr std::uint16_t FirstPort = 10000; // the ports of ProcessCluster start at 24000
-constexpr int PortsPerBlock = 32;
-constexpr int PortBlocks = 400;
-
-/// Returns whether a listener can be bound to the port at present.
-bool isPortFree(std::uint16_t port) {
-  asio::io_context io;
-  asio::ip::tcp::acceptor acceptor(io);
-  boost::system::error_code ec;
-  acceptor.open(asio::ip::tcp::v4(), ec);
-  acceptor.bind({asio::ip::make_address_v4("127.0.0.1"), port}, ec);
-  return !ec;
-}
-
-/// Returns the first of `n` consecutive free ports. They are below the system's range of ephemeral
-/// ports, any of which an outgoing connection may use at any time.
-std::uint16_t findFreePorts(int n) {
-  std::random_device random;
-  for (;;) {
-    auto first = static_cast<std::uint16_t>(FirstPort + random() % PortBlocks * PortsPerBlock);
-    bool allFree = true;
-    for (int i = 0; i < n && allFree; ++i)
-      allFree = isPortFree(static_cast<std::uint16_t>(first + i));
-    if (allFree)
-      return first;
-  }
-}
-
 /// Returns the path of the log of one host.
 std::string logPath(const std::string &directory, int n) {
   return directory + "/host-" + std::to_string(n) + ".log";
@@ -417,10 +389,8 @@
 
 PlatformCluster::PlatformCluster(int hosts, const std::vector<std::set<std::string>> &held,
                                  PlatformClusterOptions options)
-    : dataCentres(options.dataCentres) {
-  char path[] = "/tmp/catkin-platform-XXXXXX";
-  directory = ::mkdtemp(path);
-  base = findFreePorts(hosts * PortsPerHost);
+    : ports(hosts * PortsPerHost), dataCentres(options.dataCentres),
+      directory(makeTemporaryDirectory("catkin-platform-")) {
   auto serve = [this](HttpHandler handler) {
     servers.push_back(std::make_unique<HttpServer>(
         io.get_executor(), HttpServerOptions{.listen = {"127.0.0.1", 0}}, std::move(handler)));
@@ -538,6 +508,30 @@
   return statusOf(callOnce(ready, {.target = "/api/ready"})) == 200;
 }
 
+bool PlatformCluster::waitUntilReady() {
+  std::string ended;
+  const bool isDone = pollUntil([&] {
+    ended = describeEndedHost();
+    return !ended.empty() || areAllHostsReady();
+  });
+  if (!ended.empty())
+    ADD_FAILURE() << ended;
+  return isDone && ended.empty();
+}
+
+std::string PlatformCluster::describeEndedHost() {
+  const std::lock_guard lock(childrenMutex);
+  for (auto it = children.begin(); it != children.end(); ++it) {
+    auto text =
+        describeEnd(it->second, "host-" + std::to_string(it->first), logPath(directory, it->first));
+    if (text.empty())
+      continue;
+    children.erase(it);
+    return text;
+  }
+  return {};
+}
+
 bool PlatformCluster::areAllHostsReady() const {
   for (auto &[n, pid] : children)
     if (!isHostReady(n))
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -2,6 +2,7 @@
 
 #include "fault_proxy_p.h"
 #include "http_p.h"
+#include "port_block_p.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json/object.hpp>
@@ -169,6 +170,9 @@
   void signalHost(int n, int signal);
   bool isHostReady(int n) const;
   bool areAllHostsReady() const;
+  /// Waits until all hosts are ready. Returns false and reports a failure of the test if one of
+  /// them ends; returns false after the watchdog time.
+  bool waitUntilReady();
   /// Sends a streaming request for `model` to a host and returns the result.
   HttpResult requestStream(int host, const std::string &model) const;
   /// Sends a request that may run at most once to a host. Sets `id` to its request id.
@@ -201,16 +205,20 @@
   std::shared_ptr<FaultProxy> addProxy(const Address &target);
   HttpResult post(int host, const char *target, const std::string &id, const char *deadlineMs,
                   const std::string &model) const;
-  std::uint16_t port(int offset) const { return static_cast<std::uint16_t>(base + offset); }
+  std::uint16_t port(int offset) const {
+    return static_cast<std::uint16_t>(ports.first() + offset);
+  }
   /// Returns an id that hostOfRequest() can read.
   std::string newRequestId(int host) const;
+  /// Returns the name and last log line of a host that has ended; empty if there is none.
+  std::string describeEndedHost();
   std::string settingsPath(int n) const;
   /// Name of the data centre that a host is assigned to.
   std::string dataCentreOf(int host) const;
 
   std::vector<std::unique_ptr<HttpServer>> servers;
   std::thread thread;
-  std::uint16_t base = 0;
+  PortBlock ports;
   int dataCentres = 1;
   std::string directory;
   std::map<int, pid_t> children;
--- a/tests/process_cluster_helper.cpp
+++ b/tests/process_cluster_helper.cpp
@@ -16,7 +16,10 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
+#include <fstream>
+#include <stdexcept>
 #include <thread>
 
 namespace catkin {
@@ -31,9 +34,6 @@
 constexpr auto PollInterval = 50ms;
 constexpr HttpTimeouts CallTimeouts{.connect = 1s, .silence = 40s, .total = 40s};
 constexpr int PortsPerCluster = 50;
-// Below Linux's range of ephemeral ports, and apart from the ports that the scripts use.
-constexpr int FirstPort = 24000;
-constexpr int Clusters = 170;
 
 const char *const TestPlan = "drivers";
 const char *const OperatorKey = "process-test-operator-key";
@@ -155,6 +155,26 @@
   return true;
 }
 
+std::string makeTemporaryDirectory(const std::string &prefix) {
+  std::string path = ::testing::TempDir() + prefix + "XXXXXX";
+  if (!::mkdtemp(path.data()))
+    throw std::runtime_error("cannot create " + path);
+  return path;
+}
+
+std::string describeEnd(pid_t pid, const std::string &name, const std::string &log) {
+  int state = 0;
+  if (waitpid(pid, &state, WNOHANG) != pid)
+    return {};
+  std::ifstream in(log);
+  std::string line;
+  std::string last;
+  while (std::getline(in, line))
+    if (!line.empty())
+      last = line;
+  return name + " has ended: " + last;
+}
+
 bool isWholeAnswer(const HttpResult &result, const std::string &model, const std::string &prompt,
                    unsigned tokens) {
   if (statusOf(result) != 200)
@@ -166,11 +186,8 @@
 }
 
 ProcessCluster::ProcessCluster(ProcessClusterOptions o)
-    : options(std::move(o)),
-      base(static_cast<std::uint16_t>(FirstPort + getpid() % Clusters * PortsPerCluster)),
-      directory(::testing::TempDir() + "catkin-processes-" + std::to_string(getpid())) {
-  std::filesystem::remove_all(directory);
-  std::filesystem::create_directories(directory);
+    : options(std::move(o)), ports(PortsPerCluster),
+      directory(makeTemporaryDirectory("catkin-processes-")) {
   setenv("CATKIN_OPERATOR_KEY", OperatorKey, 1);
   startAll();
 }
@@ -187,7 +204,7 @@
 }
 
 Address ProcessCluster::addressAt(int offset) const {
-  return {.ip = "127.0.0.1", .port = static_cast<std::uint16_t>(base + offset)};
+  return {.ip = "127.0.0.1", .port = static_cast<std::uint16_t>(ports.first() + offset)};
 }
 
 std::string ProcessCluster::binary(const std::string &name) const {
@@ -202,7 +219,7 @@
   for (auto &it : flags)
     argv.push_back(it.data());
   argv.push_back(nullptr);
-  const auto log = directory + "/" + name + ".log";
+  const auto log = logPath(name);
   const pid_t pid = fork();
   if (pid == 0)
     runChild(log.c_str(), argv.data());
@@ -266,28 +283,51 @@
 }
 
 bool ProcessCluster::applyList(const std::string &list, const std::string &document) {
-  return pollUntil(
+  return pollWhileAllRun(
       [&] { return statusOf(putList(0, list, revisionAt(0, list), document)) == 200; });
 }
 
+bool ProcessCluster::pollWhileAllRun(const std::function<bool()> &condition) {
+  bool holds = false;
+  pollUntil([&] {
+    noteEndedProgram();
+    holds = error.empty() && condition();
+    return holds || !error.empty();
+  });
+  return holds;
+}
+
+void ProcessCluster::noteEndedProgram() {
+  for (auto it = children.begin(); it != children.end() && error.empty();) {
+    error = describeEnd(it->second, it->first, logPath(it->first));
+    it = error.empty() ? std::next(it) : children.erase(it);
+  }
+}
+
 void ProcessCluster::startAll() {
   startStandins();
-  if (!pollUntil([&] { return addNodes(); })) {
-    error = "the platform did not start";
-    return;
-  }
+  bool done = pollWhileAllRun([&] { return addNodes(); });
+  if (!done)
+    return fail("the platform did not start");
   for (int i = 0; i < options.hosts; ++i)
     startHost(i);
-  if (!applyList("plans", plansDocument(60)) || !applyList("uses", usesDocument())) {
-    error = "the lists were not accepted";
-    return;
+  done = applyList("plans", plansDocument(60)) && applyList("uses", usesDocument());
+  if (!done)
+    return fail("the lists were not accepted");
+  for (int i = 0; i < options.hosts; ++i) {
+    done = pollWhileAllRun([&] { return isHostReady(i); });
+    if (!done)
+      return fail("host " + std::to_string(i) + " did not become ready");
   }
-  for (int i = 0; i < options.hosts; ++i)
-    if (!pollUntil([&] { return isHostReady(i); }))
-      error = "host " + std::to_string(i) + " did not become ready";
   // The planner refuses cold requests until it has read the list of nodes and claimed the engines.
-  if (!pollUntil([&] { return knownEngineCount() == options.engines; }))
-    error = "the planner did not claim the engines";
+  done = pollWhileAllRun([&] { return knownEngineCount() == options.engines; });
+  if (!done)
+    fail("the planner did not claim the engines");
+}
+
+void ProcessCluster::fail(const std::string &reason) {
+  if (error.empty()) // a program that has ended is the better reason
+    error = reason;
 }
 
 int ProcessCluster::knownEngineCount() const {
--- a/tests/process_cluster_p.h
+++ b/tests/process_cluster_p.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http_p.h"
+#include "port_block_p.h"
 
 #include <sys/types.h>
 
@@ -32,6 +33,13 @@
 /// that hangs.
 bool pollUntil(const std::function<bool()> &condition);
 
+/// Creates a directory with a name that begins with `prefix`, and returns its path.
+std::string makeTemporaryDirectory(const std::string &prefix);
+
+/// Returns the name and the last log line of a child process that has ended, which it reaps. Empty
+/// while the process runs.
+std::string describeEnd(pid_t pid, const std::string &name, const std::string &log);
+
 /// Options of ProcessCluster.
 struct ProcessClusterOptions {
   int hosts = 3;
@@ -118,9 +126,15 @@
   int knownEngineCount() const;
   bool applyList(const std::string &list, const std::string &document);
   void startAll();
+  /// Polls until the condition holds. Returns false after the watchdog time, or at once with
+  /// `error` set if one of the programs ends.
+  bool pollWhileAllRun(const std::function<bool()> &condition);
+  void noteEndedProgram();
+  void fail(const std::string &reason);
+  std::string logPath(const std::string &name) const { return directory + "/" + name + ".log"; }
 
   ProcessClusterOptions options;
-  std::uint16_t base = 0;
+  PortBlock ports;
   std::string directory; ///< holds the logs of the processes
   std::map<std::string, pid_t> children;
 };
--- a/tests/request_limit_test.cpp
+++ b/tests/request_limit_test.cpp
@@ -34,7 +34,7 @@
                 {.plainEndpoints = 1, .dataCentres = dataCentres}) {}
 
   void SetUp() override {
-    ASSERT_TRUE(pollUntil([&] { return cluster.areAllHostsReady(); }));
+    ASSERT_TRUE(cluster.waitUntilReady());
     ASSERT_TRUE(pollUntil([&] { // the directory lists the hosts of the caller's data centre
       return static_cast<int>(cluster.directoryAddresses(0).size()) == hosts / dataCentres;
     }));
