Explain a request that was refused over the limit of an endpoint

catkinctl explain printed the outcome alone as the cause. It now names the endpoint, its limit and since when the host had known it. RefusedOverTheLimitOfAnEndpoint failed before.

--- a/src/request_explainer.cpp
+++ b/src/request_explainer.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <ctime>
 #include <map>
 
@@ -22,7 +21,8 @@
 constexpr std::int64_t LeaseHandoverWindowMs = 5000;
 
 /// Log messages that may explain a failed request; others are dropped.
-constexpr std::array<std::string_view, 12> RelevantMessages{"attempt failed",
+constexpr std::array<std::string_view, 13> RelevantMessages{"attempt failed",
+                                                            "endpoint names a request limit",
                                                             "order",
                                                             "order completed",
                                                             "order not accepted",
@@ -66,6 +66,14 @@
   return n ? *n : 0;
 }
 
+std::string LogRecord::numberText(std::string_view key) const {
+  auto *value = fields.if_contains(key);
+  const double number = value && value->is_number() ? value->to_number<double>() : 0;
+  std::array<char, 32> buf{};
+  const auto n = std::snprintf(buf.data(), buf.size(), "%g", number);
+  return {buf.data(), static_cast<std::size_t>(n)};
+}
+
 std::optional<LogRecord> parseLogRecord(std::string_view line) {
   const auto begin = line.find('{');
   LogRecord out;
@@ -149,6 +157,16 @@
   return "no order for " + model + " came in time: engines with a copy were busy or did not answer";
 }
 
+std::string RequestExplainer::explainUsedUpLimit(const LogRecord &end) const {
+  auto limits = findRecords(0, end.atMs, "endpoint names a request limit");
+  std::erase_if(limits, [&](auto *it) { return it->host != end.host; });
+  if (limits.empty())
+    return "no limit of an endpoint is logged";
+  const auto &last = *limits.back();
+  return last.text("endpoint") + " named a limit of " + last.numberText("per_second") +
+         " requests a second, known from " + last.time + " on";
+}
+
 std::string RequestExplainer::explainEndpointFailure(const LogRecord &end) const {
   const auto failedAttempts = findFailedAttempts();
   if (failedAttempts.empty())
@@ -191,6 +209,8 @@
     return explainEndpointFailure(end);
   if (outcome == "no endpoint holds the model in time")
     return explainNoModel(end);
+  if (outcome == "the request limit of the endpoints is used up")
+    return explainUsedUpLimit(end);
   if (outcome == "no route matches")
     return explainNoRoute(end);
   if (outcome == "caller_gone")
--- a/src/request_explainer_p.h
+++ b/src/request_explainer_p.h
@@ -23,6 +23,8 @@
   std::string text(std::string_view key) const;
   /// Returns an integer field; 0 if it is missing or has another type.
   std::int64_t number(std::string_view key) const;
+  /// Returns a number with up to six digits as text; "0" if the field is not a number.
+  std::string numberText(std::string_view key) const;
 };
 
 /// Parses the JSON record of a log line and ignores any text before it. Empty if there is no
@@ -50,6 +52,7 @@
   Records findFailedAttempts() const;
   std::string explainNoRoute(const LogRecord &end) const;
   std::string explainNoModel(const LogRecord &end) const;
+  std::string explainUsedUpLimit(const LogRecord &end) const;
   std::string explainEndpointFailure(const LogRecord &end) const;
   std::string explainStreamCut(const LogRecord &end) const;
   std::string findCause(const LogRecord &end) const;
--- a/tests/request_explainer_test.cpp
+++ b/tests/request_explainer_test.cpp
@@ -47,6 +47,16 @@
       << out;
 }
 
+TEST(RequestExplainerTest, RefusedOverTheLimitOfAnEndpoint) {
+  const auto out = explainLines(
+      {makeLogLine("18.000", "a",
+                   R"("endpoint names a request limit","endpoint":"e1","per_second":0.5)"),
+       makeLogLine("20.000", "a",
+                   R"("request","request":"r1","sends":0,"status":503,)"
+                   R"("outcome":"the request limit of the endpoints is used up")")});
+  EXPECT_TRUE(contains(out, "e1 named a limit of 0.5 requests a second")) << out;
+}
+
 TEST(RequestExplainerTest, FailedWithAnEndpointAtFault) {
   const std::string end = makeLogLine(
       "20.000", "a",
