--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -73,10 +73,7 @@
   std::function<Instant()> now;
   std::function<std::uint64_t()> random;
   std::function<int()> hostCount; ///< hosts of the fleet, for the retry budget
-  /// Asks for permission to send one request that can wait for `maxDelay` to an endpoint with a
-  /// limit of requests. Calls `done` once.
-  std::function<void(const EndpointIncarnation &, Duration maxDelay, std::function<void(Permit)>)>
-      acquirePermit;
+  AcquirePermit acquirePermit;
   /// The number of requests that wait for a model that no endpoint holds has changed by `change`.
   std::function<void(const ServiceName &, const ModelRef &, int change)> onModelNeedChanged;
   /// A request was refused with a retry time, since no endpoint holds its model.
--- a/src/fleet_planner_p.h
+++ b/src/fleet_planner_p.h
@@ -84,10 +84,7 @@
 struct FleetPlannerLinks {
   std::function<void(const HoldingsNotices &)> broadcast; ///< to all hosts including this one
   std::function<void(const Address &to, const HoldingsNotices &)> send;
-  /// Asks for permission to make one call that can wait for `maxDelay` to an engine with a limit of
-  /// requests. Calls `done` once. If empty, every call is permitted.
-  std::function<void(const EndpointIncarnation &, Duration maxDelay, std::function<void(Permit)>)>
-      acquirePermit;
+  AcquirePermit acquirePermit; ///< if empty, every call is permitted
 };
 
 /// Acquires the lease and plans while this host holds it.
--- a/src/permit_issuer_p.h
+++ b/src/permit_issuer_p.h
@@ -2,6 +2,7 @@
 
 #include "request_limits_p.h"
 
+#include <functional>
 #include <map>
 
 /// Issues permits for calls to endpoints that have named a limit of requests. One host issues all
@@ -16,6 +17,11 @@
   Duration delay{};
 };
 
+/// Asks for permission to make one call to an endpoint with a limit of requests. The call can wait
+/// for `maxDelay`. Calls `done` once.
+using AcquirePermit = std::function<void(const EndpointIncarnation &, Duration maxDelay,
+                                         std::function<void(Permit)> done)>;
+
 /// Schedules the calls to each endpoint at even intervals.
 class PermitIssuer {
 public:
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -140,6 +140,15 @@
     return result;
   }
 
+  /// Requests a resumable stream and checks that it has the events 1 and 2.
+  void expectBothEvents() {
+    auto request = makeCall("/resume/x");
+    request.set("Deadline-Ms", "2900");
+    auto result = call(request);
+    EXPECT_EQ(result.status, HttpTransferStatus::Ok);
+    EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  }
+
   /// Returns a handler that answers with `status` and `body`, and with `Not-Run` if `notRun` is
   /// set.
   static HttpHandler makeAnswerHandler(unsigned status, const std::string &body,
@@ -270,11 +279,7 @@
 TEST_F(PlatformGatewayTest, SilentStreamIsKeptWhileNoOtherEndpointCanTakeIt) {
   view.removeEndpoint(EndpointName("e1"), steadyNow());
   endpoints[0].handler = makeStallingHandler(1800ms);
-  auto request = makeCall("/resume/x");
-  request.set("Deadline-Ms", "2900");
-  auto result = call(request);
-  EXPECT_EQ(result.status, HttpTransferStatus::Ok);
-  EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  expectBothEvents();
 }
 
 // Guards against losing a slow answer of the only endpoint.
@@ -298,11 +303,7 @@
     it.handler = [&](HttpExchange &exchange) -> asio::awaitable<void> {
       return exchange.request()["Last-Event-Id"] == "1" ? second(exchange) : first(exchange);
     };
-  auto request = makeCall("/resume/x");
-  request.set("Deadline-Ms", "2900");
-  auto result = call(request);
-  EXPECT_EQ(result.status, HttpTransferStatus::Ok);
-  EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  expectBothEvents();
 }
 
 // Guards against a truncated stream that looks complete, and against a second run of its request.
