Find the programs of a process test beside the test itself, in one function

Both kinds of clusters had a way of their own, one of them a path that is compiled in. A copy of the build folder can now be tested as it is.

--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -479,7 +479,7 @@
   auto settings = settingsPath(n);
   auto log = logPath(directory, n);
   auto metrics = std::to_string(port(n * PortsPerHost + 4));
-  const std::string program = std::string(CATKIN_BIN_DIR) + "/catkin-platformd";
+  const std::string program = programPath("catkin-platformd");
   pid_t pid = ::fork();
   if (pid == 0) {
     // The hosts must not outlive a test that crashes.
--- a/tests/process_cluster_helper.cpp
+++ b/tests/process_cluster_helper.cpp
@@ -162,6 +162,10 @@
   return path;
 }
 
+std::string programPath(const std::string &name) {
+  return std::filesystem::read_symlink("/proc/self/exe").parent_path() / name;
+}
+
 std::string describeEnd(pid_t pid, const std::string &name, const std::string &log) {
   int state = 0;
   if (waitpid(pid, &state, WNOHANG) != pid)
@@ -207,13 +211,9 @@
   return {.ip = "127.0.0.1", .port = static_cast<std::uint16_t>(ports.first() + offset)};
 }
 
-std::string ProcessCluster::binary(const std::string &name) const {
-  return std::filesystem::read_symlink("/proc/self/exe").parent_path() / name;
-}
-
 void ProcessCluster::start(const std::string &name, const std::string &program,
                            std::vector<std::string> flags) {
-  flags.insert(flags.begin(), binary(program));
+  flags.insert(flags.begin(), programPath(program));
   std::vector<char *> argv;
   argv.reserve(flags.size() + 1);
   for (auto &it : flags)
--- a/tests/process_cluster_p.h
+++ b/tests/process_cluster_p.h
@@ -36,6 +36,9 @@
 /// Creates a directory with a name that begins with `prefix`, and returns its path.
 std::string makeTemporaryDirectory(const std::string &prefix);
 
+/// Returns the path of a program of this build.
+std::string programPath(const std::string &name);
+
 /// Returns the name and the last log line of a child process that has ended, which it reaps. Empty
 /// while the process runs.
 std::string describeEnd(pid_t pid, const std::string &name, const std::string &log);
@@ -119,7 +122,6 @@
 
 private:
   Address addressAt(int offset) const;
-  std::string binary(const std::string &name) const;
   void start(const std::string &name, const std::string &program, std::vector<std::string> flags);
   void startStandins();
   bool addNodes();
