--- a/src/request_permits.cpp
+++ b/src/request_permits.cpp
@@ -21,7 +21,6 @@
     EndpointIncarnation endpoint;
     Duration maxDelay{};
     Done done;
-    Instant since;
     int sends = 0;
   };
 
@@ -51,10 +50,7 @@
     if (issuesItself || !limit.perSecond)
       return done(issue(limit, maxDelay));
     const std::uint64_t id = ++lastId;
-    asks.emplace(id, Ask{.endpoint = endpoint,
-                         .maxDelay = maxDelay,
-                         .done = std::move(done),
-                         .since = env.now()});
+    asks.emplace(id, Ask{.endpoint = endpoint, .maxDelay = maxDelay, .done = std::move(done)});
     send(id);
   }
 
