--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -692,7 +692,7 @@
                           {"own", chosen.ownInFlight},
                           {"peers", chosen.peersInFlight},
                           {"failure_share", chosen.failureShare}};
-  const auto limit = g.view.signals().limits().find(incarnationOf(chosen.entry));
+  const RequestLimit limit = g.view.limitOf(chosen.entry);
   if (limit.perSecond)
     out["limit_per_second"] = *limit.perSecond;
   if (!chosen.notice || caller.model.empty())
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -187,7 +187,7 @@
 
   /// Logs a call to an engine that has named a limit of requests, since it counts as a request.
   void logCallUnderLimit(const EngineRecord &record, std::string_view call) const {
-    const auto limit = view.signals().limits().find(incarnationOf(record.entry));
+    const RequestLimit limit = view.limitOf(record.entry);
     if (limit.perSecond)
       logLine(LogLevel::Info, "call to an engine with a request limit",
               {{"endpoint", record.entry.name.value},
