Log which prompt parts a request had whose connection broke before its answer began

A caller got 502 and the log said "attempt failed" without a word on what the engine was asked: nothing could connect the breaks of one crash at different hosts, nor the crashes of one prompt part. The parts that requests share are now decoded once (all but the last, which is the request's own) and are in the line of an attempt whose connection broke before the first event. No decision changes.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -171,6 +171,9 @@
   AttemptFailure failure = AttemptFailure::NotConnected;
   EndpointResult result = EndpointResult::Abandoned;
   AnswerHead lastHead; ///< of the newest attempt
+  /// The connection of the newest attempt broke before its answer began, as in a crash of the
+  /// endpoint that this request or another one at the endpoint has caused.
+  bool brokeBeforeFirstEvent = false;
   EventRelay events;
   /// Newest complete answer of an endpoint, used if no other endpoint gives a better one.
   std::optional<HttpResponse> fallback;
@@ -460,6 +463,7 @@
   const HttpTimeouts limits = timeouts();
   const std::pair runKey(to.name, caller.model);
   const Instant sentAt = g.hooks.now();
+  const unsigned eventsBefore = events.eventCount();
   ++sends;
   ++g.runningRequests[runKey];
   g.view.onSent(to.name);
@@ -499,6 +503,9 @@
       search->onReceived(to.name);
     }
   }
+  brokeBeforeFirstEvent = attemptOutcome == AttemptOutcome::Failed && !exchange.isCallerGone() &&
+                          stream->status() == HttpTransferStatus::Broken &&
+                          events.eventCount() == eventsBefore;
   currentStream = nullptr;
   stream.reset();
   bool isEndpointBlameless =
@@ -704,6 +711,10 @@
 
 void RequestForwarder::logFailedAttempt(const FleetEndpoint &to) {
   g.metrics.onFailedAttempt(toString(failure));
+  boost::json::array parts;
+  if (brokeBeforeFirstEvent)
+    for (auto it : caller.sharedParts)
+      parts.emplace_back(promptPartText(it));
   logLine(LogLevel::Info, "attempt failed",
           {{"request", caller.id},
            {"endpoint", to.name.value},
@@ -712,6 +723,8 @@
            {"status", lastHead.status},
            {"not_run", lastHead.notRun},
            {"events", events.eventCount()},
+           {"broke_before_first_event", brokeBeforeFirstEvent},
+           {"prompt_parts", std::move(parts)},
            {"after_ms", toMillis(g.hooks.now() - arrivedAt)}});
 }
 
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// The gateway forwards callers' requests to the endpoints of the fleet. It finds the route, waits
 /// for a model as long as the deadline permits, chooses an endpoint, relays the answer, and retries
@@ -24,8 +25,9 @@
   std::string host;
   std::optional<Duration> deadline; ///< time that the caller waits for the answer
   ModelRef model;
-  std::uint64_t affinity = 0;  ///< identifies prompt parts that requests share; 0 if none
-  std::string rejectionReason; ///< fault of the request; empty if it has none
+  std::uint64_t affinity = 0;          ///< identifies prompt parts that requests share; 0 if none
+  std::vector<PromptPart> sharedParts; ///< parts of the prompt but the last, its own
+  std::string rejectionReason;         ///< fault of the request; empty if it has none
 };
 
 /// What the gateway adds to a request that it forwards.
--- a/src/fleet_types.cpp
+++ b/src/fleet_types.cpp
@@ -1,7 +1,9 @@
 #include "fleet_types_p.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <cstdio>
 
 namespace catkin {
 
@@ -9,6 +11,13 @@
   return {entry.name, entry.incarnation};
 }
 
+std::string promptPartText(PromptPart part) {
+  std::array<char, 17> buf{};
+  const auto n =
+      std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(part));
+  return {buf.data(), static_cast<std::size_t>(n)};
+}
+
 std::string toText(const ModelRef &ref) {
   return ref.adapter.empty() ? ref.model.value : ref.model.value + "/" + ref.adapter;
 }
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -12,6 +12,11 @@
 /// them.
 namespace catkin {
 
+/// Identifies a part of a prompt that requests share.
+using PromptPart = std::uint64_t;
+/// Returns the part's id as a hexadecimal number, for logs.
+std::string promptPartText(PromptPart part);
+
 /// Kind of a route's calls. It decides what may be retried after a failure of unknown outcome.
 enum class CallKind { Idempotent, NonIdempotent, Stream, Count };
 template <> struct EnumNames<CallKind> {
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -96,6 +96,9 @@
   auto other = makeCall();
   other.set("Prompt-Prefix", "5c:800,91:410,ff:99");
   EXPECT_EQ(codec.decode(other).affinity, call.affinity);
+  EXPECT_EQ(call.sharedParts, (std::vector<PromptPart>{0x5c, 0x91}));
+  other.set("Prompt-Prefix", "e4:250"); // the only part belongs to the request itself
+  EXPECT_TRUE(codec.decode(other).sharedParts.empty());
 }
 
 TEST(RequestCodecTest, NamesFaults) {
