--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -217,7 +217,29 @@
 // ---- Engine ------------------------------------------------------------------------------------
 
 StandinEngine::StandinEngine(std::string id, std::set<std::string> models)
-    : id(std::move(id)), models(std::move(models)), incarnation(FirstIncarnation) {}
+    : id(std::move(id)), models(models), incarnation(FirstIncarnation),
+      firstModels(std::move(models)) {}
+
+bool StandinEngine::isDown() const {
+  return !crashes.times.empty() && steadyNow() < crashes.times.back() + crashes.downTime;
+}
+
+bool StandinEngine::isDeadly(const HttpRequest &request) const {
+  const std::string parts = textOf(request["Prompt-Prefix"]);
+  const std::string shared = "," + parts.substr(0, parts.rfind(',') + 1); // all but the last
+  return std::any_of(crashes.deadlyParts.begin(), crashes.deadlyParts.end(),
+                     [&](auto &it) { return shared.find("," + it + ":") != std::string::npos; });
+}
+
+void StandinEngine::crash() { crashes.times.push_back(steadyNow()); }
+
+void StandinEngine::startAgain(std::set<std::string> heldModels) {
+  models = std::move(heldModels);
+  acceptedOrders = 0;
+  highestTerm = 0;
+  holdersByTerm.clear();
+  ++incarnation;
+}
 
 json::object StandinEngine::registryEntry(const std::string &state) const {
   json::array held;
@@ -267,9 +289,19 @@
   head.set("Request-Id", textOf(request["Request-Id"]));
   head.set("Server-Stamp", id);
   setAnnouncements(head);
+  const std::size_t crashesBefore = crashes.times.size();
+  const auto hasCrashed = [&] { return crashes.times.size() > crashesBefore; };
   co_await exchange.startStream(std::move(head));
+  co_await sleepFor(EventPause);
+  if (!hasCrashed() && isDeadly(request)) {
+    crash();
+    co_await sleepFor(crashes.downTime);
+    startAgain(firstModels);
+    if (crashes.onRestarted)
+      crashes.onRestarted();
+  }
   for (int i = first; i <= StreamEventCount; ++i) {
-    if (cut > 0 && i > cut) {
+    if (hasCrashed() || (cut > 0 && i > cut)) {
       exchange.abort();
       co_return;
     }
@@ -284,6 +316,10 @@
 asio::awaitable<void> StandinEngine::handle(HttpExchange &exchange) {
   const HttpRequest request = exchange.request();
   const std::string target = textOf(request.target());
+  if (isDown())
+    co_return exchange.abort();
+  if (isDeadly(request))
+    crashes.deadlyCalls.push_back(steadyNow());
   HttpResponse response = makeResponse(421);
   response.set("Instance", id);
   if (request["Expect-Instance"] == id) {
@@ -408,6 +444,9 @@
   for (std::size_t i = 0; i < held.size(); ++i) {
     engines.push_back(std::make_unique<StandinEngine>("i-" + std::to_string(i), held[i]));
     auto *engine = engines.back().get();
+    engine->crashes.onRestarted = [this, engine] {
+      store.put("servers", engine->id, engine->registryEntry("ready"));
+    };
     engine->address = addProxyIfEnabled(
         serve([engine](HttpExchange &it) { return engine->handle(it); }), engineProxies);
     store.put("servers", engine->id, engine->registryEntry("ready"));
@@ -540,11 +579,14 @@
 }
 
 HttpResult PlatformCluster::post(int host, const char *target, const std::string &id,
-                                 const char *deadlineMs, const std::string &model) const {
+                                 const char *deadlineMs, const std::string &model,
+                                 const std::string &promptParts) const {
   Call call{.method = "POST", .target = target};
   call.headers = {{"Host", HostName}, {"Request-Id", id}, {"Deadline-Ms", deadlineMs}};
   if (!model.empty())
     call.headers.emplace_back("Model", model);
+  if (!promptParts.empty())
+    call.headers.emplace_back("Prompt-Prefix", promptParts);
   return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
 }
 
@@ -552,8 +594,9 @@
   return "h" + std::to_string(host) + "-" + std::to_string(++lastRequestId);
 }
 
-HttpResult PlatformCluster::requestStream(int host, const std::string &model) const {
-  return post(host, "/s/x", newRequestId(host), "9000", model);
+HttpResult PlatformCluster::requestStream(int host, const std::string &model,
+                                          const std::string &promptParts) const {
+  return post(host, "/s/x", newRequestId(host), "9000", model, promptParts);
 }
 
 HttpResult PlatformCluster::requestOnce(int host, std::string &id) const {
@@ -572,11 +615,7 @@
 void PlatformCluster::restartEngine(int n) {
   run([&] {
     auto &it = *engines[static_cast<std::size_t>(n)];
-    it.models.clear();
-    it.acceptedOrders = 0;
-    it.highestTerm = 0;
-    it.holdersByTerm.clear();
-    ++it.incarnation;
+    it.startAgain({});
     store.put("servers", it.id, it.registryEntry("ready"));
   });
 }
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -79,6 +80,16 @@
   void onCall(const HttpRequest &request);
 };
 
+/// Crashes of a stand-in engine: it loses all its requests and its orders, answers nothing for
+/// `downTime`, and then starts as a new incarnation with the models that it had at first.
+struct StandinCrashes {
+  std::set<std::string> deadlyParts; ///< prompt parts that crash it when an answer begins
+  Duration downTime = std::chrono::milliseconds(2500);
+  std::vector<Instant> times;        ///< of its crashes
+  std::vector<Instant> deadlyCalls;  ///< arrivals of requests with one of `deadlyParts`
+  std::function<void()> onRestarted; ///< called when it is up again
+};
+
 /// A model engine that takes orders and serves streams.
 class StandinEngine {
 public:
@@ -87,6 +98,10 @@
   asio::awaitable<void> handle(HttpExchange &exchange);
   /// Returns the registration of the engine.
   json::object registryEntry(const std::string &state) const;
+  /// Crashes the engine, which starts again by itself.
+  void crash();
+  /// Starts as a new incarnation that has accepted no orders.
+  void startAgain(std::set<std::string> heldModels);
 
   const std::string id;
   std::set<std::string> models;
@@ -97,6 +112,7 @@
   double backoffSeconds = 0; ///< above 0: refuses requests with this Retry-After
   int refusedRequests = 0;   ///< model requests refused because of backoffSeconds
   StandinLimit limit;
+  StandinCrashes crashes;
   std::uint64_t acceptedOrders = 0;
   std::uint64_t highestTerm = 0;
   std::set<std::string> orderHolders; ///< holders that sent the accepted orders
@@ -105,10 +121,15 @@
   std::uint64_t incarnation; ///< incremented by a restart
 
 private:
+  bool isDown() const;
+  /// Returns whether a shared part of the request's prompt crashes the engine.
+  bool isDeadly(const HttpRequest &request) const;
   HttpResponse applyOrder(const HttpRequest &request);
   void setAnnouncements(HttpResponse &response) const;
   asio::awaitable<void> handleModelRequest(HttpExchange &exchange);
   asio::awaitable<void> sendStream(HttpExchange &exchange);
+
+  const std::set<std::string> firstModels;
 };
 
 /// Span in which the platform counts the calls to an engine that has named a limit.
@@ -174,7 +195,9 @@
   /// them ends; returns false after the watchdog time.
   bool waitUntilReady();
   /// Sends a streaming request for `model` to a host and returns the result.
-  HttpResult requestStream(int host, const std::string &model) const;
+  /// `promptParts` has the ids of its prompt parts, separated by commas.
+  HttpResult requestStream(int host, const std::string &model,
+                           const std::string &promptParts = {}) const;
   /// Sends a request that may run at most once to a host. Sets `id` to its request id.
   HttpResult requestOnce(int host, std::string &id) const;
   /// Returns the status of a request to the extra route.
@@ -204,7 +227,7 @@
 private:
   std::shared_ptr<FaultProxy> addProxy(const Address &target);
   HttpResult post(int host, const char *target, const std::string &id, const char *deadlineMs,
-                  const std::string &model) const;
+                  const std::string &model, const std::string &promptParts = {}) const;
   std::uint16_t port(int offset) const {
     return static_cast<std::uint16_t>(ports.first() + offset);
   }
