Refuse requests with a prompt part on which engines crash, known to all hosts

Cause: nothing remembered what a crashed engine had been asked. Each host saw one broken request at a time, and the parts of a prompt were read as one hash for the choice of the engine.

Change: a crash is evidence against the shared parts of all requests whose answers had not begun; a part with which an answer begins afterwards is cleared. Hosts merge their evidence by heartbeats and digests, without comparing clocks. A part that explains three crashes is in quarantine: refused at once with 503 as not run, before each send and in each wait. One host probes it from time to time, so that it ends. Ruled out: counting at each host, which is over the bound before any host has seen two crashes, and shares of broken requests, which blame parts that every prompt has (PreambleIsRefusedAfterAllEnginesCrashed).

--- a/src/digest_cache.cpp
+++ b/src/digest_cache.cpp
@@ -26,6 +26,8 @@
     if (now - it.receivedAt >= DirectLifetime)
       continue;
     out.digests.push_back(it.message.digests.front());
+    // Heartbeats of the relay carry these, with their present age.
+    out.digests.back().crashes.clear();
     catkin::addLoads(it.message.loads, loads);
   }
   out.loads = listLoads(loads);
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -50,6 +50,7 @@
 // is not, another host may know a better endpoint.
 constexpr int MaxMissingAnswers = 2;
 constexpr int MaxPermitDenials = 3; // then the request is refused
+constexpr std::string_view QuarantineReason = "engines crash on a part of the prompt";
 
 /// Formats seconds with milliseconds for the Retry-After header.
 std::string secondsText(Duration d) {
@@ -68,6 +69,8 @@
   FleetGatewayHooks hooks;
   HttpClient client;
   RetryBudget budget;
+  PromptGuard noPromptGuard;
+  PromptGuard &promptGuard;
   BufferBudget buffers{
       {.perAnswer = config::FleetAnswerBytes, .total = config::FleetHeldAnswersBytes}};
   FleetMetrics metrics;
@@ -80,7 +83,8 @@
   Impl(const asio::any_io_executor &executor, FleetView &view, const RequestCodec &codec,
        FleetGatewayOptions options, FleetGatewayHooks hooks)
       : executor(executor), view(view), codec(codec), options(std::move(options)),
-        hooks(std::move(hooks)), client(executor), budget(this->options.budget) {}
+        hooks(std::move(hooks)), client(executor), budget(this->options.budget),
+        promptGuard(this->hooks.promptGuard ? *this->hooks.promptGuard : noPromptGuard) {}
 };
 
 namespace {
@@ -111,11 +115,14 @@
   struct Refusal {
     unsigned status = 0;
     std::string_view reason;
+    std::optional<Duration> retryAfter; ///< estimated from the endpoints if empty
   };
 
   std::optional<Refusal> prepare();
   std::optional<Refusal> resolveRoute(const HttpRequest &request);
   std::optional<Refusal> findService();
+  bool isQuarantined();
+  Duration quarantineRetryAfter() const;
   asio::awaitable<const EndpointState *> findEndpoint();
   asio::awaitable<bool> waitForViewChange();
   Instant waitDeadline() const;
@@ -127,6 +134,7 @@
   asio::awaitable<Permit> askForPermit(const FleetEndpoint &to, Duration maxDelay);
   Duration maxPermitWait() const;
   asio::awaitable<AttemptOutcome> sendTo(const FleetEndpoint &to);
+  void onAnswerBegun();
   void recordSignals(const FleetEndpoint &from, Instant sentAt);
   asio::awaitable<AttemptOutcome> relayCompleteAnswer(HttpStream &stream, const AnswerHead &head);
   asio::awaitable<AttemptOutcome> relayEvents(HttpStream &stream);
@@ -136,7 +144,8 @@
   HttpTimeouts timeouts() const;
   bool canAbandon(const EndpointName &silent);
   bool tryReserveRetry(AttemptFailure why);
-  asio::awaitable<void> refuse(unsigned status, std::string_view reason);
+  asio::awaitable<void> refuse(unsigned status, std::string_view reason,
+                               std::optional<Duration> after = std::nullopt);
   asio::awaitable<void> finishUnanswered();
   std::string_view notRunReason() const;
   asio::awaitable<void> respondWithFallback();
@@ -174,6 +183,8 @@
   /// The connection of the newest attempt broke before its answer began, as in a crash of the
   /// endpoint that this request or another one at the endpoint has caused.
   bool brokeBeforeFirstEvent = false;
+  bool answerBegun = false;    ///< that of the newest attempt
+  PromptVerdict promptVerdict; ///< at the arrival, then before each attempt
   EventRelay events;
   /// Newest complete answer of an endpoint, used if no other endpoint gives a better one.
   std::optional<HttpResponse> fallback;
@@ -198,7 +209,24 @@
     return Refusal{400, caller.rejectionReason};
   if (arrivedAt >= g.refuseFrom && arrivedAt + limit > g.stopEnd)
     return Refusal{503, "this host is stopping"};
-  return findService();
+  if (auto refusal = findService())
+    return refusal;
+  if (isQuarantined())
+    return Refusal{503, QuarantineReason, quarantineRetryAfter()};
+  return std::nullopt;
+}
+
+/// Returns true if engines crash on a part of the prompt, so that the request must not be sent.
+bool RequestForwarder::isQuarantined() {
+  promptVerdict = g.promptGuard.judge(caller.sharedParts);
+  return promptVerdict.kind == PromptVerdict::Kind::Quarantined;
+}
+
+/// Returns the time until the quarantine may end, within the time in which the caller can retry.
+Duration RequestForwarder::quarantineRetryAfter() const {
+  const Duration latest = std::max<Duration>(remainingTime() / 3, config::FleetRetryAfterMin);
+  return promptVerdict.remaining > Duration::zero() ? std::min(promptVerdict.remaining, latest)
+                                                    : latest;
 }
 
 std::optional<RequestForwarder::Refusal>
@@ -235,7 +263,7 @@
 asio::awaitable<void> RequestForwarder::run() {
   const auto refusal = prepare();
   if (refusal) {
-    co_await refuse(refusal->status, refusal->reason);
+    co_await refuse(refusal->status, refusal->reason, refusal->retryAfter);
     co_return;
   }
   if (!caller.model.empty())
@@ -263,6 +291,10 @@
     const bool permitted = co_await obtainPermit(to);
     if (!permitted)
       continue;
+    if (isQuarantined()) { // since the request arrived or was first sent
+      co_await finishUnanswered();
+      co_return;
+    }
     const AttemptOutcome attemptOutcome = co_await sendTo(to);
     if (attemptOutcome == AttemptOutcome::Finished)
       co_return;
@@ -367,6 +399,8 @@
     const bool inTime = co_await waitForViewChange();
     if (!inTime)
       break;
+    if (isQuarantined())
+      break;
     chosen = choose();
     const bool cannotBecomeReady = caller.model.empty() && !search->timeUntilReady(g.hooks.now());
     if (cannotBecomeReady)
@@ -463,8 +497,11 @@
   const HttpTimeouts limits = timeouts();
   const std::pair runKey(to.name, caller.model);
   const Instant sentAt = g.hooks.now();
-  const unsigned eventsBefore = events.eventCount();
   ++sends;
+  answerBegun = false;
+  const bool isProbe = promptVerdict.kind == PromptVerdict::Kind::Probe;
+  if (isProbe)
+    g.promptGuard.onProbeSent(promptVerdict.part);
   ++g.runningRequests[runKey];
   g.view.onSent(to.name);
   result = EndpointResult::Failed;
@@ -504,8 +541,11 @@
     }
   }
   brokeBeforeFirstEvent = attemptOutcome == AttemptOutcome::Failed && !exchange.isCallerGone() &&
-                          stream->status() == HttpTransferStatus::Broken &&
-                          events.eventCount() == eventsBefore;
+                          stream->status() == HttpTransferStatus::Broken && !answerBegun;
+  if (brokeBeforeFirstEvent)
+    g.promptGuard.onBrokenBeforeAnswer(to, caller.sharedParts);
+  else if (isProbe && !answerBegun)
+    g.promptGuard.onProbeEnded(promptVerdict.part);
   currentStream = nullptr;
   stream.reset();
   bool isEndpointBlameless =
@@ -521,6 +561,12 @@
   co_return attemptOutcome;
 }
 
+/// Records that the prompt has not crashed the endpoint.
+void RequestForwarder::onAnswerBegun() {
+  if (!std::exchange(answerBegun, true))
+    g.promptGuard.onAnswerBegun(caller.sharedParts);
+}
+
 /// Records what the head of an answer announces about the endpoint itself.
 void RequestForwarder::recordSignals(const FleetEndpoint &from, Instant sentAt) {
   const Instant now = g.hooks.now();
@@ -549,6 +595,8 @@
     co_return AttemptOutcome::Failed;
   }
   const bool failed = head.status >= 500;
+  if (!failed)
+    onAnswerBegun();
   result = failed ? EndpointResult::Failed : EndpointResult::Answered;
   if (state.headersSent) { // a resumed stream cannot be replaced by another answer
     failure = AttemptFailure::Broken;
@@ -613,8 +661,10 @@
       events.discardPartialEvent();
       co_return rejectOversizedAnswer();
     }
-    if (!whole.empty())
-      delivered = co_await forwardEvents(whole, head);
+    if (whole.empty())
+      continue;
+    onAnswerBegun();
+    delivered = co_await forwardEvents(whole, head);
   }
   if (!delivered || stream.status() != HttpTransferStatus::Ok) {
     events.discardPartialEvent();
@@ -650,6 +700,8 @@
     co_await refuse(isDeadlinePassed() ? 504 : 502, "the endpoint failed");
     co_return;
   }
+  if (promptVerdict.kind == PromptVerdict::Kind::Quarantined)
+    co_return co_await refuse(503, QuarantineReason, quarantineRetryAfter());
   co_await refuse(503, notRunReason());
 }
 
@@ -663,12 +715,13 @@
 }
 
 /// Answers with an error of this host.
-asio::awaitable<void> RequestForwarder::refuse(unsigned status, std::string_view reason) {
+asio::awaitable<void> RequestForwarder::refuse(unsigned status, std::string_view reason,
+                                               std::optional<Duration> after) {
   const bool notRun = status == 503 || status < 500;
   HttpResponse response =
       problemResponse(status, notRun ? RunOutcome::NotRun : RunOutcome::MayHaveRun, reason);
   if (status == 503)
-    response.set(http::field::retry_after, secondsText(retryAfter()));
+    response.set(http::field::retry_after, secondsText(after.value_or(retryAfter())));
   logRequest(status, reason);
   const bool delivered = co_await exchange.respond(std::move(response));
   (void)delivered; // no answer is needed if the caller has gone
@@ -741,6 +794,9 @@
            {"config", configVersion},
            {"choices", choices},
            {"sends", sends},
+           {"quarantined_part", promptVerdict.kind == PromptVerdict::Kind::Clear
+                                    ? std::string()
+                                    : promptPartText(promptVerdict.part)},
            {"limit_ms", toMillis(limit)},
            {"waited_ms", toMillis(modelWaitTime)},
            {"took_ms", toMillis(took)},
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -5,6 +5,7 @@
 #include "http_p.h"
 #include "metrics_p.h"
 #include "permit_issuer_p.h"
+#include "prompt_guard_p.h"
 #include "retry_budget_p.h"
 
 #include <functional>
@@ -76,6 +77,7 @@
   std::function<std::uint64_t()> random;
   std::function<int()> hostCount; ///< hosts of the fleet, for the retry budget
   AcquirePermit acquirePermit;
+  PromptGuard *promptGuard = nullptr; ///< null if no request is refused for its prompt
   /// The number of requests that wait for a model that no endpoint holds has changed by `change`.
   std::function<void(const ServiceName &, const ModelRef &, int change)> onModelNeedChanged;
   /// A request was refused with a retry time, since no endpoint holds its model.
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -29,6 +29,13 @@
 // Changes of the host list are not urgent, so hosts that start together share one answer.
 constexpr Duration HostBatchPause = std::chrono::milliseconds(500);
 
+// Crashes that break many connections at once are announced together.
+constexpr Duration AnnouncementDelay = std::chrono::milliseconds(20);
+// Longest time until all hosts have heard what one of them announces: two heartbeats in a small
+// fleet, and those of two relays and a digest in a large one.
+constexpr Duration SmallFleetReportDelay = std::chrono::milliseconds(1100);
+constexpr Duration LargeFleetReportDelay = std::chrono::milliseconds(1900);
+
 } // namespace
 
 struct FleetHost::Impl : std::enable_shared_from_this<FleetHost::Impl> {
@@ -40,6 +47,7 @@
   FleetLinks links;
   RequestPermits permits;
   DigestCache digests; ///< digests of other data centres
+  CrashWatch crashWatch;
   FleetPlanner planner;
   FleetGateway gateway;
   ConfigExchange exchange;
@@ -60,6 +68,7 @@
   bool reliedOnSentinel = false; ///< relied on sentinels for registry changes at the last heartbeat
   std::uint64_t newestPeerArrival = 0; ///< revision of the newest endpoint known to other hosts
   Instant registryRefreshedAt;
+  bool announcementScheduled = false;
 
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
       : options(std::move(o)), adapter(std::move(a)), env(*adapter.env), peers(options.self),
@@ -68,6 +77,9 @@
                 {.issuer = [this](auto &it) { return permitIssuer(it); },
                  .share = [this] { return peers.permitShare(env.now()); },
                  .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
+        crashWatch(env, view, *adapter.engines,
+                   {.mayProbe = [this](PromptPart it) { return isResponsibleFor(it); },
+                    .announce = [this] { announceState(); }}),
         planner(env, view, *adapter.engines,
                 {.host = options.self.host,
                  .incarnation = options.self.incarnation,
@@ -86,6 +98,7 @@
              .hostCount = [this] { return peers.hostCount(); },
              .acquirePermit = [this](auto &to, Duration maxDelay,
                                      auto done) { permits.acquire(to, maxDelay, done); },
+             .promptGuard = &crashWatch,
              .onModelNeedChanged = [this](auto &service, auto &model,
                                           int change) { onNeedChanged(service, model, change); },
              .onModelUnavailable = [this](auto &service,
@@ -98,7 +111,7 @@
                        .watch = {.maxWait = closeWatchWait()}},
                       {.readConfig = adapter.readConfig,
                        .apply = [this](FleetConfig it) { return view.setConfig(std::move(it)); },
-                       .applied = [this] { announceConfiguration(); },
+                       .applied = [this] { announceState(); },
                        .holders = [this] { return peers.configHolders(env.now()); },
                        .connectionChanged = [this](bool on) { onConfigConnection(on); }}),
         endpointFollower(env, *adapter.feed,
@@ -332,7 +345,11 @@
   }
 
   Address permitIssuer(const EndpointName &endpoint) const {
-    return peers.permitIssuer(endpoint, stopping, env.now());
+    return peers.responsibleHost(endpoint.value, stopping, env.now());
+  }
+
+  bool isResponsibleFor(PromptPart part) const {
+    return peers.responsibleHost(promptPartText(part), stopping, env.now()).empty();
   }
 
   void onHeartbeat(const FleetHeartbeat &message, const Address &from) {
@@ -344,6 +361,7 @@
       view.onLimitReportedByHost(it, env.now());
     for (auto &it : message.departures)
       view.onDeparture(it);
+    onCrashReports(message.crashes);
     newestPeerArrival = std::max(newestPeerArrival, message.newestArrival);
     onPlannerHeard(message.plannerTerm, from);
   }
@@ -360,10 +378,18 @@
         view.onLeaving(it, now, true);
       for (auto &it : digest.limits)
         view.onLimitReportedByHost(it, now);
+      onCrashReports(digest.crashes);
       onPlannerHeard(digest.plannerTerm, digest.plannerAddress);
     }
   }
 
+  /// In a large fleet, sentinels forward news in their data centre at once.
+  void onCrashReports(const std::vector<CrashReport> &reports) {
+    const bool news = crashWatch.onReports(reports);
+    if (news && wasSentinel && peers.isLargeFleet(env.now()))
+      announceState();
+  }
+
   void onPlannerHeard(std::uint64_t term, const Address &address) {
     if (term == 0 || term < planner.term())
       return;
@@ -407,6 +433,7 @@
                      .loads = {},
                      .leavingEndpoints = view.signals().leavingToAnnounce(now),
                      .limits = view.signals().limits().toAnnounce(now),
+                     .crashes = crashWatch.reports(),
                      .departures = {},
                      .newestArrival = 0};
     if (wasSentinel) {
@@ -419,15 +446,25 @@
     return m;
   }
 
-  /// Announces a new configuration at once. In a large fleet only sentinels do, to the hosts of
-  /// their data centre.
-  void announceConfiguration() {
+  /// Announces this host's state, such as a new configuration or a crash, before the next
+  /// heartbeat. Several changes in a short time share one announcement.
+  void announceState() {
+    if (std::exchange(announcementScheduled, true))
+      return;
+    env.after(AnnouncementDelay, [self = shared_from_this()] { self->sendAnnouncement(); });
+  }
+
+  /// In a large fleet, the state goes to the hosts of this data centre, and a sentinel's also to
+  /// the relays of the others.
+  void sendAnnouncement() {
+    announcementScheduled = false;
     const Instant now = env.now();
     const FleetHeartbeat m = makeHeartbeat(now);
     if (!peers.isLargeFleet(now))
-      links.send(peers.peerAddresses(), m);
-    else if (wasSentinel)
-      links.send(peers.nearbyAddresses(), m);
+      return links.send(peers.peerAddresses(), m);
+    links.send(peers.nearbyAddresses(), m);
+    if (wasSentinel)
+      links.send(peers.relayAddresses(now), ownDigest(m, now));
   }
 
   void heartbeat() {
@@ -435,6 +472,9 @@
     auto now = env.now();
     view.expire(now);
     permits.expire();
+    crashWatch.setReportDelay(peers.isLargeFleet(now) ? LargeFleetReportDelay
+                                                      : SmallFleetReportDelay);
+    crashWatch.expire();
     const FleetHeartbeat m = makeHeartbeat(now);
     links.send(peers.nearbyAddresses(), m);
     if (heartbeats++ % config::FleetDistantHeartbeats == 0)
@@ -585,7 +625,8 @@
                      .configBehindSeconds = toSeconds(host.configuration.timeBehind()),
                      .endpoints = static_cast<double>(host.view.endpoints().size()),
                      .peersAlive = static_cast<double>(host.peers.aliveCount(now) - 1),
-                     .storeConnected = host.endpointFollower.isConnected() ? 1.0 : 0.0};
+                     .storeConnected = host.endpointFollower.isConnected() ? 1.0 : 0.0,
+                     .quarantinedParts = static_cast<double>(host.crashWatch.quarantinedParts())};
   return host.gateway.metrics().text(gauges);
 }
 
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_watch_p.h"
 #include "fleet_configuration_p.h"
 #include "fleet_gateway_p.h"
 #include "fleet_links_p.h"
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "json_p.h"
 
+#include <array>
 #include <cmath>
 
 namespace catkin {
@@ -86,6 +87,53 @@
   return out;
 }
 
+constexpr std::array SuspectStates{SuspectState::NeverBegun, SuspectState::BegunBefore,
+                                   SuspectState::Cleared};
+
+/// The suspects of a crash are lists by state, which keeps the encoding short.
+json::object toJson(const CrashReport &m) {
+  json::object out{
+      {"e", m.engine.endpoint.value}, {"i", m.engine.incarnation}, {"age_us", m.age.count()}};
+  for (auto state : SuspectStates) {
+    json::array parts;
+    for (auto &it : m.suspects)
+      if (it.state == state)
+        parts.emplace_back(promptPartText(it.part));
+    if (!parts.empty())
+      out[toString(state)] = std::move(parts);
+  }
+  return out;
+}
+
+json::array toJson(const std::vector<CrashReport> &crashes) {
+  json::array out;
+  for (auto &it : crashes)
+    out.push_back(toJson(it));
+  return out;
+}
+
+void readSuspects(JsonReader &in, SuspectState state, CrashReport &report) {
+  for (auto &it : in.texts(toString(state))) {
+    const auto part = parsePromptPart(it);
+    in.ok = in.ok && part;
+    report.suspects.push_back({part.value_or(0), state});
+  }
+}
+
+std::vector<CrashReport> readCrashes(JsonReader &in) {
+  std::vector<CrashReport> out;
+  in.objects("crashes", [&](JsonReader &it) {
+    CrashReport report{.engine = {it.name<EndpointName>("e"), it.unsignedInt("i")},
+                       .age = it.micros("age_us"),
+                       .suspects = {}};
+    it.ok = it.ok && report.age >= Duration::zero();
+    for (auto state : SuspectStates)
+      readSuspects(it, state, report);
+    out.push_back(std::move(report));
+  });
+  return out;
+}
+
 /// Reads the limit in a message about a permit.
 RequestLimit readOwnLimit(JsonReader &in) {
   auto *limit = in.raw().if_contains("limit");
@@ -137,6 +185,8 @@
                    {"leaving_endpoints", toJson(m.leavingEndpoints)}};
   if (!m.limits.empty())
     out["limits"] = toJson(m.limits);
+  if (!m.crashes.empty())
+    out["crashes"] = toJson(m.crashes);
   if (m.plannerTerm > 0) {
     out["planner"] = m.plannerTerm;
     out["planner_address"] = m.plannerAddress.toString();
@@ -149,7 +199,8 @@
                      .configVersion = in.unsignedInt("config"),
                      .unhealthyHosts = {},
                      .leavingEndpoints = readLeavingEndpoints(in),
-                     .limits = readLimits(in)};
+                     .limits = readLimits(in),
+                     .crashes = readCrashes(in)};
   if (in.raw().contains("planner")) {
     m.plannerTerm = in.unsignedInt("planner");
     m.plannerAddress = in.address("planner_address");
@@ -183,6 +234,8 @@
     out["leaving_endpoints"] = toJson(m.leavingEndpoints);
   if (!m.limits.empty())
     out["limits"] = toJson(m.limits);
+  if (!m.crashes.empty())
+    out["crashes"] = toJson(m.crashes);
   if (!m.departures.empty())
     out["departures"] = toJson(m.departures);
   if (m.newestArrival > 0)
@@ -278,6 +331,7 @@
           .loads = readLoads(in),
           .leavingEndpoints = readLeavingEndpoints(in),
           .limits = readLimits(in),
+          .crashes = readCrashes(in),
           .departures = readDepartures(in),
           .newestArrival = in.raw().contains("arrival") ? in.unsignedInt("arrival") : 0};
 }
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -2,6 +2,7 @@
 
 #include "fleet_view_p.h"
 #include "permit_issuer_p.h"
+#include "prompt_quarantine_p.h"
 
 #include <map>
 #include <optional>
@@ -41,6 +42,7 @@
   /// Endpoints that have announced their shutdown in an answer to this host.
   std::vector<EndpointIncarnation> leavingEndpoints;
   std::vector<RequestLimit> limits;  ///< named, changed or ended in an answer to this host
+  std::vector<CrashReport> crashes;  ///< of engines, as far as this host has heard
   std::vector<Departure> departures; ///< recently read in the registry by this host
   std::uint64_t newestArrival = 0;   ///< revision of the newest registration that can serve at once
 };
@@ -66,6 +68,7 @@
   std::vector<HostStatus> unhealthyHosts;
   std::vector<EndpointIncarnation> leavingEndpoints;
   std::vector<RequestLimit> limits; ///< the newest of each endpoint that a host there announces
+  std::vector<CrashReport> crashes; ///< of engines, as far as the relay has heard
 };
 
 /// Digests of data centres in a large fleet. A relay sends the digest of its own data centre to the
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -119,9 +119,9 @@
   return out;
 }
 
-Address FleetPeers::permitIssuer(const EndpointName &endpoint, bool leaving, Instant now) const {
+Address FleetPeers::responsibleHost(std::string_view key, bool leaving, Instant now) const {
   auto rank = [&](const FleetHostEntry &entry) {
-    const auto hash = XXH64(endpoint.value.data(), endpoint.value.size(), relayRank(entry).second);
+    const auto hash = XXH64(key.data(), key.size(), relayRank(entry).second);
     return std::pair(entry.capacity < MinRelayCapacity, hash);
   };
   const FleetHostEntry *best = leaving ? nullptr : &self;
@@ -218,7 +218,8 @@
                        .plannerAddress = self.peerAddress,
                        .unhealthyHosts = {},
                        .leavingEndpoints = state.leavingEndpoints,
-                       .limits = state.limits};
+                       .limits = state.limits,
+                       .crashes = state.crashes};
   const HostStatus own{self.host, true, state.ready, state.leaving, state.storeConnected};
   if (!own.ready || own.leaving || !own.storeConnected)
     out.unhealthyHosts.push_back(own);
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -63,10 +63,10 @@
   /// with at least half the capacity of the strongest of them. This host is included if
   /// `storeConnected`.
   std::vector<HostName> plannerCandidates(bool storeConnected, Instant now) const;
-  /// Returns the host that issues the permits for calls to an endpoint with a limit of requests:
-  /// one of the live hosts that are not leaving. Empty if that is this host, which counts unless it
-  /// is `leaving`.
-  Address permitIssuer(const EndpointName &endpoint, bool leaving, Instant now) const;
+  /// Returns the one host that acts for the fleet in a matter, such as the permits for calls to an
+  /// endpoint. `key` names the matter. It is one of the live hosts that are not leaving. Empty if
+  /// that is this host, which counts unless it is `leaving`.
+  Address responsibleHost(std::string_view key, bool leaving, Instant now) const;
   /// Returns the part of a limit that this host may issue, at most 1. If the fleet is partitioned,
   /// the parts of the issuers on all sides add up to little more than 1.
   double permitShare(Instant now) const;
--- a/src/fleet_types.cpp
+++ b/src/fleet_types.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cmath>
 #include <cstdio>
 
@@ -18,6 +19,14 @@
   return {buf.data(), static_cast<std::size_t>(n)};
 }
 
+std::optional<PromptPart> parsePromptPart(std::string_view text) {
+  constexpr int Hexadecimal = 16;
+  PromptPart part = 0;
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), part, Hexadecimal);
+  const bool isNumber = ec == std::errc() && end == text.data() + text.size();
+  return isNumber ? std::optional(part) : std::nullopt;
+}
+
 std::string toText(const ModelRef &ref) {
   return ref.adapter.empty() ? ref.model.value : ref.model.value + "/" + ref.adapter;
 }
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -16,6 +16,8 @@
 using PromptPart = std::uint64_t;
 /// Returns the part's id as a hexadecimal number, for logs.
 std::string promptPartText(PromptPart part);
+/// Parses a hexadecimal number. Empty if the text is not one.
+std::optional<PromptPart> parsePromptPart(std::string_view text);
 
 /// Kind of a route's calls. It decides what may be retried after a failure of unknown outcome.
 enum class CallKind { Idempotent, NonIdempotent, Stream, Count };
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -35,7 +35,7 @@
     {"config_revision", &MetricsGauges::configRevision},
 }};
 
-constexpr std::array<std::pair<const char *, double FleetGauges::*>, 8> FleetGaugeTable{{
+constexpr std::array<std::pair<const char *, double FleetGauges::*>, 9> FleetGaugeTable{{
     {"in_flight", &FleetGauges::inFlight},
     {"ready", &FleetGauges::ready},
     {"planner", &FleetGauges::planner},
@@ -44,6 +44,7 @@
     {"endpoints", &FleetGauges::endpoints},
     {"peers_alive", &FleetGauges::peersAlive},
     {"store_connected", &FleetGauges::storeConnected},
+    {"quarantined_parts", &FleetGauges::quarantinedParts},
 }};
 
 template <class Table>
--- a/src/request_explainer.cpp
+++ b/src/request_explainer.cpp
@@ -21,7 +21,9 @@
 constexpr std::int64_t LeaseHandoverWindowMs = 5000;
 
 /// Log messages that may explain a failed request; others are dropped.
-constexpr std::array<std::string_view, 13> RelevantMessages{"attempt failed",
+constexpr std::array<std::string_view, 14> RelevantMessages{"attempt failed",
+                                                            "prompt part in quarantine, engines "
+                                                            "crash on it",
                                                             "endpoint names a request limit",
                                                             "order",
                                                             "order completed",
@@ -167,6 +169,16 @@
          " requests a second, known from " + last.time + " on";
 }
 
+std::string RequestExplainer::explainQuarantine(const LogRecord &end) const {
+  const auto part = end.text("quarantined_part");
+  auto lines = findRecords(0, end.atMs, "prompt part in quarantine, engines crash on it");
+  std::erase_if(lines, [&](auto *it) { return it->host != end.host || it->text("part") != part; });
+  if (lines.empty())
+    return "prompt part " + part + " is in quarantine; the line that says why is not logged";
+  return std::to_string(lines.back()->number("crashes")) + " engines crashed on prompt part " +
+         part + ", in quarantine from " + lines.front()->time + " on";
+}
+
 std::string RequestExplainer::explainEndpointFailure(const LogRecord &end) const {
   const auto failedAttempts = findFailedAttempts();
   if (failedAttempts.empty())
@@ -211,6 +223,8 @@
     return explainNoModel(end);
   if (outcome == "the request limit of the endpoints is used up")
     return explainUsedUpLimit(end);
+  if (outcome == "engines crash on a part of the prompt")
+    return explainQuarantine(end);
   if (outcome == "no route matches")
     return explainNoRoute(end);
   if (outcome == "caller_gone")
--- a/src/request_explainer_p.h
+++ b/src/request_explainer_p.h
@@ -53,6 +53,7 @@
   std::string explainNoRoute(const LogRecord &end) const;
   std::string explainNoModel(const LogRecord &end) const;
   std::string explainUsedUpLimit(const LogRecord &end) const;
+  std::string explainQuarantine(const LogRecord &end) const;
   std::string explainEndpointFailure(const LogRecord &end) const;
   std::string explainStreamCut(const LogRecord &end) const;
   std::string findCause(const LogRecord &end) const;
--- a/tests/request_explainer_test.cpp
+++ b/tests/request_explainer_test.cpp
@@ -57,6 +57,16 @@
   EXPECT_TRUE(contains(out, "e1 named a limit of 0.5 requests a second")) << out;
 }
 
+TEST(RequestExplainerTest, RefusedForAPartInQuarantine) {
+  const auto out = explainLines(
+      {makeLogLine("18.000", "a",
+                   R"("prompt part in quarantine, engines crash on it","part":"5c","crashes":3)"),
+       makeLogLine("20.000", "a",
+                   R"("request","request":"r1","sends":0,"status":503,"quarantined_part":"5c",)"
+                   R"("outcome":"engines crash on a part of the prompt")")});
+  EXPECT_TRUE(contains(out, "3 engines crashed on prompt part 5c")) << out;
+}
+
 TEST(RequestExplainerTest, FailedWithAnEndpointAtFault) {
   const std::string end = makeLogLine(
       "20.000", "a",
--- a/tests/request_permits_test.cpp
+++ b/tests/request_permits_test.cpp
@@ -61,7 +61,8 @@
   int issuer() {
     for (auto &it : hosts)
       if (it->reachable) {
-        const Address address = it->peers.permitIssuer(Endpoint.endpoint, false, env.now());
+        const Address address =
+            it->peers.responsibleHost(Endpoint.endpoint.value, false, env.now());
         return address.empty() ? it->number : address.port - 1;
       }
     return -1;
@@ -130,8 +131,10 @@
     host.permits = std::make_unique<RequestPermits>(
         env, host.view,
         RequestPermitsHooks{
-            .issuer = [this,
-                       &host](auto &it) { return host.peers.permitIssuer(it, false, env.now()); },
+            .issuer =
+                [this, &host](auto &it) {
+                  return host.peers.responsibleHost(it.value, false, env.now());
+                },
             .share = [this, &host] { return host.peers.permitShare(env.now()); },
             .send = [this, &host](auto &to, auto &message) { send(host, to, message); }});
   }
