Break off a stream that ends with its connection inside an event

Cause: the end of the connection is the regular end of such an answer, and at the end of a stream the gateway passed on what was left of an event. That was meant for a last event without its blank line.

Change: a stream that ends inside an event, or with its connection before the first event, has been broken off: it is resumed where its route allows that, else the caller's stream is cut. Blank lines after the last event are still passed on. Events whose lines end with CR LF are recognised; they would now look unfinished.

Evidence: StreamThatEndsWithItsConnectionInsideAnEventLooksComplete and ...IsNotResumed failed before (body "id: 1 data: a id: 2 da", status ok), as did EventsMayHaveCarriageReturns.

--- a/src/event_relay_p.h
+++ b/src/event_relay_p.h
@@ -16,8 +16,10 @@
   std::string takeCompleteEvents();
   /// Number of bytes received and not taken yet.
   std::size_t pendingBytes() const { return buffer.size(); }
-  /// Removes and returns all bytes not taken yet, also those of an incomplete event. For the end of
-  /// a stream.
+  /// Returns true if the bytes not taken yet begin an event, so that a stream that ends here has
+  /// been broken off. Blank lines begin none.
+  bool isInsideEvent() const;
+  /// Removes and returns the blank lines after the last event. For the end of a stream.
   std::string takeRemainder();
   /// Discards the bytes of an incomplete event.
   void discardPartialEvent();
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -138,6 +138,7 @@
   void recordSignals(const FleetEndpoint &from, Instant sentAt);
   asio::awaitable<AttemptOutcome> relayCompleteAnswer(HttpStream &stream, const AnswerHead &head);
   asio::awaitable<AttemptOutcome> relayEvents(HttpStream &stream);
+  bool endsTooEarly(const http::response_header<> &head) const;
   AttemptOutcome rejectOversizedAnswer();
   asio::awaitable<bool> forwardEvents(const std::string &events, const http::response_header<> &);
   AttemptFailure failureOf(const HttpStream &stream) const;
@@ -183,6 +184,7 @@
   /// The connection of the newest attempt broke before its answer began, as in a crash of the
   /// endpoint that this request or another one at the endpoint has caused.
   bool brokeBeforeFirstEvent = false;
+  bool brokenOff = false;      ///< the newest attempt's stream ended too early
   bool answerBegun = false;    ///< that of the newest attempt
   PromptVerdict promptVerdict; ///< at the arrival, then before each attempt
   EventRelay events;
@@ -499,6 +501,7 @@
   const Instant sentAt = g.hooks.now();
   ++sends;
   answerBegun = false;
+  brokenOff = false;
   const bool isProbe = promptVerdict.kind == PromptVerdict::Kind::Probe;
   if (isProbe)
     g.promptGuard.onProbeSent(promptVerdict.part);
@@ -541,7 +544,8 @@
     }
   }
   brokeBeforeFirstEvent = attemptOutcome == AttemptOutcome::Failed && !exchange.isCallerGone() &&
-                          stream->status() == HttpTransferStatus::Broken && !answerBegun;
+                          (brokenOff || stream->status() == HttpTransferStatus::Broken) &&
+                          !answerBegun;
   if (brokeBeforeFirstEvent)
     g.promptGuard.onBrokenBeforeAnswer(to, caller.sharedParts);
   else if (isProbe && !answerBegun)
@@ -646,6 +650,14 @@
   co_return co_await exchange.writeChunk(bytes);
 }
 
+/// Returns true if a stream that has ended was broken off: inside an event, or before its first
+/// event if only the end of the connection marks its end.
+bool RequestForwarder::endsTooEarly(const http::response_header<> &head) const {
+  const bool endsWithConnection = head.find(http::field::content_length) == head.end() &&
+                                  head.find(http::field::transfer_encoding) == head.end();
+  return events.isInsideEvent() || (endsWithConnection && events.eventCount() == 0);
+}
+
 asio::awaitable<RequestForwarder::AttemptOutcome>
 RequestForwarder::relayEvents(HttpStream &stream) {
   const http::response_header<> head = stream.head();
@@ -671,6 +683,12 @@
     failure = delivered ? failureOf(stream) : AttemptFailure::CallerGone;
     co_return AttemptOutcome::Failed;
   }
+  if (endsTooEarly(head)) {
+    events.discardPartialEvent();
+    failure = AttemptFailure::Broken;
+    brokenOff = true;
+    co_return AttemptOutcome::Failed;
+  }
   result = EndpointResult::Answered;
   const std::string rest = events.takeRemainder();
   delivered = co_await forwardEvents(rest, head);
--- a/tests/event_relay_test.cpp
+++ b/tests/event_relay_test.cpp
@@ -27,6 +27,23 @@
   EXPECT_EQ(relay.takeCompleteEvents(), "id: 3\ndata: c\n\n");
 }
 
+// Guards against taking events whose lines end with carriage returns for one that never ends.
+TEST(EventRelayTest, EventsMayHaveCarriageReturns) {
+  const std::string stream = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n";
+  EventRelay relay;
+  std::string out;
+  for (char c : stream) {
+    relay.feed({&c, 1});
+    out += relay.takeCompleteEvents();
+  }
+  EXPECT_EQ(out, stream);
+  EXPECT_EQ(relay.lastEventId(), "2");
+  EXPECT_EQ(relay.eventCount(), 2U);
+  EXPECT_FALSE(relay.isInsideEvent());
+  relay.feed("\r\nid");
+  EXPECT_TRUE(relay.isInsideEvent());
+}
+
 // Guards against quadratic processing time for a long event: each chunk was searched together with
 // all earlier ones, so an endpoint that sent an endless event delayed every other request.
 TEST(EventRelayTest, LongEventIsSearchedOnce) {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,4 +1,5 @@
 #include "http_p.h"
+#include "raw_server_p.h"
 #include "standin_p.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -62,53 +63,6 @@
   tcp::socket socket;
 };
 
-/// Fake server that runs a script for each connection, one after the other, on its own thread.
-class RawServer {
-public:
-  using Script = std::function<void(tcp::socket &, int connection)>;
-  explicit RawServer(Script s)
-      : script(std::move(s)), acceptor(context, {asio::ip::address_v4::loopback(), 0}),
-        bound(acceptor.local_endpoint().port()), thread([this] { serve(); }) {}
-  ~RawServer() {
-    stopping = true;
-    asio::io_context wake;
-    tcp::socket socket(wake);
-    boost::system::error_code ec;
-    socket.connect({asio::ip::address_v4::loopback(), bound}, ec);
-    thread.join();
-  }
-  RawServer(const RawServer &) = delete;
-  RawServer &operator=(const RawServer &) = delete;
-  Address address() const { return {"127.0.0.1", bound}; }
-  /// Reads one request head. Returns false at the end of the connection.
-  static bool readHead(tcp::socket &socket) {
-    std::string text;
-    boost::system::error_code ec;
-    asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", ec);
-    return !ec;
-  }
-  static void send(tcp::socket &socket, std::string_view text) {
-    boost::system::error_code ec;
-    asio::write(socket, asio::buffer(text), ec);
-  }
-
-private:
-  void serve() {
-    for (int n = 0;; ++n) {
-      tcp::socket socket = acceptor.accept();
-      if (stopping)
-        return;
-      script(socket, n);
-    }
-  }
-  Script script;
-  asio::io_context context;
-  tcp::acceptor acceptor;
-  std::uint16_t bound;
-  std::atomic<bool> stopping{false};
-  std::thread thread;
-};
-
 /// Runs on two threads, so that the thread sanitizer detects missing strands.
 class HttpTest : public testing::Test {
 protected:
@@ -269,7 +223,7 @@
   std::promise<void> closed;
   std::atomic<int> heads{0};
   RawServer raw([&](tcp::socket &socket, int connection) {
-    heads += RawServer::readHead(socket) ? 1 : 0;
+    heads += RawServer::readHead(socket).empty() ? 0 : 1;
     RawServer::send(socket, SmallResponse);
     socket.close();
     if (connection == 0)
@@ -286,7 +240,7 @@
 TEST_F(HttpTest, NoHiddenRetryOnceSent) {
   std::atomic<int> heads{0};
   RawServer raw([&](tcp::socket &socket, int) {
-    while (RawServer::readHead(socket)) {
+    while (!RawServer::readHead(socket).empty()) {
       if (++heads == 2)
         return;
       RawServer::send(socket, SmallResponse);
@@ -456,7 +410,7 @@
 TEST_F(HttpTest, ConnectionOfAnInterimResponseIsNotUsedAgain) {
   const RawServer peer([](tcp::socket &socket, int connection) {
     const bool interim = connection == 0;
-    while (RawServer::readHead(socket)) {
+    while (!RawServer::readHead(socket).empty()) {
       RawServer::send(socket, interim ? "HTTP/1.1 100 Continue\r\n\r\n" : SmallResponse);
       if (!interim)
         return;
@@ -492,7 +446,7 @@
       piece += repeated;
     const RawServer peer([&, begin = begin](tcp::socket &socket, int) {
       boost::system::error_code ec;
-      if (!RawServer::readHead(socket))
+      if (RawServer::readHead(socket).empty())
         return;
       RawServer::send(socket, begin);
       while (!ec)
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet_gateway_p.h"
+#include "raw_server_p.h"
 #include "real_env_p.h"
 #include "request_codec_p.h"
 #include "standin_p.h"
@@ -17,6 +18,9 @@
 using namespace std::chrono_literals;
 using standin::sleepFor;
 
+/// Head of a stream that ends with its connection.
+const std::string RawStreamHead = "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n\r\n";
+
 /// Closes the connection without an answer.
 asio::awaitable<void> closeWithoutAnswer(HttpExchange &exchange) {
   exchange.abort();
@@ -106,6 +110,18 @@
     view.putEndpoint(entry, steadyNow());
   }
 
+  /// Lets endpoint `i` send `answer` to each request and close the connection; `resumed` to one
+  /// that resumes a stream.
+  void answerRaw(std::size_t i, const std::string &answer, const std::string &resumed = {}) {
+    rawServers.push_back(std::make_unique<RawServer>([=](tcp::socket &socket, int) {
+      const bool resumes = RawServer::readHead(socket).find("Last-Event-Id") != std::string::npos;
+      RawServer::send(socket, resumes ? resumed : answer);
+    }));
+    FleetEndpoint entry = view.find(EndpointName("e" + std::to_string(i)))->entry;
+    entry.address = rawServers.back()->address();
+    view.putEndpoint(entry, steadyNow());
+  }
+
   static HttpRequest makeCall(const std::string &path, http::verb verb = http::verb::post) {
     HttpRequest request{verb, path, 11};
     request.set(http::field::host, "h.example");
@@ -140,9 +156,9 @@
     return result;
   }
 
-  /// Requests a resumable stream and checks that it has the events 1 and 2.
-  void expectBothEvents() {
-    auto request = makeCall("/resume/x");
+  /// Requests a stream, by default a resumable one, and checks that it has the events 1 and 2.
+  void expectBothEvents(const std::string &path = "/resume/x") {
+    auto request = makeCall(path);
     request.set("Deadline-Ms", "2900");
     auto result = call(request);
     EXPECT_EQ(result.status, HttpTransferStatus::Ok);
@@ -188,6 +204,7 @@
   FleetView view;
   HeaderCodec codec;
   std::array<ScriptedEndpoint, 2> endpoints;
+  std::vector<std::unique_ptr<RawServer>> rawServers;
   std::unique_ptr<FleetGateway> gateway;
   std::unique_ptr<HttpServer> frontServer;
   std::uint64_t randomCounter = 0;
@@ -262,6 +279,40 @@
   EXPECT_EQ(endpoints[1].receivedRequests.size(), 1U);
 }
 
+// An answer may have neither a length nor chunks and end with its connection. Guards against a
+// stream that looks complete although it ends inside an event.
+TEST_F(PlatformGatewayTest, StreamThatEndsWithItsConnectionInsideAnEventLooksComplete) {
+  answerRaw(0, RawStreamHead + "id: 1\ndata: a\n\nid: 2\nda");
+  view.removeEndpoint(EndpointName("e1"), steadyNow());
+  auto result = call(makeCall("/once/x"));
+  EXPECT_NE(result.status, HttpTransferStatus::Ok);
+  EXPECT_EQ(result.response.body(), "id: 1\ndata: a\n\n");
+}
+
+TEST_F(PlatformGatewayTest, StreamThatEndsWithItsConnectionInsideAnEventIsNotResumed) {
+  for (std::size_t i = 0; i < endpoints.size(); ++i)
+    answerRaw(i, RawStreamHead + "id: 1\ndata: a\n\nid: 2\nda",
+              RawStreamHead + "id: 2\ndata: b\n\n");
+  expectBothEvents();
+}
+
+TEST_F(PlatformGatewayTest, StreamThatEndsWithItsConnectionBeforeItsFirstEventLooksComplete) {
+  answerRaw(0, RawStreamHead);
+  view.removeEndpoint(EndpointName("e1"), steadyNow());
+  EXPECT_EQ(call(makeCall("/once/x")).response.result_int(), 502U);
+}
+
+TEST_F(PlatformGatewayTest, WholeAnswersThatEndWithTheirConnectionAreLost) {
+  for (std::size_t i = 0; i < endpoints.size(); ++i)
+    answerRaw(i, RawStreamHead + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  expectBothEvents("/once/x");
+  for (std::size_t i = 0; i < endpoints.size(); ++i)
+    answerRaw(i, "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n\r\nwhole");
+  auto result = call(makeCall("/unsafe/x"));
+  EXPECT_EQ(result.status, HttpTransferStatus::Ok);
+  EXPECT_EQ(result.response.body(), "whole");
+}
+
 /// Returns a handler that streams two events with a pause of `d` between them.
 HttpHandler makeStallingHandler(Duration d) {
   return [=](HttpExchange &exchange) -> asio::awaitable<void> {
