Play prompt parts that crash engines, and engines that crash by themselves, in the soak

At most three such requests may reach engines later than 3 s after the fifth crash, those of hosts that were stopped or paused not counted.

--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -116,12 +116,12 @@
     return std::exchange(sound, {});
   }
 
-  /// Returns a list of all engines, in order of time.
-  std::vector<Instant> collect(std::vector<Instant> StandinCrashes::*list, Instant from) {
+  /// Returns the crashes of all engines since `from`, in order.
+  std::vector<Instant> crashesSince(Instant from) {
     std::vector<Instant> out;
     cluster.run([&] {
       for (auto &it : cluster.engines)
-        for (auto &at : it->crashes.*list)
+        for (auto &at : it->crashes.times)
           if (at >= from)
             out.push_back(at);
     });
@@ -129,16 +129,26 @@
     return out;
   }
 
+  /// Returns the number of requests with a deadly part that reached engines since `from`.
+  int deadlyCallsSince(Instant from) {
+    std::ptrdiff_t n = 0;
+    cluster.run([&] {
+      for (auto &it : cluster.engines)
+        n += std::count_if(it->crashes.deadlyCalls.begin(), it->crashes.deadlyCalls.end(),
+                           [&](auto &call) { return call.at >= from; });
+    });
+    return static_cast<int>(n);
+  }
+
   /// Checks that at most AllowedLateCalls requests with the part came later than ReactionTime after
   /// the fifth crash since `from`.
   void expectFewLateCalls(Instant from) {
-    const auto crashes = collect(&StandinCrashes::times, from);
+    const auto crashes = crashesSince(from);
     ASSERT_GE(crashes.size(), 3U) << "the engines do not crash";
     if (crashes.size() < ReactionCrashes)
       return;
     const Instant bound = crashes[ReactionCrashes - 1] + ReactionTime;
-    const auto calls = collect(&StandinCrashes::deadlyCalls, bound);
-    EXPECT_LE(static_cast<int>(calls.size()), AllowedLateCalls) << crashes.size() << " crashes";
+    EXPECT_LE(deadlyCallsSince(bound), AllowedLateCalls) << crashes.size() << " crashes";
   }
 
   const int hosts;
--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -22,12 +22,16 @@
 constexpr int UsualHosts = 4;
 constexpr unsigned FirstSeedWithBlackholes = 1000;
 constexpr unsigned FirstSeedWithLimits = 2000;
+constexpr unsigned FirstSeedWithCrashingPrompts = 3000;
+constexpr int PromptParts = 4; // that requests for models share
 constexpr int FaultsPerRun = 8;
 constexpr auto FaultPause = 600ms;
 constexpr auto RecoveryTime = 15s;
 constexpr auto DrainBound = 2s;
 constexpr auto ConfigBound = 2s;
-constexpr auto LimitReactionTime = 3s; // also after a host has been disturbed
+constexpr auto ReactionTime = 3s; // to a limit or to crashes; also after a disturbance of a host
+constexpr std::size_t ReactionCrashes = 5;
+constexpr int AllowedLateCalls = 3; // of requests on which engines crash
 constexpr double EngineMegabytes = 130'000;
 
 /// Returns the number in an environment variable, or `fallback` if it is not set.
@@ -72,11 +76,18 @@
       if (callerRandom() % 2 == 0)
         requestOnce(host);
       else
-        checkStream(cluster.requestStream(host, "m" + std::to_string(callerRandom() % 4)));
+        checkStream(cluster.requestStream(host, "m" + std::to_string(callerRandom() % 4),
+                                          makePrompt(callerRandom())));
       std::this_thread::sleep_for(10ms);
     }
   }
 
+  /// Returns the parts of a prompt, of which the last belongs to the request itself.
+  static std::string makePrompt(unsigned long random) {
+    return "a:800,b" + std::to_string(random % PromptParts) + ":90,c" + std::to_string(random) +
+           ":250";
+  }
+
   void requestOnce(int host) {
     std::string id;
     const auto result = cluster.requestOnce(host, id);
@@ -114,6 +125,10 @@
       faults.insert(faults.end(), {&FaultSoak::nameLimit, &FaultSoak::nameLimit});
       nameLimit();
     }
+    if (GetParam() >= FirstSeedWithCrashingPrompts) {
+      faults.insert(faults.end(), {&FaultSoak::crashOnPromptPart, &FaultSoak::crashEngine});
+      crashOnPromptPart();
+    }
     for (int i = 0; i < FaultsPerRun; ++i) {
       (this->*faults[static_cast<std::size_t>(randomBelow(static_cast<int>(faults.size())))])();
       endFaultsUntil(steadyNow() + FaultPause * randomBelow(3) / 2);
@@ -150,7 +165,7 @@
     disturbedHosts.erase(n);
     for (auto &it : disturbances)
       if (it.host == n && it.until == Instant::max())
-        it.until = steadyNow() + LimitReactionTime;
+        it.until = steadyNow() + ReactionTime;
   }
 
   void killHost() {
@@ -297,7 +312,7 @@
   }
 
   void endLimit(StandinLimit &limit, int n) {
-    const Instant from = limitedSince.at(&limit) + LimitReactionTime;
+    const Instant from = limitedSince.at(&limit) + ReactionTime;
     limitedSince.erase(&limit);
     std::vector<Instant> counted;
     double perSecond = 0;
@@ -312,6 +327,54 @@
         << "limit of endpoint " << n;
   }
 
+  /// All engines crash when they begin to answer a request with one prompt part, for some seconds.
+  void crashOnPromptPart() {
+    if (deadlySince)
+      return;
+    const int n = randomBelow(PromptParts);
+    recordFault("engines crash on prompt part", n);
+    deadlySince = steadyNow();
+    setDeadlyParts({"b" + std::to_string(n)});
+    scheduleAfter(1s * (8 + randomBelow(8)), [this] { endCrashesOnPromptPart(); });
+  }
+
+  void setDeadlyParts(const std::set<std::string> &parts) {
+    cluster.run([&] {
+      for (auto &it : cluster.engines)
+        it->crashes.deadlyParts = parts;
+    });
+  }
+
+  void endCrashesOnPromptPart() {
+    setDeadlyParts({});
+    std::vector<Instant> crashes;
+    std::vector<StandinCall> calls;
+    cluster.run([&] {
+      for (auto &it : cluster.engines) {
+        for (auto at : it->crashes.times)
+          if (at >= *deadlySince)
+            crashes.push_back(at);
+        for (auto &call : it->crashes.deadlyCalls)
+          if (call.at >= *deadlySince && !isExcused(call))
+            calls.push_back(call);
+      }
+    });
+    deadlySince.reset();
+    std::sort(crashes.begin(), crashes.end());
+    if (crashes.size() < ReactionCrashes)
+      return;
+    const Instant bound = crashes[ReactionCrashes - 1] + ReactionTime;
+    std::erase_if(calls, [&](auto &it) { return it.at < bound; });
+    EXPECT_LE(static_cast<int>(calls.size()), AllowedLateCalls) << crashes.size() << " crashes";
+  }
+
+  /// An engine crashes by itself.
+  void crashEngine() {
+    const int n = randomBelow(static_cast<int>(cluster.engines.size()));
+    recordFault("crash engine", n);
+    cluster.run([&] { cluster.engines[static_cast<std::size_t>(n)]->crash(); });
+  }
+
   /// Returns whether the host that forwarded the call was stopped or paused, or a short time ago.
   bool isExcused(const StandinCall &call) const {
     return std::any_of(disturbances.begin(), disturbances.end(), [&](auto &it) {
@@ -414,6 +477,7 @@
   };
   std::vector<Disturbance> disturbances;          ///< times at which a host was stopped or paused
   std::map<StandinLimit *, Instant> limitedSince; ///< endpoints that name a limit at present
+  std::optional<Instant> deadlySince;             ///< since when engines crash on a prompt part
   std::atomic<bool> stopRequested = false;
   std::multimap<Instant, std::function<void()>> pendingEnds; ///< ends of the current faults
 };
@@ -443,7 +507,8 @@
   if (n == 0)
     return {1, 2,
             // A restarted host was killed when the test thread that had started it ended.
-            106, FirstSeedWithBlackholes, FirstSeedWithLimits, FirstSeedWithLimits + 1};
+            106, FirstSeedWithBlackholes, FirstSeedWithLimits, FirstSeedWithLimits + 1,
+            FirstSeedWithCrashingPrompts, FirstSeedWithCrashingPrompts + 1};
   const auto first = static_cast<unsigned>(environmentNumber("CATKIN_SOAK_FIRST", 1));
   std::vector<unsigned> out;
   for (unsigned i = 0; i < static_cast<unsigned>(n); ++i)
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -231,7 +231,12 @@
                      [&](auto &it) { return shared.find("," + it + ":") != std::string::npos; });
 }
 
-void StandinEngine::crash() { crashes.times.push_back(steadyNow()); }
+void StandinEngine::crash() {
+  if (isDown())
+    return;
+  crashes.times.push_back(steadyNow());
+  crashes.onCrashed();
+}
 
 void StandinEngine::startAgain(std::set<std::string> heldModels) {
   models = std::move(heldModels);
@@ -241,6 +246,8 @@
   ++incarnation;
 }
 
+void StandinEngine::startAgainWithFirstModels() { startAgain(firstModels); }
+
 json::object StandinEngine::registryEntry(const std::string &state) const {
   json::array held;
   for (auto &it : models)
@@ -293,13 +300,8 @@
   const auto hasCrashed = [&] { return crashes.times.size() > crashesBefore; };
   co_await exchange.startStream(std::move(head));
   co_await sleepFor(EventPause);
-  if (!hasCrashed() && isDeadly(request)) {
+  if (!hasCrashed() && isDeadly(request))
     crash();
-    co_await sleepFor(crashes.downTime);
-    startAgain(firstModels);
-    if (crashes.onRestarted)
-      crashes.onRestarted();
-  }
   for (int i = first; i <= StreamEventCount; ++i) {
     if (hasCrashed() || (cut > 0 && i > cut)) {
       exchange.abort();
@@ -319,7 +321,7 @@
   if (isDown())
     co_return exchange.abort();
   if (isDeadly(request))
-    crashes.deadlyCalls.push_back(steadyNow());
+    crashes.deadlyCalls.push_back({steadyNow(), hostOfRequest(request)});
   HttpResponse response = makeResponse(421);
   response.set("Instance", id);
   if (request["Expect-Instance"] == id) {
@@ -444,9 +446,7 @@
   for (std::size_t i = 0; i < held.size(); ++i) {
     engines.push_back(std::make_unique<StandinEngine>("i-" + std::to_string(i), held[i]));
     auto *engine = engines.back().get();
-    engine->crashes.onRestarted = [this, engine] {
-      store.put("servers", engine->id, engine->registryEntry("ready"));
-    };
+    engine->crashes.onCrashed = [this, engine] { restartAfterCrash(*engine); };
     engine->address = addProxyIfEnabled(
         serve([engine](HttpExchange &it) { return engine->handle(it); }), engineProxies);
     store.put("servers", engine->id, engine->registryEntry("ready"));
@@ -630,6 +630,14 @@
   });
 }
 
+void PlatformCluster::restartAfterCrash(StandinEngine &engine) {
+  auto timer = std::make_shared<asio::steady_timer>(io, engine.crashes.downTime);
+  timer->async_wait([this, timer, &engine](boost::system::error_code) {
+    engine.startAgainWithFirstModels();
+    store.put("servers", engine.id, engine.registryEntry("ready"));
+  });
+}
+
 std::pair<std::string, std::uint64_t> PlatformCluster::lease() {
   std::string text;
   run([&] { text = store.text("planner", "lease"); });
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -85,9 +85,9 @@
 struct StandinCrashes {
   std::set<std::string> deadlyParts; ///< prompt parts that crash it when an answer begins
   Duration downTime = std::chrono::milliseconds(2500);
-  std::vector<Instant> times;        ///< of its crashes
-  std::vector<Instant> deadlyCalls;  ///< arrivals of requests with one of `deadlyParts`
-  std::function<void()> onRestarted; ///< called when it is up again
+  std::vector<Instant> times;           ///< of its crashes
+  std::vector<StandinCall> deadlyCalls; ///< requests with one of `deadlyParts`
+  std::function<void()> onCrashed;      ///< starts the engine again after `downTime`
 };
 
 /// A model engine that takes orders and serves streams.
@@ -98,8 +98,9 @@
   asio::awaitable<void> handle(HttpExchange &exchange);
   /// Returns the registration of the engine.
   json::object registryEntry(const std::string &state) const;
-  /// Crashes the engine, which starts again by itself.
+  /// Crashes the engine unless it is down. It starts again by itself.
   void crash();
+  void startAgainWithFirstModels();
   /// Starts as a new incarnation that has accepted no orders.
   void startAgain(std::set<std::string> heldModels);
 
@@ -226,6 +227,7 @@
 
 private:
   std::shared_ptr<FaultProxy> addProxy(const Address &target);
+  void restartAfterCrash(StandinEngine &engine);
   HttpResult post(int host, const char *target, const std::string &id, const char *deadlineMs,
                   const std::string &model, const std::string &promptParts = {}) const;
   std::uint16_t port(int offset) const {
