Log the era of the store, and objects that are ignored as old

After a restore, hosts logged "store connected" and then nothing: objects that were dropped for their revision left no line, and no line told that revisions had gone back. No decision changes.

--- a/src/env_p.h
+++ b/src/env_p.h
@@ -34,6 +34,9 @@
   std::string key;
   std::uint64_t version = 0;
   std::string value;
+  /// Number of times that the store has come back from an older copy, at the time of the answer.
+  /// Versions go back with the copy. 0 also if the store does not tell.
+  std::uint64_t era = 0;
 };
 
 using StoreGetDone = std::function<void(StoreStatus, StoreObject)>;
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -1,5 +1,7 @@
 #include "object_follower_p.h"
 
+#include "log_p.h"
+
 #include <map>
 #include <optional>
 #include <set>
@@ -17,6 +19,7 @@
   std::string pageAfter;                               ///< name after which the next page begins
   std::optional<std::uint64_t> listRevision;           ///< revision of the first page
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;
   bool everSynced = false;
   bool isConnected = false;
   bool stopped = false;
@@ -72,7 +75,21 @@
               });
   }
 
+  void noteEra(const FeedPage &page) {
+    if (page.era == era || page.era == 0)
+      return; // a call without an answer names none
+    logLine(era == 0 ? LogLevel::Info : LogLevel::Warn,
+            era == 0 ? "store has an era" : "store has come back in another era",
+            {{"kind", options.kind},
+             {"era", page.era},
+             {"before", era},
+             {"revision", page.revision},
+             {"known", revision}});
+    era = page.era;
+  }
+
   void onList(const FeedPage &page) {
+    noteEra(page);
     if (page.status != FeedStatus::Ok) {
       setConnected(false);
       return schedule(options.retryPause, &Impl::requestListPage);
@@ -111,8 +128,15 @@
   void apply(const FeedObject &object) {
     auto it = knownRevisions.find(object.name);
     // A late answer to an earlier call must not restore an older state.
-    if (it != knownRevisions.end() && object.revision <= it->second && !object.removed)
+    if (it != knownRevisions.end() && object.revision <= it->second && !object.removed) {
+      if (object.revision < it->second)
+        logLine(LogLevel::Info, "object ignored, a newer revision is known",
+                {{"kind", options.kind},
+                 {"object", object.name},
+                 {"revision", object.revision},
+                 {"known", it->second}});
       return;
+    }
     if (object.removed)
       knownRevisions.erase(object.name);
     else
@@ -130,6 +154,7 @@
   }
 
   void onWatch(const FeedPage &page) {
+    noteEra(page);
     if (page.status == FeedStatus::HistoryGone)
       return startList();
     if (page.status != FeedStatus::Ok) {
--- a/src/object_follower_p.h
+++ b/src/object_follower_p.h
@@ -39,6 +39,7 @@
   FeedStatus status = FeedStatus::Failed;
   std::vector<FeedObject> objects;
   std::uint64_t revision = 0; ///< of the store, from which the next watch continues
+  std::uint64_t era = 0;      ///< of the store; see StoreObject
   std::string continueAfter;  ///< name before the next page of a list; empty on its last page
 };
 using FeedDone = std::function<void(FeedPage)>;
