--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -97,6 +97,51 @@
 
 void StandinStore::recordEvent(const std::string &kind, bool removed, json::object object) {
   history.push_back({revision, kind, removed, std::move(object)});
+  recordCopy();
+}
+
+void StandinStore::recordCopy() {
+  constexpr auto CopyRetention = 30s;
+  copies.push_back({steadyNow(), kinds, revision});
+  // The newest of the old ones is the state at that time.
+  while (copies.size() > 1 && steadyNow() - copies[1].at > CopyRetention)
+    copies.pop_front();
+}
+
+void StandinStore::recordLeaseHolder(const json::value &content) {
+  json::object record;
+  auto *text = content.if_string();
+  if (!text || !parseObject({text->data(), text->size()}, record))
+    return;
+  JsonReader in(record);
+  const auto holder = in.text("holder");
+  if (!holder.empty())
+    leaseHolders[in.unsignedInt("term")].insert(holder + "/" +
+                                                std::to_string(in.unsignedInt("incarnation")));
+}
+
+void StandinStore::restore(Duration age) {
+  const Instant at = steadyNow() - age;
+  auto copy = std::find_if(copies.rbegin(), copies.rend(), [&](auto &it) { return it.at <= at; });
+  const Copy restored = copy == copies.rend() ? copies.front() : *copy;
+  ++era;
+  lostKinds = std::exchange(kinds, restored.kinds);
+  revision = restored.revision;
+  std::erase_if(history, [&](auto &it) { return it.revision > revision; });
+  recordCopy();
+}
+
+void StandinStore::writeAgain() {
+  for (auto *kind : {"config", "servers"}) {
+    const auto lost = lostKinds[kind];
+    for (auto &[name, object] : lost)
+      if (kinds[kind].count(name) == 0 || kinds[kind][name].content != object.content)
+        put(kind, name, object.content);
+    const auto present = kinds[kind];
+    for (auto &[name, object] : present)
+      if (lost.count(name) == 0)
+        remove(kind, name);
+  }
 }
 
 void StandinStore::put(const std::string &kind, const std::string &name,
@@ -122,6 +167,11 @@
   return s ? std::string(s->data(), s->size()) : std::string();
 }
 
+int StandinStore::count(const std::string &kind) const {
+  auto it = kinds.find(kind);
+  return it == kinds.end() ? 0 : static_cast<int>(it->second.size());
+}
+
 void StandinStore::dropHistory() {
   history.clear();
   historyFrom = revision;
@@ -141,8 +191,9 @@
   // `as_of` must not be later than the events already examined: an event that arrives during the
   // last pause would be skipped by the next watch.
   std::uint64_t seen = from;
+  const std::uint64_t eraBefore = era;
   for (Duration waited{}; waited <= wait; waited += 10ms) {
-    if (from < historyFrom)
+    if (from < historyFrom || from > revision || era != eraBefore)
       co_return makeResponse(410);
     json::array events;
     for (auto &it : history)
@@ -172,6 +223,8 @@
   if ((create && exists) || (expected > 0 && objects[name].revision != expected))
     return makeResponse(409, describe(kind, name));
   put(kind, name, body["specification"]);
+  if (kind == "planner")
+    recordLeaseHolder(body["specification"]);
   return makeResponse(200, describe(kind, name));
 }
 
@@ -211,6 +264,7 @@
     exchange.abort();
     co_return;
   }
+  response.set("Store-Era", std::to_string(era));
   co_await exchange.respond(std::move(response));
 }
 
@@ -620,6 +674,18 @@
   });
 }
 
+void PlatformCluster::restoreStore(Duration age, Duration downTime) {
+  constexpr auto WriteAgainTime = 800ms;
+  run([&] { store.down = true; });
+  std::this_thread::sleep_for(downTime);
+  run([&] {
+    store.restore(age + downTime);
+    store.down = false;
+  });
+  std::this_thread::sleep_for(WriteAgainTime);
+  run([&] { store.writeAgain(); });
+}
+
 void PlatformCluster::clearFaults() {
   run([&] {
     store.down = false;
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -36,11 +36,19 @@
   void remove(const std::string &kind, const std::string &name);
   /// Returns the content of an object if it is a string; empty otherwise.
   std::string text(const std::string &kind, const std::string &name) const;
+  int count(const std::string &kind) const; ///< number of objects
   /// Discards all events, so that watchers must list the objects and start again.
   void dropHistory();
+  /// Comes back from a copy that is `age` old, in the next era. What the operator and the engines
+  /// have written since is written again by writeAgain().
+  void restore(Duration age);
+  void writeAgain();
 
   int answersToLose = 0; ///< number of next writes that are applied but get no response
   bool down = false;     ///< answers every request with 503
+  std::uint64_t era = 1; ///< rises with each restore
+  /// Processes that have held the planner's lease, by term.
+  std::map<std::uint64_t, std::set<std::string>> leaseHolders;
 
 private:
   struct Event {
@@ -60,7 +68,19 @@
     std::uint64_t revision = 0;
     json::value content;
   };
-  std::map<std::string, std::map<std::string, Object>> kinds;
+  using Kinds = std::map<std::string, std::map<std::string, Object>>;
+  /// The state after a change.
+  struct Copy {
+    Instant at;
+    Kinds kinds;
+    std::uint64_t revision = 0;
+  };
+  void recordCopy();
+  void recordLeaseHolder(const json::value &content);
+
+  Kinds kinds;
+  std::deque<Copy> copies;
+  Kinds lostKinds; ///< the state before the newest restore
   std::deque<Event> history;
   std::uint64_t historyFrom = 0; ///< watches from earlier revisions get 410
   std::uint64_t revision = 0;
@@ -207,6 +227,9 @@
   void changeConfig(const StandinConfig &config);
   /// Simulates a restart of an engine: its models and its counters of orders are lost.
   void restartEngine(int engine);
+  /// Takes the store away for `downTime`. It comes back from a copy that is `age` old, and the
+  /// operator and the engines write again a little later.
+  void restoreStore(Duration age, Duration downTime = std::chrono::milliseconds(500));
   /// Ends all faults of the store and of the proxies.
   void clearFaults();
   /// Returns the directory of the hosts' logs, which are kept after the test.
