Order the store's revisions by its era, so that changes after a restore are taken

Cause: a revision was taken for a point in time. The follower dropped every object whose number was not above the one that it knew, and watched from the highest number that it had seen, so that changes with numbers below it were never reported.

Change: StoreRevision has the era and the number and is compared in this order, in followers, registrations, departures and arrivals, also between hosts. An answer of a later era drops the current list or watch and reads a new list; one of an earlier era is not used. When one kind of objects shows a restore, the other kinds are listed again too: their watches may wait for a revision that the store gives out again. Numbers in messages of other hosts are range-checked, a negative one would have thrown.

--- a/src/config_exchange.cpp
+++ b/src/config_exchange.cpp
@@ -29,7 +29,7 @@
 
 std::string formatConfigObject(const FeedObject &object) {
   return json::serialize(json::object{
-      {"name", object.name}, {"revision", object.revision}, {"content", object.content}});
+      {"name", object.name}, {"revision", object.revision.number}, {"content", object.content}});
 }
 
 std::optional<FeedObject> parseConfigObject(std::string_view text) {
--- a/src/departure_log_p.h
+++ b/src/departure_log_p.h
@@ -15,7 +15,7 @@
 /// older ones are no longer valid.
 struct Departure {
   EndpointName endpoint;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   friend bool operator==(const Departure &, const Departure &) = default;
 };
 
@@ -31,7 +31,7 @@
 
 private:
   struct LoggedDeparture {
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     Instant loggedAt;
   };
   std::map<EndpointName, LoggedDeparture> entries;
--- a/src/fleet_configuration.cpp
+++ b/src/fleet_configuration.cpp
@@ -24,7 +24,8 @@
       : env(env), configSource(configSource), options(std::move(o)), hooks(std::move(h)),
         follower(env, feed, {.kind = options.kind, .limits = options.watch},
                  {.changed = [this](auto &it) { onStoreObject(it); },
-                  .connectionChanged = hooks.connectionChanged}) {}
+                  .connectionChanged = hooks.connectionChanged,
+                  .restored = hooks.restored}) {}
 
   void onStoreObject(const FeedObject &object) {
     if (object.name != options.name || object.removed)
@@ -39,13 +40,13 @@
     auto config = hooks.readConfig(object);
     if (!config)
       return logLine(LogLevel::Error, "configuration cannot be read, the old one stays",
-                     {{"revision", object.revision}, {"from", from}});
+                     {{"revision", object.revision.number}, {"from", from}});
     const auto offered = config->version;
     const auto routes = config->routes.size();
     const bool applied = hooks.apply(std::move(*config));
     logLine(LogLevel::Info, applied ? "configuration applied" : "older configuration ignored",
             {{"version", offered},
-             {"revision", object.revision},
+             {"revision", object.revision.number},
              {"routes", routes},
              {"from", from},
              {"asked_ms", toMillis(asked)},
@@ -132,6 +133,8 @@
 
 void FleetConfiguration::reload() { impl->follower.restartUnlessListing(); }
 
+void FleetConfiguration::onStoreRestored(std::uint64_t era) { impl->follower.restartIfBefore(era); }
+
 void FleetConfiguration::setWatchLimits(const WatchLimits &limits) {
   impl->follower.setWatchLimits(limits);
 }
--- a/src/fleet_configuration_p.h
+++ b/src/fleet_configuration_p.h
@@ -35,6 +35,8 @@
     std::function<std::vector<ConfigHolder>()> holders;
     /// Called when the connection to the store is lost or restored.
     std::function<void(bool connected)> connectionChanged;
+    /// Called when the store has come back from an older copy.
+    std::function<void(std::uint64_t era)> restored;
   };
 
   FleetConfiguration(CoreEnv &env, ObjectFeed &feed, ConfigSource &configSource,
@@ -45,6 +47,8 @@
   void onPeerVersion(std::uint64_t version);
   /// Lists the store again, in case the current watch no longer receives changes.
   void reload();
+  /// Lists the store again unless an answer of its era `era` or a later one has come.
+  void onStoreRestored(std::uint64_t era);
   void setWatchLimits(const WatchLimits &limits); ///< applies to the next watch
   bool isConnected() const;                       ///< whether the store is reachable
   std::uint64_t version() const;                  ///< active version; 0 if there is none
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -66,9 +66,10 @@
   unsigned demandIntervals = 0;
   Instant plannerHeardAt;        ///< last message of a planner with the highest known term
   bool reliedOnSentinel = false; ///< relied on sentinels for registry changes at the last heartbeat
-  std::uint64_t newestPeerArrival = 0; ///< revision of the newest endpoint known to other hosts
+  StoreRevision newestPeerArrival; ///< revision of the newest endpoint known to other hosts
   Instant registryRefreshedAt;
   bool announcementScheduled = false;
+  std::uint64_t storeEra = 0; ///< newest one in which the store has come back
 
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
       : options(std::move(o)), adapter(std::move(a)), env(*adapter.env), peers(options.self),
@@ -113,17 +114,21 @@
                        .apply = [this](FleetConfig it) { return view.setConfig(std::move(it)); },
                        .applied = [this] { announceState(); },
                        .holders = [this] { return peers.configHolders(env.now()); },
-                       .connectionChanged = [this](bool on) { onConfigConnection(on); }}),
+                       .connectionChanged = [this](bool on) { onConfigConnection(on); },
+                       .restored = [this](std::uint64_t era) { onStoreRestored(era); }}),
         endpointFollower(env, *adapter.feed,
                          {.kind = options.endpointKind,
                           .limits = {.maxWait = closeWatchWait()},
                           .batchPause = CloseBatchPause},
                          {.changed = [this](auto &it) { onEndpoint(it); },
-                          .connectionChanged = [this](bool on) { onRegistryConnection(on); }}),
+                          .connectionChanged = [this](bool on) { onRegistryConnection(on); },
+                          .restored = [this](std::uint64_t era) { onStoreRestored(era); }}),
         hostFollower(
             env, *adapter.feed,
             {.kind = HostKind, .limits = {.maxWait = MaxWatchWait}, .batchPause = HostBatchPause},
-            {.changed = [this](auto &it) { onHost(it); }, .connectionChanged = {}}) {}
+            {.changed = [this](auto &it) { onHost(it); },
+             .connectionChanged = {},
+             .restored = [this](std::uint64_t era) { onStoreRestored(era); }}) {}
 
   Duration closeWatchWait() const {
     return fromSeconds(toSeconds(options.recoveryBound) * CloseWatchShare);
@@ -145,7 +150,7 @@
     if (!entry) {
       view.removeEndpoint(EndpointName(object.name), env.now());
       logLine(LogLevel::Info, object.removed ? "endpoint gone" : "endpoint entry cannot be read",
-              {{"endpoint", object.name}, {"revision", object.revision}});
+              {{"endpoint", object.name}, {"revision", object.revision.number}});
       return;
     }
     auto *known = view.find(entry->name);
@@ -158,7 +163,7 @@
                {"address", entry->address.toString()},
                {"state", toString(entry->liveness)},
                {"incarnation", entry->incarnation},
-               {"revision", object.revision}});
+               {"revision", object.revision.number}});
     view.putEndpoint(std::move(*entry), env.now());
   }
 
@@ -193,6 +198,17 @@
       hostFollower.restart();
   }
 
+  /// The store has come back from an older copy. The other watches may wait for changes after
+  /// revisions that the store does not have any more.
+  void onStoreRestored(std::uint64_t era) {
+    if (era <= storeEra)
+      return;
+    storeEra = era;
+    configuration.onStoreRestored(era);
+    endpointFollower.restartIfBefore(era);
+    hostFollower.restartIfBefore(era);
+  }
+
   /// Sets the watch times by this host's role. The number of store calls grows with the fleet, so
   /// in a large one only sentinels use short watches.
   void adjustWatches(Instant now) {
@@ -245,7 +261,7 @@
   void refreshRegistry(std::string_view reason, Instant now) {
     registryRefreshedAt = now;
     logLine(LogLevel::Info, "registry read again",
-            {{"reason", reason}, {"revision", endpointFollower.revision()}});
+            {{"reason", reason}, {"revision", endpointFollower.revision().number}});
     endpointFollower.restartWatch();
   }
 
@@ -435,7 +451,7 @@
                      .limits = view.signals().limits().toAnnounce(now),
                      .crashes = crashWatch.reports(),
                      .departures = {},
-                     .newestArrival = 0};
+                     .newestArrival = {}};
     if (wasSentinel) {
       m.departures = view.departures(now);
       m.newestArrival = view.newestArrival();
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -23,29 +23,50 @@
   return out;
 }
 
+/// Encodes a revision as [era, number], or as the number if the store names no era.
+json::value toJson(const StoreRevision &revision) {
+  if (revision.era == 0)
+    return revision.number;
+  return json::array{revision.era, revision.number};
+}
+
+/// Empty if the value is no revision.
+std::optional<StoreRevision> readRevision(const json::value &value) {
+  boost::system::error_code ec;
+  auto *pair = value.if_array();
+  if (pair && pair->size() != 2)
+    return std::nullopt;
+  StoreRevision out;
+  out.number = (pair ? pair->at(1) : value).to_number<std::uint64_t>(ec);
+  if (!ec && pair)
+    out.era = pair->at(0).to_number<std::uint64_t>(ec);
+  return ec ? std::nullopt : std::optional(out);
+}
+
 json::object toJson(const std::vector<Departure> &departures) {
   json::object out;
   for (auto &it : departures)
-    out[it.endpoint.value] = it.revision;
+    out[it.endpoint.value] = toJson(it.revision);
   return out;
 }
 
-/// Reads an object with endpoint names as keys and integers as values. Returns one Item{endpoint,
-/// number} per member; members with other values are skipped.
-template <class Item, class Number>
-std::vector<Item> readEndpointMap(JsonReader &in, std::string_view key) {
-  std::vector<Item> out;
-  auto *object = in.raw().if_contains(key);
+/// Members that are no revisions are skipped.
+std::vector<Departure> readDepartures(JsonReader &in) {
+  std::vector<Departure> out;
+  auto *object = in.raw().if_contains("departures");
   if (!object || !object->is_object())
     return out;
-  for (auto &[endpoint, n] : object->get_object())
-    if (n.is_int64() || n.is_uint64())
-      out.push_back({EndpointName(std::string(endpoint)), n.template to_number<Number>()});
+  for (auto &[endpoint, value] : object->get_object())
+    if (const auto revision = readRevision(value))
+      out.push_back({EndpointName(std::string(endpoint)), *revision});
   return out;
 }
 
-std::vector<Departure> readDepartures(JsonReader &in) {
-  return readEndpointMap<Departure, std::uint64_t>(in, "departures");
+StoreRevision readArrival(JsonReader &in) {
+  auto *value = in.raw().if_contains("arrival");
+  const auto revision = value ? readRevision(*value) : std::nullopt;
+  in.ok = in.ok && (!value || revision);
+  return revision.value_or(StoreRevision());
 }
 
 std::vector<EndpointIncarnation> readLeavingEndpoints(JsonReader &in) {
@@ -155,8 +176,19 @@
   return out;
 }
 
+/// Members that are no numbers of requests are skipped.
 std::vector<EndpointLoad> readLoads(JsonReader &in) {
-  return readEndpointMap<EndpointLoad, int>(in, "loads");
+  std::vector<EndpointLoad> out;
+  auto *object = in.raw().if_contains("loads");
+  if (!object || !object->is_object())
+    return out;
+  for (auto &[endpoint, value] : object->get_object()) {
+    boost::system::error_code ec;
+    const int n = value.to_number<int>(ec);
+    if (!ec)
+      out.push_back({EndpointName(std::string(endpoint)), n});
+  }
+  return out;
 }
 
 json::object toJson(const HostStatus &m) {
@@ -238,8 +270,8 @@
     out["crashes"] = toJson(m.crashes);
   if (!m.departures.empty())
     out["departures"] = toJson(m.departures);
-  if (m.newestArrival > 0)
-    out["arrival"] = m.newestArrival;
+  if (m.newestArrival > StoreRevision())
+    out["arrival"] = toJson(m.newestArrival);
   return out;
 }
 
@@ -333,7 +365,7 @@
           .limits = readLimits(in),
           .crashes = readCrashes(in),
           .departures = readDepartures(in),
-          .newestArrival = in.raw().contains("arrival") ? in.unsignedInt("arrival") : 0};
+          .newestArrival = readArrival(in)};
 }
 
 DemandReport readDemand(JsonReader &in) {
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -44,7 +44,7 @@
   std::vector<RequestLimit> limits;  ///< named, changed or ended in an answer to this host
   std::vector<CrashReport> crashes;  ///< of engines, as far as this host has heard
   std::vector<Departure> departures; ///< recently read in the registry by this host
-  std::uint64_t newestArrival = 0;   ///< revision of the newest registration that can serve at once
+  StoreRevision newestArrival;       ///< revision of the newest registration that can serve at once
 };
 
 /// State of one host as its data centre's relay sees it.
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -108,7 +108,7 @@
   int slots = 1; ///< at least 1
   Liveness liveness = Liveness::Live;
   std::uint64_t incarnation = 0;
-  std::uint64_t revision = 0; ///< store revision of this registration
+  StoreRevision revision; ///< of this registration
   EngineHoldings holdings;
 };
 
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -145,14 +145,15 @@
   if (it == states.end())
     return;
   auto &state = it->second;
-  state.departedRevision = std::max(state.departedRevision.value_or(0), departure.revision);
+  state.departedRevision =
+      std::max(state.departedRevision.value_or(StoreRevision()), departure.revision);
   if (!state.acceptsRequests() || state.entry.revision > departure.revision)
     return;
   applySignals(state);
   logLine(LogLevel::Info, "endpoint leaves, as another host has read",
           {{"endpoint", departure.endpoint.value},
            {"incarnation", state.entry.incarnation},
-           {"revision", departure.revision}});
+           {"revision", departure.revision.number}});
 }
 
 void FleetView::applyNotice(const HoldingsNotice &notice, Instant now) {
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -59,7 +59,7 @@
   Instant permitAfter;  ///< no permit for a request is likely before this time
   /// When to remove the endpoint; set if its registration disappeared around a store outage.
   std::optional<Instant> expiresAt;
-  std::optional<std::uint64_t> departedRevision; ///< registrations up to this revision are void
+  std::optional<StoreRevision> departedRevision; ///< registrations up to this revision are void
   /// Returns when the endpoint may get requests for `ref`, judging by its answers; a time in the
   /// past if it may get them now.
   Instant readyTime(const ModelRef &ref) const;
@@ -126,8 +126,8 @@
   /// Returns the departures that this host has read in the registry a short time ago.
   std::vector<Departure> departures(Instant now) const { return departureLog.recent(now); }
   /// Store revision of the newest registration of an endpoint that could serve at once: one of a
-  /// plain service, or an engine that holds models. 0 if there is none.
-  std::uint64_t newestArrival() const { return newestArrivalRevision; }
+  /// plain service, or an engine that holds models. The first revision if there is none.
+  StoreRevision newestArrival() const { return newestArrivalRevision; }
 
   const std::map<EndpointName, EndpointState> &endpoints() const { return states; }
   /// Returns null for an unknown endpoint.
@@ -152,7 +152,7 @@
   std::map<EndpointName, EndpointState> states;
   EndpointSignals endpointSignals;
   DepartureLog departureLog;
-  std::uint64_t newestArrivalRevision = 0;
+  StoreRevision newestArrivalRevision;
   std::list<std::function<void()>> waiters;
   bool registryConnected = false;
   Instant registryReconnectedAt; ///< end of the last outage; default value if there was none
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -14,12 +14,11 @@
   ObjectFeed &feed;
   FollowerOptions options;
   Hooks hooks;
-  std::map<std::string, std::uint64_t> knownRevisions; ///< by name of the object
+  std::map<std::string, StoreRevision> knownRevisions; ///< by name of the object
   std::set<std::string> listedNames;                   ///< names in the pages of the current list
   std::string pageAfter;                               ///< name after which the next page begins
-  std::optional<std::uint64_t> listRevision;           ///< revision of the first page
-  std::uint64_t revision = 0;
-  std::uint64_t era = 0;
+  std::optional<StoreRevision> listRevision;           ///< revision of the first page
+  StoreRevision revision; ///< its era is the newest that an answer has named
   bool everSynced = false;
   bool isConnected = false;
   bool stopped = false;
@@ -75,21 +74,32 @@
               });
   }
 
-  void noteEra(const FeedPage &page) {
-    if (page.era == era || page.era == 0)
-      return; // a call without an answer names none
-    logLine(era == 0 ? LogLevel::Info : LogLevel::Warn,
-            era == 0 ? "store has an era" : "store has come back in another era",
+  /// Compares the era of an answer with the newest known one. Returns the pause before a new list
+  /// if the answer must not be used: it comes from before a restore, or continues what was read
+  /// before it.
+  std::optional<Duration> checkEra(const FeedPage &page, bool continues) {
+    if (page.revision.era == revision.era)
+      return std::nullopt;
+    if (page.revision.era < revision.era) // a call that failed names no era
+      return page.status == FeedStatus::Ok ? std::optional(options.retryPause) : std::nullopt;
+    const bool isFirst = revision.era == 0 && !everSynced;
+    logLine(isFirst ? LogLevel::Info : LogLevel::Warn,
+            isFirst ? "store has an era" : "store has come back from an older copy",
             {{"kind", options.kind},
-             {"era", page.era},
-             {"before", era},
-             {"revision", page.revision},
-             {"known", revision}});
-    era = page.era;
+             {"era", page.revision.era},
+             {"before", revision.era},
+             {"revision", page.revision.number},
+             {"known", revision.number}});
+    const std::uint64_t era = page.revision.era;
+    revision = {era, 0};
+    if (!isFirst && hooks.restored)
+      hooks.restored(era);
+    return continues ? std::optional(Duration(0)) : std::nullopt;
   }
 
   void onList(const FeedPage &page) {
-    noteEra(page);
+    if (const auto pause = checkEra(page, !pageAfter.empty()))
+      return schedule(*pause, &Impl::startList);
     if (page.status != FeedStatus::Ok) {
       setConnected(false);
       return schedule(options.retryPause, &Impl::requestListPage);
@@ -133,8 +143,8 @@
         logLine(LogLevel::Info, "object ignored, a newer revision is known",
                 {{"kind", options.kind},
                  {"object", object.name},
-                 {"revision", object.revision},
-                 {"known", it->second}});
+                 {"revision", object.revision.number},
+                 {"known", it->second.number}});
       return;
     }
     if (object.removed)
@@ -154,7 +164,8 @@
   }
 
   void onWatch(const FeedPage &page) {
-    noteEra(page);
+    if (const auto pause = checkEra(page, true))
+      return schedule(*pause, &Impl::startList);
     if (page.status == FeedStatus::HistoryGone)
       return startList();
     if (page.status != FeedStatus::Ok) {
@@ -188,11 +199,16 @@
 
 void ObjectFollower::restartWatch() { impl->restartWatch(); }
 
+void ObjectFollower::restartIfBefore(std::uint64_t era) {
+  if (impl->revision.era < era)
+    restartUnlessListing();
+}
+
 ObjectFollower::Call ObjectFollower::lastCall() const {
   return {.isList = impl->isListing, .age = impl->env.now() - impl->calledAt};
 }
 
-std::uint64_t ObjectFollower::revision() const { return impl->revision; }
+StoreRevision ObjectFollower::revision() const { return impl->revision; }
 
 void ObjectFollower::setWatchLimits(const WatchLimits &limits) { impl->options.limits = limits; }
 
--- a/src/object_follower_p.h
+++ b/src/object_follower_p.h
@@ -11,13 +11,14 @@
 #include <vector>
 
 /// Follows all objects of one kind in the platform's store: reads a list, then watches from its
-/// revision, and reads a new list whenever the store no longer has the history.
+/// revision, and reads a new list whenever the store no longer has the history or has come back
+/// from an older copy.
 namespace catkin {
 
 /// An object as lists and watches return it.
 struct FeedObject {
   std::string name;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   bool removed = false;
   bool deleting = false; ///< its removal has begun
   boost::json::value content;
@@ -38,9 +39,8 @@
 struct FeedPage {
   FeedStatus status = FeedStatus::Failed;
   std::vector<FeedObject> objects;
-  std::uint64_t revision = 0; ///< of the store, from which the next watch continues
-  std::uint64_t era = 0;      ///< of the store; see StoreObject
-  std::string continueAfter;  ///< name before the next page of a list; empty on its last page
+  StoreRevision revision;    ///< of the store, from which the next watch continues
+  std::string continueAfter; ///< name before the next page of a list; empty on its last page
 };
 using FeedDone = std::function<void(FeedPage)>;
 
@@ -59,7 +59,7 @@
   virtual void list(const std::string &kind, const std::string &after, FeedDone done) = 0;
   /// Waits for changes after `revision`. `done` gets a page without objects if there is none within
   /// `limits.maxWait`.
-  virtual void watch(const std::string &kind, std::uint64_t revision, const WatchLimits &limits,
+  virtual void watch(const std::string &kind, StoreRevision revision, const WatchLimits &limits,
                      FeedDone done) = 0;
 };
 
@@ -80,6 +80,9 @@
     std::function<void(const FeedObject &)> changed;
     /// Called when the connection to the store is lost or restored. May be empty.
     std::function<void(bool connected)> connectionChanged;
+    /// Called when the store has come back from an older copy, before the objects of the copy are
+    /// reported. May be empty.
+    std::function<void(std::uint64_t era)> restored;
   };
 
   ObjectFollower(CoreEnv &env, ObjectFeed &feed, FollowerOptions options, Hooks hooks);
@@ -90,6 +93,8 @@
   void restart();
   /// Calls restart() unless a list is being read.
   void restartUnlessListing();
+  /// Calls restartUnlessListing() if no answer of the store's era `era` or a later one has come.
+  void restartIfBefore(std::uint64_t era);
   /// Starts a new watch from the newest known revision, which replaces the current watch or pause.
   /// Does nothing while a list is being read or the store is not connected.
   void restartWatch();
@@ -100,7 +105,7 @@
   };
   Call lastCall() const;
   /// Returns the revision of the store up to which all changes are known.
-  std::uint64_t revision() const;
+  StoreRevision revision() const;
   /// Sets the limits of all later watches.
   void setWatchLimits(const WatchLimits &limits);
   /// Sets the pause after later watches that return changes.
--- a/src/types_p.h
+++ b/src/types_p.h
@@ -57,6 +57,17 @@
 using ServiceName = Name<struct ServiceTag>;
 using DataCentreName = Name<struct DataCentreTag>;
 
+/// Position in the changes of the platform's store. The store may come back from an older copy of
+/// itself; its numbers then go back and are given out again for other changes, in the next era.
+struct StoreRevision {
+  std::uint64_t era = 0; ///< 0 also if the store does not name it
+  std::uint64_t number = 0;
+  StoreRevision() = default;
+  StoreRevision(std::uint64_t number) : number(number) {}
+  StoreRevision(std::uint64_t era, std::uint64_t number) : era(era), number(number) {}
+  friend auto operator<=>(const StoreRevision &, const StoreRevision &) = default;
+};
+
 /// IPv4 address and port, written as "ip:port".
 struct Address {
   std::string ip;
--- a/tests/object_follower_test.cpp
+++ b/tests/object_follower_test.cpp
@@ -22,7 +22,7 @@
       return;
     env.after(1ms, [done, page] { done(page); });
   }
-  void watch(const std::string &, std::uint64_t revision, const WatchLimits &limits,
+  void watch(const std::string &, StoreRevision revision, const WatchLimits &limits,
              FeedDone done) override {
     watchRevisions.push_back(revision);
     if (watchAnswers.empty()) {
@@ -41,7 +41,7 @@
   FeedPage listPage;
   FeedPage lastPage;
   std::deque<FeedPage> watchAnswers;
-  std::vector<std::uint64_t> watchRevisions;
+  std::vector<StoreRevision> watchRevisions;
   Duration watchDelay = 1ms; ///< delay of the scripted answers to watches
   int listCount = 0;
   int firstPageCount = 0;      ///< lists that started with the first page
@@ -57,25 +57,28 @@
   void SetUp() override {
     follower = std::make_unique<ObjectFollower>(
         env, feed, FollowerOptions{.kind = "k"},
-        ObjectFollower::Hooks{.changed =
-                                  [this](const FeedObject &it) {
-                                    if (it.removed)
-                                      known.erase(it.name);
-                                    else
-                                      known[it.name] = it.revision;
-                                  },
-                              .connectionChanged = [this](bool on) { connected = on; }});
+        ObjectFollower::Hooks{
+            .changed =
+                [this](const FeedObject &it) {
+                  if (it.removed)
+                    known.erase(it.name);
+                  else
+                    known[it.name] = it.revision;
+                },
+            .connectionChanged = [this](bool on) { connected = on; },
+            .restored = [this](std::uint64_t era) { restoredEras.push_back(era); }});
   }
 
-  static FeedPage makePage(std::vector<FeedObject> objects, std::uint64_t revision) {
+  static FeedPage makePage(std::vector<FeedObject> objects, StoreRevision revision) {
     return {.status = FeedStatus::Ok, .objects = std::move(objects), .revision = revision};
   }
 
   FakeEnv env;
   ScriptedFeed feed{env};
   std::unique_ptr<ObjectFollower> follower;
-  std::map<std::string, std::uint64_t> known;
+  std::map<std::string, StoreRevision> known;
   bool connected = false;
+  std::vector<std::uint64_t> restoredEras;
 };
 
 // Guards against missing a change to an object on an early page while later pages are read: the
@@ -226,5 +229,60 @@
   EXPECT_TRUE(feed.watchRevisions.empty());
 }
 
+// ---- A store that comes back from an older copy ------------------------------------------------
+
+FeedObject makeObject(const char *name, std::uint64_t era, std::uint64_t number) {
+  return {.name = name, .revision = {era, number}};
+}
+
+TEST_F(ObjectFollowerTest, ChangesAfterARestoreAreTakenForOld) {
+  feed.listPage = makePage({makeObject("a", 1, 9), makeObject("lost", 1, 8)}, {1, 9});
+  follower->start();
+  env.run(100ms);
+  feed.listPage = makePage({makeObject("a", 2, 3)}, {2, 3});
+  feed.watchAnswers = {makePage({makeObject("a", 2, 4)}, {2, 4})};
+  follower->restart(); // the list is the first answer of the new era
+  env.run(100ms);
+  EXPECT_EQ(known.at("a"), StoreRevision(2, 4));
+  EXPECT_EQ(known.count("lost"), 0U);
+  EXPECT_EQ(restoredEras, std::vector<std::uint64_t>{2});
+}
+
+// The watch succeeds: the store has given out its revision again.
+TEST_F(ObjectFollowerTest, WatchGoesOnInTheNextEra) {
+  feed.listPage = makePage({makeObject("a", 1, 9)}, {1, 9});
+  feed.watchAnswers = {makePage({makeObject("b", 2, 10)}, {2, 10})};
+  follower->start();
+  feed.watchDelay = 50ms;
+  env.run(20ms);
+  feed.listPage = makePage({makeObject("a", 2, 5), makeObject("b", 2, 10)}, {2, 10});
+  env.run(100ms);
+  EXPECT_EQ(known.at("a"), StoreRevision(2, 5));
+  EXPECT_EQ(feed.firstPageCount, 2);
+  EXPECT_EQ(feed.watchRevisions.back(), StoreRevision(2, 10));
+}
+
+TEST_F(ObjectFollowerTest, PagesOfTwoErasMakeOneList) {
+  feed.listPage = makePage({makeObject("a", 1, 9)}, {1, 9});
+  feed.listPage.continueAfter = "a";
+  feed.lastPage = makePage({makeObject("b", 2, 4)}, {2, 4});
+  follower->start();
+  env.run(1ms);
+  feed.listPage = makePage({makeObject("a", 2, 3)}, {2, 4});
+  feed.listPage.continueAfter = "a";
+  env.run(100ms);
+  EXPECT_EQ(known.at("a"), StoreRevision(2, 3));
+  EXPECT_EQ(feed.firstPageCount, 2);
+}
+
+TEST_F(ObjectFollowerTest, LateAnswerFromBeforeARestoreIsUsed) {
+  feed.listPage = makePage({makeObject("a", 2, 3)}, {2, 3});
+  feed.watchAnswers = {makePage({makeObject("a", 1, 12)}, {1, 12})};
+  follower->start();
+  env.run(1s);
+  EXPECT_EQ(known.at("a"), StoreRevision(2, 3));
+  EXPECT_TRUE(restoredEras.empty());
+}
+
 } // namespace
 } // namespace catkin::fleet
