Keep endpoints that have left out when an older copy of the store has them ready

Cause: the newest registration was believed. After a restore it is older than what the host has already heard: draining is forgotten, a removed engine is back, a restarted one is an earlier incarnation with models that it no longer holds, and one that came in the lost time is missing.

Change: RestoreGuard. For 6 s after a restore, in which the store removes silent engines, a registration of an incarnation that is known to be gone, or of an earlier incarnation, is held back and used only if it is still there then. Endpoints that announced that they leave stay so, and hosts announce them once more for those that have just started. Holdings of an earlier order count do not replace later ones. Missing endpoints are kept for 2.5 s as after an outage.

FleetViewTest, seven more.

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -204,6 +204,7 @@
     if (era <= storeEra)
       return;
     storeEra = era;
+    view.onStoreRestored(env.now());
     configuration.onStoreRestored(era);
     endpointFollower.restartIfBefore(era);
     hostFollower.restartIfBefore(era);
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -55,7 +55,26 @@
   return true;
 }
 
+bool FleetView::holdBack(const FleetEndpoint &entry, Instant now) {
+  auto *known = find(entry.name);
+  const auto incarnation = known ? std::optional(known->entry.incarnation) : std::nullopt;
+  if (!restoreGuard.contradicts(entry, incarnation, now)) {
+    restoreGuard.drop(entry.name);
+    restoreGuard.onRegistered(incarnationOf(entry));
+    return false;
+  }
+  logLine(LogLevel::Info, "endpoint of an older copy of the store, not used",
+          {{"endpoint", entry.name.value},
+           {"incarnation", entry.incarnation},
+           {"known", incarnation.value_or(0)},
+           {"revision", entry.revision.number}});
+  restoreGuard.hold(entry);
+  return true;
+}
+
 void FleetView::putEndpoint(FleetEndpoint entry, Instant now) {
+  if (holdBack(entry, now))
+    return;
   auto &state = states[entry.name];
   const bool isNew = state.entry.incarnation != entry.incarnation;
   const bool wasLive = !isNew && state.acceptsRequests();
@@ -69,6 +88,9 @@
   }
   state.missingUntil.clear();
   state.expiresAt.reset();
+  // An older copy of the store has the holdings of before the newest orders.
+  if (!isNew && entry.holdings.orderCount < state.entry.holdings.orderCount)
+    entry.holdings = std::move(state.entry.holdings);
   state.entry = std::move(entry);
   applySignals(state);
   recordArrival(state, !wasLive);
@@ -78,6 +100,7 @@
 }
 
 void FleetView::removeEndpoint(const EndpointName &name, Instant now) {
+  restoreGuard.drop(name);
   auto it = states.find(name);
   if (it == states.end())
     return;
@@ -89,12 +112,25 @@
   if (state.acceptsRequests() && (afterOutage || readsInfrequently)) {
     state.expiresAt = state.expiresAt.value_or(keptUntil);
   } else {
-    recordDeparture(state, now);
+    onGone(state, now);
     states.erase(it);
   }
   notifyWaiters();
 }
 
+/// Endpoints that are missing in the copy may just have registered after it was made. Those that
+/// have announced that they leave do so, whatever the copy says; hosts that have just started hear
+/// of them.
+void FleetView::onStoreRestored(Instant now) {
+  if (everConnected)
+    registryReconnectedAt = now;
+  for (auto &it : restoreGuard.onRestored(now))
+    endpointSignals.onLeaving(it, now);
+  for (auto &[name, state] : states)
+    if (!state.acceptsRequests())
+      endpointSignals.onLeaving(incarnationOf(state.entry), now);
+}
+
 void FleetView::setRegistryConnected(bool connected, Instant now) {
   if (connected && !registryConnected && everConnected)
     registryReconnectedAt = now;
@@ -110,10 +146,13 @@
 void FleetView::expire(Instant now) {
   endpointSignals.expire(now);
   departureLog.expire(now);
+  restoreGuard.expire(now);
+  for (auto &it : restoreGuard.takeConfirmed(now))
+    putEndpoint(std::move(it), now);
   std::erase_if(states, [&](auto &it) {
     const bool expired = it.second.expiresAt && now >= *it.second.expiresAt;
     if (expired)
-      recordDeparture(it.second, now);
+      onGone(it.second, now);
     return expired;
   });
 }
@@ -128,6 +167,11 @@
     newestArrivalRevision = std::max(newestArrivalRevision, entry.revision);
 }
 
+void FleetView::onGone(const EndpointState &state, Instant now) {
+  recordDeparture(state, now);
+  restoreGuard.onDeparted(incarnationOf(state.entry), !state.acceptsRequests(), now);
+}
+
 void FleetView::recordDeparture(const EndpointState &state, Instant now) {
   departureLog.add({state.entry.name, state.entry.revision}, now);
 }
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -3,6 +3,7 @@
 #include "departure_log_p.h"
 #include "endpoint_signals_p.h"
 #include "fleet_types_p.h"
+#include "restore_guard_p.h"
 
 #include <cstdint>
 #include <functional>
@@ -86,6 +87,8 @@
   void removeEndpoint(const EndpointName &name, Instant now);
   /// This host has lost or regained its connection to the registry.
   void setRegistryConnected(bool connected, Instant now);
+  /// The store has come back from an older copy of itself.
+  void onStoreRestored(Instant now);
   /// This host reads the registry at long intervals, so it may miss an outage of the store.
   void setReadsInfrequently(bool seldom) { readsInfrequently = seldom; }
   /// Returns true while an endpoint is kept whose registration may return.
@@ -145,13 +148,18 @@
   void onLimitChanged(const EndpointIncarnation &endpoint, bool reportedByHost);
   /// Sets the state of an endpoint by its announcements and by the departures of other hosts.
   void applySignals(EndpointState &state) const;
+  /// Holds the registration back if it comes from an older copy of the store. Returns true if so.
+  bool holdBack(const FleetEndpoint &entry, Instant now);
   void recordArrival(const EndpointState &state, bool isNew);
+  /// Records that the endpoint's registration is gone for good.
+  void onGone(const EndpointState &state, Instant now);
   void recordDeparture(const EndpointState &state, Instant now);
 
   std::optional<FleetConfig> newestConfig;
   std::map<EndpointName, EndpointState> states;
   EndpointSignals endpointSignals;
   DepartureLog departureLog;
+  RestoreGuard restoreGuard;
   StoreRevision newestArrivalRevision;
   std::list<std::function<void()>> waiters;
   bool registryConnected = false;
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -64,6 +64,93 @@
   EXPECT_EQ(view.find(EndpointName("a")), nullptr);
 }
 
+// ---- A store that comes back from an older copy ------------------------------------------------
+
+constexpr Duration GuardTime = 6s;
+
+TEST(FleetViewTest, EndpointThatWasGoneIsBackInAnOlderCopyOfTheStore) {
+  FleetView view;
+  view.setRegistryConnected(true, Start - 1min);
+  view.putEndpoint(makeEndpoint("a"), Start);
+  view.removeEndpoint(EndpointName("a"), Start);
+  view.onStoreRestored(Start);
+  view.putEndpoint(makeEndpoint("a"), Start);
+  view.expire(Start + GuardTime - 1s);
+  EXPECT_EQ(choose(view), nullptr);
+  view.expire(Start + GuardTime); // the store would have removed a silent one
+  EXPECT_NE(choose(view), nullptr);
+}
+
+TEST(FleetViewTest, EndpointOfAnOlderCopyOutlivesItsRemoval) {
+  FleetView view;
+  view.setRegistryConnected(true, Start - 1min);
+  view.putEndpoint(makeEndpoint("a"), Start);
+  view.removeEndpoint(EndpointName("a"), Start);
+  view.onStoreRestored(Start);
+  view.putEndpoint(makeEndpoint("a"), Start);
+  view.removeEndpoint(EndpointName("a"), Start + 4s);
+  view.expire(Start + GuardTime);
+  EXPECT_EQ(choose(view), nullptr);
+}
+
+TEST(FleetViewTest, LeavingEndpointIsReadyAgainInAnOlderCopyOfTheStore) {
+  FleetView view;
+  auto leaving = makeEndpoint("a");
+  leaving.liveness = Liveness::Leaving;
+  view.putEndpoint(leaving, Start);
+  view.onStoreRestored(Start);
+  view.putEndpoint(makeEndpoint("a"), Start);
+  EXPECT_EQ(choose(view), nullptr);
+  EXPECT_EQ(view.signals().leavingToAnnounce(Start).size(), 1U);
+  auto restarted = makeEndpoint("a");
+  restarted.incarnation = 2;
+  view.putEndpoint(restarted, Start);
+  EXPECT_NE(choose(view), nullptr);
+}
+
+TEST(FleetViewTest, EarlierIncarnationOfAnOlderCopyReplacesTheNewOne) {
+  FleetView view;
+  auto second = makeEndpoint("a");
+  second.incarnation = 2;
+  view.putEndpoint(second, Start);
+  view.onStoreRestored(Start);
+  view.putEndpoint(makeEndpoint("a", {}), Start);
+  EXPECT_NE(choose(view), nullptr);
+}
+
+TEST(FleetViewTest, HoldingsOfAnOlderCopyReplaceNewerOnes) {
+  FleetView view;
+  auto later = makeEndpoint("a");
+  later.holdings.orderCount = 3;
+  view.putEndpoint(later, Start);
+  auto older = makeEndpoint("a", {});
+  older.holdings.orderCount = 2;
+  view.putEndpoint(older, Start);
+  EXPECT_NE(choose(view), nullptr);
+}
+
+TEST(FleetViewTest, EndpointThatRegisteredAfterTheCopyIsGoneAtOnce) {
+  FleetView view;
+  view.setRegistryConnected(true, Start - 1min);
+  view.putEndpoint(makeEndpoint("a"), Start);
+  view.onStoreRestored(Start);
+  view.removeEndpoint(EndpointName("a"), Start);
+  EXPECT_NE(choose(view), nullptr);
+  view.expire(Start + 3s);
+  EXPECT_EQ(choose(view), nullptr);
+}
+
+TEST(FleetViewTest, DepartureOfAnEarlierEraEndsALaterRegistration) {
+  FleetView view;
+  auto entry = makeEndpoint("a");
+  entry.revision = {2, 30};
+  view.putEndpoint(entry, Start);
+  view.onDeparture({EndpointName("a"), {1, 90}});
+  EXPECT_NE(choose(view), nullptr);
+  view.onDeparture({EndpointName("a"), {2, 31}});
+  EXPECT_EQ(choose(view), nullptr);
+}
+
 TEST(FleetViewTest, RemovedEndpointIsGoneAtOnceWithoutAnOutage) {
   FleetView view;
   view.setRegistryConnected(true, Start - 1min);
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -19,6 +19,7 @@
 constexpr auto ContactTime = 3000ms; // allowed by the platform after a disturbance of the store
 constexpr auto ConfigTimeLimit = 2000ms;
 constexpr auto DrainTimeLimit = 2000ms;
+constexpr auto LapseTime = 3600ms;   // three heartbeats of an engine
 constexpr auto LeaseTimeLimit = 12s; // until a lost planner is replaced, and its engines are known
 
 class RestoredStore : public ::testing::TestWithParam<int> {
@@ -74,6 +75,13 @@
     return n;
   }
 
+  /// Checks that engine 0 gets no requests in the time after which the store removes the
+  /// registration of a silent one.
+  void expectNoRunsUntilLapse() {
+    for (const Instant end = steadyNow() + LapseTime; steadyNow() < end;)
+      EXPECT_EQ(runsAt(0), 0);
+  }
+
   /// Returns the terms that two processes have held.
   std::vector<std::uint64_t> termsGivenOutTwice() {
     std::vector<std::uint64_t> out;
@@ -170,10 +178,10 @@
   cluster.setEngineState(0, "draining");
   std::this_thread::sleep_for(DrainTimeLimit);
   cluster.run([&] { cluster.store.restore(CopyAge); });
-  for (int i = 0; i < 4; ++i) {
-    EXPECT_EQ(runsAt(0), 0);
-    std::this_thread::sleep_for(300ms);
-  }
+  expectNoRunsUntilLapse();
+  cluster.run([&] { cluster.store.writeAgain(); });
+  std::this_thread::sleep_for(ContactTime);
+  EXPECT_EQ(runsAt(0), 0);
 }
 
 // An engine that has left without a word is in the copy until the store has missed its heartbeats.
@@ -182,10 +190,7 @@
   cluster.run([&] { cluster.store.remove("servers", "i-0"); });
   std::this_thread::sleep_for(DrainTimeLimit);
   cluster.run([&] { cluster.store.restore(CopyAge); });
-  for (int i = 0; i < 4; ++i) {
-    EXPECT_EQ(runsAt(0), 0);
-    std::this_thread::sleep_for(300ms);
-  }
+  expectNoRunsUntilLapse();
   cluster.run([&] { cluster.store.writeAgain(); });
   std::this_thread::sleep_for(ContactTime);
   EXPECT_EQ(runsAt(0), 0);
