Register hosts again after the store has come back from an older copy

What would have happened: a host that had registered since the copy was made was forgotten for good.

Cause: a host registered once, at its start, on the assumption that the store never loses what it has acknowledged.

Change: each host checks its registration when it notices a restore, and writes it if the copy has another one or none. Other hosts keep a host that the copy lacks for 3 s, so that directories do not shrink meanwhile. A check that finds the registration as it should be writes nothing.

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -11,6 +11,9 @@
 
 constexpr auto HostKind = "catkin-hosts";
 constexpr Duration RegisterRetry = std::chrono::milliseconds(300);
+// Within which hosts register again that a restored store has forgotten, other hosts' lists
+// included.
+constexpr Duration HostReregistrationTime = std::chrono::seconds(3);
 constexpr Duration MaxWatchWait = std::chrono::seconds(15);
 // This time and the pause before the watch are well within the history that the store keeps.
 constexpr Duration RelaxedWatchWait = std::chrono::seconds(8);
@@ -69,7 +72,9 @@
   StoreRevision newestPeerArrival; ///< revision of the newest endpoint known to other hosts
   Instant registryRefreshedAt;
   bool announcementScheduled = false;
-  std::uint64_t storeEra = 0; ///< newest one in which the store has come back
+  std::uint64_t storeEra = 0;      ///< newest one in which the store has come back
+  Instant restoredAt;              ///< when this host noticed that
+  std::set<HostName> missingHosts; ///< hosts whose registrations a restored store does not have
 
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
       : options(std::move(o)), adapter(std::move(a)), env(*adapter.env), peers(options.self),
@@ -169,17 +174,30 @@
 
   void onHost(const FeedObject &object) {
     if (object.removed) {
-      peers.remove(HostName(object.name));
+      removeHost(HostName(object.name));
     } else {
       auto *text = object.content.if_string();
       auto entry = text ? parseHostEntry({text->data(), text->size()}) : std::nullopt;
       if (!entry)
         return logLine(LogLevel::Warn, "host entry cannot be read", {{"host", object.name}});
+      missingHosts.erase(entry->host);
       peers.put(*entry);
     }
     logLine(LogLevel::Info, "host", {{"peer", object.name}, {"removed", object.removed}});
   }
 
+  /// Right after a restore of the store, a host whose registration is missing may be about to
+  /// register again. It is then removed only if it has not done so in time.
+  void removeHost(const HostName &host) {
+    if (env.now() >= restoredAt + HostReregistrationTime)
+      return peers.remove(host);
+    missingHosts.insert(host);
+    env.after(HostReregistrationTime, [self = shared_from_this(), host] {
+      if (self->missingHosts.erase(host) > 0)
+        self->peers.remove(host);
+    });
+  }
+
   /// Restarts the other watches with that of the configuration. They use the same store and would
   /// notice a lost connection much later.
   void onConfigConnection(bool connected) {
@@ -204,7 +222,9 @@
     if (era <= storeEra)
       return;
     storeEra = era;
+    restoredAt = env.now();
     view.onStoreRestored(env.now());
+    registerSelf(); // the copy may be older than the registration
     configuration.onStoreRestored(era);
     endpointFollower.restartIfBefore(era);
     hostFollower.restartIfBefore(era);
@@ -279,6 +299,8 @@
     if (stopping)
       return;
     env.platform().get(hostKey(), [self = shared_from_this()](StoreStatus s, const StoreObject &o) {
+      if (s == StoreStatus::Ok && o.value == formatHostEntry(self->options.self))
+        return logLine(LogLevel::Info, "registered already");
       if (s == StoreStatus::Ok || s == StoreStatus::NotFound)
         self->writeRegistration(s == StoreStatus::Ok ? o.version : 0);
       else
