Never give a term out twice after the store has forgotten who held the lease

What would have happened: two planners order engines with the same fencing token (ONE). After a takeover that the copy does not have, and a start of all hosts, the next planner took the very term of the lost one (TermIsGivenOutTwice: a term held by two processes at 4 and 18 hosts). A paused planner could go on with its old term, whose record was back in the store, and a delayed write could meet its condition on a version that had been given out again.

Cause: the lease relied on the store for three things that a copy breaks: the newest record is the one that it returns, a condition on a version holds for one state only, and terms are only known from the record.

Change: the record names the era of its writing. A host that notices a restore gives its lease up and acquires none until every lease of the earlier era must have run out, unless its own was valid when it noticed: then no other host can have acquired it, and it takes the next term at once. A record of an earlier era is nobody's; the next term leaves out 1000 for each restore since it was written, more than can be given out in the seconds that are lost. A write that succeeds in another era than it was made for counts as a conflict. Stores that name no era see no difference.

--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -17,18 +17,23 @@
 
 // A host that is not a candidate waits longer than the candidates before it acquires the lease.
 constexpr Duration NonCandidateDelay = std::chrono::milliseconds(2000);
+// More terms than can be given out in the seconds that a restore of the store loses.
+constexpr std::uint64_t TermsPerRestore = 1000;
 
 std::string format(const LeaseRecord &r) {
   json::array formerHolders;
   for (auto &it : r.formerHolders)
     formerHolders.push_back(json::object{{"host", it.host.value}, {"incarnation", it.incarnation}});
-  return json::serialize(json::object{{"holder", r.holder.value},
-                                      {"incarnation", r.incarnation},
-                                      {"address", r.address.empty() ? "" : r.address.toString()},
-                                      {"term", r.term},
-                                      {"renewal", r.renewal},
-                                      {"write_id", r.writeId},
-                                      {"formers", formerHolders}});
+  json::object out{{"holder", r.holder.value},
+                   {"incarnation", r.incarnation},
+                   {"address", r.address.empty() ? "" : r.address.toString()},
+                   {"term", r.term},
+                   {"renewal", r.renewal},
+                   {"write_id", r.writeId},
+                   {"formers", formerHolders}};
+  if (r.era > 0)
+    out["era"] = r.era;
+  return json::serialize(out);
 }
 
 std::optional<LeaseRecord> parse(const std::string &text) {
@@ -42,7 +47,8 @@
                 .term = in.unsignedInt("term"),
                 .renewal = in.unsignedInt("renewal"),
                 .writeId = in.text("write_id"),
-                .formerHolders = {}};
+                .formerHolders = {},
+                .era = in.unsignedInt("era")};
   in.objects("formers", [&](JsonReader &it) {
     r.formerHolders.push_back({it.name<HostName>("host"), it.unsignedInt("incarnation")});
   });
@@ -66,8 +72,12 @@
   bool renewalFailed = false; ///< the newest write was not answered
   bool stopped = false;
   bool plannerLost = false;
-  bool callPending = false; ///< a call to the platform has not been answered
-  Instant leaseEnd;         ///< end of the validity, margin subtracted
+  bool callPending = false;  ///< a call to the platform has not been answered
+  std::uint64_t era = 0;     ///< newest one that an answer of the store has named
+  bool eraKnown = false;     ///< the store has answered
+  bool isLastHolder = false; ///< this host held the lease when the store came back
+  Instant restoredAt;        ///< when this host noticed the last restore; default value if none
+  Instant leaseEnd;          ///< end of the validity, margin subtracted
   std::uint64_t writes = 0;
   std::vector<LeaseHolder> formerHolders; ///< written with the next renewal
   /// Own writes with an unknown outcome: time of sending by write id.
@@ -121,22 +131,53 @@
     callPending = true;
     env.platform().get(LeaseKey, [self = shared_from_this()](StoreStatus s, const StoreObject &o) {
       self->callPending = false;
+      self->observeEra(s, o.era);
       self->onRead(s, o);
     });
   }
 
+  /// Gives the lease up if the store has come back from an older copy: it may have forgotten that
+  /// another host acquired the lease meanwhile.
+  void observeEra(StoreStatus status, std::uint64_t answerEra) {
+    const bool answered = status == StoreStatus::Ok || status == StoreStatus::Conflict ||
+                          status == StoreStatus::NotFound;
+    if (!answered)
+      return;
+    const bool isFirst = !std::exchange(eraKnown, true);
+    if (answerEra <= era)
+      return;
+    era = answerEra;
+    if (isFirst)
+      return;
+    restoredAt = env.now();
+    storedChanged = env.now();
+    unconfirmedWrites.clear();
+    // While the lease was valid, no other host can have acquired it.
+    isLastHolder = holding && env.now() < leaseEnd;
+    loseLease("the store has come back from an older copy");
+  }
+
+  /// True until every lease that was granted before the last restore has run out.
+  bool mayEarlierLeaseHold() const {
+    return restoredAt != Instant{} &&
+           env.now() - restoredAt < config::LeaseTtl + config::LeaseCandidateMargin;
+  }
+
+  /// True if the record was written before the last restore, so that newer ones may be lost.
+  bool isFromEarlierEra(const LeaseRecord &record) const { return record.era < era; }
+
   void onRead(StoreStatus status, const StoreObject &object) {
     if (stopped)
       return;
     if (status == StoreStatus::NotFound)
-      return acquire(LeaseRecord{}, 0);
+      return mayEarlierLeaseHold() && !isLastHolder ? void() : acquire(LeaseRecord{}, 0);
     if (status != StoreStatus::Ok)
       return;
     auto record = parse(object.value);
     if (!record)
       return; // perhaps edited by an operator: an unreadable record is not overwritten
     updateStored(*record, object.version);
-    if (isMine(*record) && record->term >= newest.term)
+    if (isMine(*record) && record->term >= newest.term && !isFromEarlierEra(*record))
       return confirmOwnWrite(*record);
     if (holding)
       return loseLease();
@@ -167,12 +208,17 @@
 
   /// True if the lease is free or has expired for long enough that this host may acquire it.
   bool mayAcquire(const LeaseRecord &record) const {
+    if (isLastHolder && isFromEarlierEra(record))
+      return true;
+    if (mayEarlierLeaseHold())
+      return false;
     // The holder was an earlier process of this host, which has exited: no need to wait for the
-    // TTL.
-    if (record.holder == options.host)
+    // TTL. If the record may not be the newest one, nobody knows who holds the lease.
+    const bool isNewest = !isFromEarlierEra(record);
+    if (record.holder == options.host && isNewest)
       return true;
     const auto unchanged = env.now() - storedChanged;
-    if (record.holder.empty())
+    if (record.holder.empty() && isNewest)
       return isCandidate() || unchanged >= NonCandidateDelay;
     if (unchanged < config::LeaseTtl + config::LeaseCandidateMargin)
       return false;
@@ -188,13 +234,18 @@
   void write(LeaseRecord record, std::uint64_t version,
              const std::function<void(StoreStatus, const StoreObject &)> &done) {
     record.writeId = nextWriteId();
+    record.era = era;
     auto sentAt = env.now();
     unconfirmedWrites[record.writeId] = sentAt;
     callPending = true;
     env.platform().put(
         LeaseKey, format(record), version,
-        [self = shared_from_this(), record, sentAt, done](StoreStatus s, const StoreObject &o) {
+        [self = shared_from_this(), record, sentAt, done](StoreStatus s, StoreObject o) {
           self->callPending = false;
+          self->observeEra(s, o.era);
+          // A condition on a version that was given out again proves nothing.
+          if (s == StoreStatus::Ok && record.era < self->era)
+            s = StoreStatus::Conflict;
           self->renewalFailed = s == StoreStatus::Unreachable || s == StoreStatus::Unknown;
           if (s == StoreStatus::Ok) {
             self->unconfirmedWrites.clear();
@@ -216,11 +267,18 @@
     return formerHolders;
   }
 
+  /// Returns a term above all that may have been given out.
+  std::uint64_t nextTerm(const LeaseRecord &last) const {
+    const std::uint64_t known = std::max(last.term, newest.term);
+    const std::uint64_t restores = era - std::min(era, last.era);
+    return known + 1 + restores * TermsPerRestore;
+  }
+
   void acquire(const LeaseRecord &last, std::uint64_t version) {
     LeaseRecord mine{.holder = options.host,
                      .incarnation = options.incarnation,
                      .address = options.address,
-                     .term = std::max(last.term, newest.term) + 1,
+                     .term = nextTerm(last),
                      .renewal = 0,
                      .writeId = {},
                      .formerHolders = formerHoldersAfter(last)};
@@ -235,6 +293,7 @@
 
   void becomeHolder(const LeaseRecord &mine) {
     holding = true;
+    isLastHolder = false;
     newest = mine;
     formerHolders = mine.formerHolders;
     std::vector<std::string> names;
@@ -257,13 +316,14 @@
     });
   }
 
-  void loseLease() {
+  void loseLease(const std::string &reason = {}) {
     if (!holding)
       return;
     holding = false;
     env.decision({.kind = DecisionKind::Lease,
                   .chosen = newest.holder.value,
-                  .reason = "lost to term " + std::to_string(newest.term)});
+                  .reason = reason.empty() ? "lost to term " + std::to_string(newest.term)
+                                           : "lost, " + reason});
     lost();
   }
 
--- a/src/lease_p.h
+++ b/src/lease_p.h
@@ -8,8 +8,13 @@
 #include <vector>
 
 /// The planner lease: the host that holds it is the planner. The platform's store keeps it as
-/// object planner/lease {holder, incarnation, address, term, renewal, write_id, formers}. Each new
-/// holder increments the term, which serves as fencing token.
+/// object planner/lease {holder, incarnation, address, term, renewal, write_id, formers, era}. Each
+/// new holder increments the term, which serves as fencing token.
+///
+/// A store that comes back from an older copy has forgotten the newest holders and terms. The
+/// record names the era of the store in which it was written. After a restore no record counts
+/// until every lease of the earlier era must have run out, and the next term leaves out those that
+/// may have been given out in the time that was lost.
 namespace catkin {
 
 /// A host process that holds or held the lease.
@@ -30,6 +35,7 @@
   /// Former holders of any earlier term that are not known to have exited or resigned. A paused one
   /// may still send an order, however many terms later.
   std::vector<LeaseHolder> formerHolders;
+  std::uint64_t era = 0; ///< of the store when the record was written
 };
 
 struct LeaseOptions {
--- a/tests/fleet_world_helper.cpp
+++ b/tests/fleet_world_helper.cpp
@@ -14,7 +14,15 @@
 } // namespace
 
 void FakeStore::answer(StoreGetDone done, StoreStatus status, const StoreObject &object) {
-  after(StoreDelay, [done = std::move(done), status, object] { done(status, object); });
+  StoreObject answered = object;
+  answered.era = status == StoreStatus::Unreachable ? 0 : era;
+  after(StoreDelay, [done = std::move(done), status, answered] { done(status, answered); });
+}
+
+void FakeStore::restore(std::map<std::string, StoreObject> copy, std::uint64_t version) {
+  objects = std::move(copy);
+  revision = version;
+  ++era;
 }
 
 void FakeStore::get(const std::string &key, StoreGetDone done) {
--- a/tests/fleet_world_p.h
+++ b/tests/fleet_world_p.h
@@ -23,6 +23,10 @@
            StoreGetDone done) override;
   void erase(const std::string &key, std::uint64_t expected, StoreGetDone done) override;
 
+  /// Comes back with these objects, in the next era. Versions go back to `version`.
+  void restore(std::map<std::string, StoreObject> copy, std::uint64_t version);
+  std::uint64_t version() const { return revision; }
+
   bool down = false;
   std::map<std::string, StoreObject> objects;
 
@@ -31,6 +35,7 @@
 
   std::function<void(Duration, Task)> after;
   std::uint64_t revision = 0;
+  std::uint64_t era = 0;
 };
 
 /// An environment with a virtual clock, a fixed random seed and a `FakeStore`.
