--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -23,6 +23,7 @@
 constexpr unsigned FirstSeedWithBlackholes = 1000;
 constexpr unsigned FirstSeedWithLimits = 2000;
 constexpr unsigned FirstSeedWithCrashingPrompts = 3000;
+constexpr unsigned FirstSeedWithRestores = 4000;
 constexpr int PromptParts = 4; // that requests for models share
 constexpr int FaultsPerRun = 8;
 constexpr auto FaultPause = 600ms;
@@ -129,6 +130,8 @@
       faults.insert(faults.end(), {&FaultSoak::crashOnPromptPart, &FaultSoak::crashEngine});
       crashOnPromptPart();
     }
+    if (GetParam() >= FirstSeedWithRestores)
+      faults.insert(faults.end(), {&FaultSoak::restoreStore, &FaultSoak::restoreStore});
     for (int i = 0; i < FaultsPerRun; ++i) {
       (this->*faults[static_cast<std::size_t>(randomBelow(static_cast<int>(faults.size())))])();
       endFaultsUntil(steadyNow() + FaultPause * randomBelow(3) / 2);
@@ -222,6 +225,18 @@
                   [this] { cluster.run([this] { cluster.store.down = false; }); });
   }
 
+  /// The store comes back from a copy some seconds old. Half of the time an engine or a host
+  /// changes while it is away.
+  void restoreStore() {
+    const Duration age = 500ms * (1 + randomBelow(16));
+    recordFault("store restored, copy of ms", static_cast<int>(toMillis(age)));
+    if (randomBelow(2) == 0)
+      changeConfig();
+    if (randomBelow(2) == 0)
+      killHost();
+    cluster.restoreStore(age, 100ms * (1 + randomBelow(12)));
+  }
+
   void restartEngine() {
     const int n = randomBelow(static_cast<int>(cluster.engines.size()));
     recordFault("restart engine", n);
@@ -440,6 +455,8 @@
         for (auto &[term, holders] : it->holdersByTerm)
           EXPECT_EQ(holders.size(), 1U) << it->id << " term " << term;
       }
+      for (auto &[term, holders] : cluster.store.leaseHolders)
+        EXPECT_EQ(holders.size(), 1U) << "term " << term << " was given out twice";
     });
   }
 
@@ -508,7 +525,8 @@
     return {1, 2,
             // A restarted host was killed when the test thread that had started it ended.
             106, FirstSeedWithBlackholes, FirstSeedWithLimits, FirstSeedWithLimits + 1,
-            FirstSeedWithCrashingPrompts, FirstSeedWithCrashingPrompts + 1};
+            FirstSeedWithCrashingPrompts, FirstSeedWithCrashingPrompts + 1, FirstSeedWithRestores,
+            FirstSeedWithRestores + 1};
   const auto first = static_cast<unsigned>(environmentNumber("CATKIN_SOAK_FIRST", 1));
   std::vector<unsigned> out;
   for (unsigned i = 0; i < static_cast<unsigned>(n); ++i)
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -127,19 +127,24 @@
   ++era;
   lostKinds = std::exchange(kinds, restored.kinds);
   revision = restored.revision;
+  restoredRevision = revision;
   std::erase_if(history, [&](auto &it) { return it.revision > revision; });
   recordCopy();
 }
 
 void StandinStore::writeAgain() {
   for (auto *kind : {"config", "servers"}) {
-    const auto lost = lostKinds[kind];
-    for (auto &[name, object] : lost)
-      if (kinds[kind].count(name) == 0 || kinds[kind][name].content != object.content)
-        put(kind, name, object.content);
+    auto &lost = lostKinds[kind];
     const auto present = kinds[kind];
+    for (auto &[name, object] : lost) {
+      auto it = present.find(name);
+      const bool writtenSince = it != present.end() && it->second.revision > restoredRevision;
+      const bool same = it != present.end() && it->second.content == object.content;
+      if (!writtenSince && !same)
+        put(kind, name, object.content);
+    }
     for (auto &[name, object] : present)
-      if (lost.count(name) == 0)
+      if (lost.count(name) == 0 && object.revision <= restoredRevision)
         remove(kind, name);
   }
 }
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -80,7 +80,8 @@
 
   Kinds kinds;
   std::deque<Copy> copies;
-  Kinds lostKinds; ///< the state before the newest restore
+  Kinds lostKinds;                    ///< the state before the newest restore
+  std::uint64_t restoredRevision = 0; ///< of the copy that the newest restore came back from
   std::deque<Event> history;
   std::uint64_t historyFrom = 0; ///< watches from earlier revisions get 410
   std::uint64_t revision = 0;
