Split the gateway's requests by job

A request's way to an endpoint, one attempt at an endpoint, and the answers of the host itself are files of their own; the gateway is what is left. No statement changes; the constants stand with what uses them.

--- /dev/null
+++ b/src/fleet_gateway_impl_p.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "buffer_budget_p.h"
+#include "config.h"
+#include "fleet_gateway_p.h"
+
+#include <utility>
+
+/// State of the gateway that its requests share.
+namespace catkin {
+
+struct FleetGateway::Impl {
+  asio::any_io_executor executor;
+  FleetView &view;
+  const RequestCodec &codec;
+  FleetGatewayOptions options;
+  FleetGatewayHooks hooks;
+  HttpClient client;
+  RetryBudget budget;
+  PromptGuard noPromptGuard;
+  PromptGuard &promptGuard;
+  BufferBudget buffers{
+      {.perAnswer = config::FleetAnswerBytes, .total = config::FleetHeldAnswersBytes}};
+  FleetMetrics metrics;
+  DemandMeter demand;
+  std::map<std::pair<EndpointName, ModelRef>, int> runningRequests;
+  int activeRequests = 0;
+  Instant refuseFrom = Instant::max();
+  Instant stopEnd = Instant::max();
+
+  Impl(const asio::any_io_executor &executor, FleetView &view, const RequestCodec &codec,
+       FleetGatewayOptions options, FleetGatewayHooks hooks)
+      : executor(executor), view(view), codec(codec), options(std::move(options)),
+        hooks(std::move(hooks)), client(executor), budget(this->options.budget),
+        promptGuard(this->hooks.promptGuard ? *this->hooks.promptGuard : noPromptGuard) {}
+};
+
+} // namespace catkin
--- /dev/null
+++ b/src/request_attempt.cpp
@@ -0,0 +1,274 @@
+#include "request_forwarder_p.h"
+
+#include "log_p.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace catkin {
+
+namespace {
+
+// An idempotent request without an answer after this share of its time is sent to another endpoint.
+constexpr double SilenceShare = 0.4;
+// Silence timeout of a resumable stream, in latency objectives of its route.
+constexpr double ResumeSilence = 1.8;
+constexpr Duration MinResumeSilence = std::chrono::milliseconds(1500);
+// An endpoint that stops work at the deadline reports this a little later.
+constexpr Duration AnswerGrace = std::chrono::milliseconds(60);
+
+} // namespace
+
+/// Returns true if a silent attempt may be abandoned. That needs another endpoint that can take the
+/// request now, and a retry in the budget; otherwise a slow answer would be lost without a gain.
+bool RequestForwarder::canAbandon(const EndpointName &silent) {
+  const Instant now = g.hooks.now();
+  return search->hasAlternative(silent, now, g.hooks.random()) &&
+         g.budget.allows(service, g.hooks.hostCount(), now);
+}
+
+HttpTimeouts RequestForwarder::timeouts() const {
+  HttpTimeouts t;
+  t.connect = std::min<Duration>(config::FleetConnectTimeout, remainingTime());
+  t.total = remainingTime() + AnswerGrace;
+  t.silence = t.total;
+  // Only a request that may be sent to a further endpoint gains from a silence timeout.
+  bool canTryAnother = search->allowsEndpointAfterNext() && sends + 1 < MaxSends;
+  if (!canTryAnother)
+    t.silence = t.total;
+  else if (route.kind == CallKind::Idempotent)
+    t.silence = std::min(t.total, fromSeconds(toSeconds(limit) * SilenceShare));
+  else if (route.resumable)
+    t.silence =
+        std::min(t.total, std::max(MinResumeSilence,
+                                   fromSeconds(toSeconds(route.objective) * ResumeSilence)));
+  t.maxIdleForReuse = route.kind == CallKind::Idempotent
+                          ? Duration(config::FleetMaxConnectionIdle)
+                          : Duration(config::FleetMaxConnectionIdle) / 4;
+  return t;
+}
+
+AttemptFailure RequestForwarder::failureOf(const HttpStream &stream) const {
+  if (exchange.isCallerGone())
+    return AttemptFailure::CallerGone;
+  switch (stream.status()) {
+  case HttpTransferStatus::NotConnected:
+    return AttemptFailure::NotConnected;
+  case HttpTransferStatus::Timeout:
+    return AttemptFailure::DeadlinePassed;
+  case HttpTransferStatus::Silent:
+    return AttemptFailure::Silent;
+  default:
+    return AttemptFailure::Broken;
+  }
+}
+
+/// Sends the request to one endpoint and relays the answer.
+asio::awaitable<RequestForwarder::AttemptOutcome>
+RequestForwarder::sendTo(const FleetEndpoint &to) {
+  ForwardOptions options{.to = &to, .timeLeft = remainingTime(), .priority = route.priority};
+  options.lastEventId = events.lastEventId();
+  HttpRequest request = g.codec.buildForwardedRequest(exchange.request(), options);
+  const HttpTimeouts limits = timeouts();
+  const std::pair runKey(to.name, caller.model);
+  const Instant sentAt = g.hooks.now();
+  ++sends;
+  answerBegun = false;
+  brokenOff = false;
+  const bool isProbe = promptVerdict.kind == PromptVerdict::Kind::Probe;
+  if (isProbe)
+    g.promptGuard.onProbeSent(promptVerdict.part);
+  ++g.runningRequests[runKey];
+  g.view.onSent(to.name);
+  result = EndpointResult::Failed;
+  const StreamHooks streamHooks{.started = [this](HttpStream *it) { currentStream = it; },
+                                .shouldFailOnSilence = [this, &to] { return canAbandon(to.name); }};
+  auto stream = co_await g.client.open(to.address, std::move(request), limits, streamHooks);
+  AttemptOutcome attemptOutcome = AttemptOutcome::Failed;
+  lastHead = {};
+  if (stream->status() == HttpTransferStatus::Ok) {
+    search->onReceived(to.name);
+    lastHead = g.codec.readHead(stream->head(), caller, to);
+    recordSignals(to, sentAt);
+    if (lastHead.wrongRequest) {
+      failure = AttemptFailure::WrongAnswer;
+    } else if (lastHead.notRun) {
+      failure = AttemptFailure::Refused;
+      result = EndpointResult::Refused;
+      bool missing = lastHead.status == 421 && !caller.model.empty();
+      if (missing && !lastHead.wrongEndpoint) {
+        ++missingAnswers;
+        g.view.onModelMissing(to.name, caller.model, g.hooks.now());
+      }
+      if (lastHead.wrongEndpoint)
+        search->onUnreachable(to.name);
+    } else if (state.streaming && lastHead.status == 200) {
+      attemptOutcome = co_await relayEvents(*stream);
+    } else {
+      attemptOutcome = co_await relayCompleteAnswer(*stream, lastHead);
+    }
+  } else {
+    failure = failureOf(*stream);
+    if (failure == AttemptFailure::NotConnected) {
+      search->onUnreachable(to.name);
+      result = EndpointResult::NotConnected;
+    } else {
+      search->onReceived(to.name);
+    }
+  }
+  brokeBeforeFirstEvent = attemptOutcome == AttemptOutcome::Failed && !exchange.isCallerGone() &&
+                          (brokenOff || stream->status() == HttpTransferStatus::Broken) &&
+                          !answerBegun;
+  if (brokeBeforeFirstEvent)
+    g.promptGuard.onBrokenBeforeAnswer(to, caller.sharedParts);
+  else if (isProbe && !answerBegun)
+    g.promptGuard.onProbeEnded(promptVerdict.part);
+  currentStream = nullptr;
+  stream.reset();
+  bool isEndpointBlameless =
+      failure == AttemptFailure::CallerGone ||
+      (failure == AttemptFailure::DeadlinePassed && limit < MinResumeSilence);
+  if (attemptOutcome == AttemptOutcome::Failed && isEndpointBlameless)
+    result = EndpointResult::Abandoned;
+  if (attemptOutcome == AttemptOutcome::Failed && mayHaveRun(failure))
+    search->onFailed(to.name);
+  g.view.onEnded(to.name, result, g.hooks.now());
+  if (--g.runningRequests[runKey] <= 0)
+    g.runningRequests.erase(runKey);
+  co_return attemptOutcome;
+}
+
+/// Records that the prompt has not crashed the endpoint.
+void RequestForwarder::onAnswerBegun() {
+  if (!std::exchange(answerBegun, true))
+    g.promptGuard.onAnswerBegun(caller.sharedParts);
+}
+
+/// Records what the head of an answer announces about the endpoint itself.
+void RequestForwarder::recordSignals(const FleetEndpoint &from, Instant sentAt) {
+  const Instant now = g.hooks.now();
+  if (lastHead.wrongRequest || lastHead.wrongEndpoint)
+    return; // the answer does not come from this endpoint, or may not
+  g.view.onAnnouncements(incarnationOf(from), lastHead.announced, sentAt, now);
+  if (lastHead.backoff)
+    g.view.onBackoff(from, *lastHead.backoff, now);
+}
+
+/// Relays an answer only once it is complete, so that a broken one never looks complete.
+asio::awaitable<RequestForwarder::AttemptOutcome>
+RequestForwarder::relayCompleteAnswer(HttpStream &stream, const AnswerHead &head) {
+  std::string body;
+  for (;;) {
+    std::string piece = co_await stream.read();
+    if (piece.empty())
+      break;
+    const bool fits = bufferReservation.resize(body.size() + piece.size());
+    if (!fits)
+      co_return rejectOversizedAnswer();
+    body += piece;
+  }
+  if (stream.status() != HttpTransferStatus::Ok) {
+    failure = failureOf(stream);
+    co_return AttemptOutcome::Failed;
+  }
+  const bool failed = head.status >= 500;
+  if (!failed)
+    onAnswerBegun();
+  result = failed ? EndpointResult::Failed : EndpointResult::Answered;
+  if (state.headersSent) { // a resumed stream cannot be replaced by another answer
+    failure = AttemptFailure::Broken;
+    co_return AttemptOutcome::Failed;
+  }
+  HttpResponse response;
+  response.base() = g.codec.headForCaller(stream.head());
+  response.body() = std::move(body);
+  fallback = std::move(response);
+  if (failed && state.idempotent && head.status != 504) {
+    failure = AttemptFailure::Broken; // another endpoint may succeed
+    co_return AttemptOutcome::Failed;
+  }
+  co_await respondWithFallback();
+  co_return AttemptOutcome::Finished;
+}
+
+/// Fails an attempt whose answer exceeds the buffer budget. It counts as broken; its connection is
+/// closed.
+RequestForwarder::AttemptOutcome RequestForwarder::rejectOversizedAnswer() {
+  failure = AttemptFailure::Broken;
+  logLine(LogLevel::Warn, "answer too long",
+          {{"request", caller.id}, {"held_bytes", g.buffers.usedBytes()}});
+  return AttemptOutcome::Failed;
+}
+
+/// Answers with the newest complete answer of an endpoint.
+asio::awaitable<void> RequestForwarder::respondWithFallback() {
+  const unsigned status = fallback->result_int();
+  const bool delivered = co_await exchange.respond(std::move(*fallback));
+  logRequest(status, delivered ? "answered" : "caller_gone");
+}
+
+/// Sends events to the caller, after the status line if that has not been sent. Returns false if
+/// the caller has gone.
+asio::awaitable<bool> RequestForwarder::forwardEvents(const std::string &bytes,
+                                                      const http::response_header<> &head) {
+  if (!state.headersSent) {
+    state.headersSent = true;
+    g.metrics.onFirstEvent(g.hooks.now() - arrivedAt);
+    HttpResponse response;
+    response.base() = g.codec.headForCaller(head);
+    const bool started = co_await exchange.startStream(std::move(response));
+    if (!started)
+      co_return false;
+  }
+  co_return co_await exchange.writeChunk(bytes);
+}
+
+/// Returns true if a stream that has ended was broken off: inside an event, or before its first
+/// event if only the end of the connection marks its end.
+bool RequestForwarder::endsTooEarly(const http::response_header<> &head) const {
+  const bool endsWithConnection = head.find(http::field::content_length) == head.end() &&
+                                  head.find(http::field::transfer_encoding) == head.end();
+  return events.isInsideEvent() || (endsWithConnection && events.eventCount() == 0);
+}
+
+asio::awaitable<RequestForwarder::AttemptOutcome>
+RequestForwarder::relayEvents(HttpStream &stream) {
+  const http::response_header<> head = stream.head();
+  bool delivered = true;
+  while (delivered) {
+    const std::string piece = co_await stream.read();
+    if (piece.empty())
+      break;
+    events.feed(piece);
+    const std::string whole = events.takeCompleteEvents();
+    const bool fits = bufferReservation.resize(events.pendingBytes());
+    if (!fits) {
+      events.discardPartialEvent();
+      co_return rejectOversizedAnswer();
+    }
+    if (whole.empty())
+      continue;
+    onAnswerBegun();
+    delivered = co_await forwardEvents(whole, head);
+  }
+  if (!delivered || stream.status() != HttpTransferStatus::Ok) {
+    events.discardPartialEvent();
+    failure = delivered ? failureOf(stream) : AttemptFailure::CallerGone;
+    co_return AttemptOutcome::Failed;
+  }
+  if (endsTooEarly(head)) {
+    events.discardPartialEvent();
+    failure = AttemptFailure::Broken;
+    brokenOff = true;
+    co_return AttemptOutcome::Failed;
+  }
+  result = EndpointResult::Answered;
+  const std::string rest = events.takeRemainder();
+  delivered = co_await forwardEvents(rest, head);
+  if (delivered)
+    delivered = co_await exchange.endStream();
+  logRequest(200, delivered ? "answered" : "caller_gone");
+  co_return AttemptOutcome::Finished;
+}
+
+} // namespace catkin
--- /dev/null
+++ b/src/request_forwarder_p.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "attempt_p.h"
+#include "endpoint_search_p.h"
+#include "event_relay_p.h"
+#include "fleet_gateway_impl_p.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// One request in the gateway.
+namespace catkin {
+
+/// Forwards one request and relays its answer. It is defined in three files: the way of a request
+/// from its arrival to the choice of an endpoint (request_forwarder.cpp), one attempt at an
+/// endpoint (request_attempt.cpp), and answers of this host itself with the log
+/// (request_outcome.cpp).
+class RequestForwarder {
+public:
+  RequestForwarder(FleetGateway::Impl &gateway, HttpExchange &exchange)
+      : g(gateway), exchange(exchange), waitTimer(g.executor), bufferReservation(g.buffers),
+        arrivedAt(g.hooks.now()) {
+    ++g.activeRequests;
+    exchange.onCallerGone([this] { onCallerGone(); });
+  }
+  ~RequestForwarder() {
+    --g.activeRequests;
+    exchange.onCallerGone({});
+  }
+  RequestForwarder(const RequestForwarder &) = delete;
+  RequestForwarder &operator=(const RequestForwarder &) = delete;
+
+  asio::awaitable<void> run();
+
+private:
+  static constexpr int MaxSends = 6; ///< of one request, including refused sends
+  static constexpr std::string_view QuarantineReason = "engines crash on a part of the prompt";
+  /// A model that is about to be loaded is present after this many answers that it is missing. If
+  /// it is not, another host may know a better endpoint.
+  static constexpr int MaxMissingAnswers = 2;
+
+  /// Finished: the caller has got its answer, or has gone. Failed: `failure` has the reason.
+  enum class AttemptOutcome { Finished, Failed };
+
+  /// An error answer of this host itself.
+  struct Refusal {
+    unsigned status = 0;
+    std::string_view reason;
+    std::optional<Duration> retryAfter; ///< estimated from the endpoints if empty
+  };
+
+  std::optional<Refusal> prepare();
+  std::optional<Refusal> resolveRoute(const HttpRequest &request);
+  std::optional<Refusal> findService();
+  bool isQuarantined();
+  Duration quarantineRetryAfter() const;
+  asio::awaitable<const EndpointState *> findEndpoint();
+  asio::awaitable<bool> waitForViewChange();
+  Instant waitDeadline() const;
+  asio::awaitable<void> pause(Duration d);
+  Duration maxModelWait() const;
+  Duration retryAfter() const;
+  const EndpointState *choose() const;
+  asio::awaitable<bool> obtainPermit(const FleetEndpoint &to);
+  asio::awaitable<Permit> askForPermit(const FleetEndpoint &to, Duration maxDelay);
+  Duration maxPermitWait() const;
+  asio::awaitable<AttemptOutcome> sendTo(const FleetEndpoint &to);
+  void onAnswerBegun();
+  void recordSignals(const FleetEndpoint &from, Instant sentAt);
+  asio::awaitable<AttemptOutcome> relayCompleteAnswer(HttpStream &stream, const AnswerHead &head);
+  asio::awaitable<AttemptOutcome> relayEvents(HttpStream &stream);
+  bool endsTooEarly(const http::response_header<> &head) const;
+  AttemptOutcome rejectOversizedAnswer();
+  asio::awaitable<bool> forwardEvents(const std::string &events, const http::response_header<> &);
+  AttemptFailure failureOf(const HttpStream &stream) const;
+  HttpTimeouts timeouts() const;
+  bool canAbandon(const EndpointName &silent);
+  bool tryReserveRetry(AttemptFailure why);
+  asio::awaitable<void> refuse(unsigned status, std::string_view reason,
+                               std::optional<Duration> after = std::nullopt);
+  asio::awaitable<void> finishUnanswered();
+  std::string_view notRunReason() const;
+  asio::awaitable<void> respondWithFallback();
+  /// True if no further endpoint may receive the request, and those that may have reported too
+  /// often that they do not hold the model.
+  bool isModelMissingEverywhere() const {
+    return search->hasReachedEndpointLimit() && missingAnswers > MaxMissingAnswers;
+  }
+  void onCallerGone();
+  void logRequest(unsigned status, std::string_view outcome);
+  void logFailedAttempt(const FleetEndpoint &to);
+  boost::json::object describeChoice(const EndpointState &chosen) const;
+  Duration remainingTime() const { return limit - (g.hooks.now() - arrivedAt); }
+  bool isDeadlinePassed() const { return remainingTime() <= Duration::zero(); }
+
+  FleetGateway::Impl &g;
+  HttpExchange &exchange;
+  asio::steady_timer waitTimer;
+  BufferBudget::Reservation bufferReservation; ///< for the incomplete answer or event
+  Instant arrivedAt;
+  CallerRequest caller;
+  const FleetConfig *config = nullptr;
+  std::uint64_t configVersion = 0;
+  FleetRoute route; ///< a copy, since the configuration may change during the request
+  ServiceName service;
+  Duration limit{};      ///< for the complete answer, from the request's arrival
+  Duration startLimit{}; ///< for the start of the answer; the caller disconnects after it
+  HttpStream *currentStream = nullptr;  ///< of the attempt in progress
+  std::optional<EndpointSearch> search; ///< set once the service is known
+  boost::json::array choices; ///< for the log: each chosen endpoint and the inputs of the choice
+  AttemptState state;
+  AttemptFailure failure = AttemptFailure::NotConnected;
+  EndpointResult result = EndpointResult::Abandoned;
+  AnswerHead lastHead; ///< of the newest attempt
+  /// The connection of the newest attempt broke before its answer began, as in a crash of the
+  /// endpoint that this request or another one at the endpoint has caused.
+  bool brokeBeforeFirstEvent = false;
+  bool brokenOff = false;      ///< the newest attempt's stream ended too early
+  bool answerBegun = false;    ///< that of the newest attempt
+  PromptVerdict promptVerdict; ///< at the arrival, then before each attempt
+  EventRelay events;
+  /// Newest complete answer of an endpoint, used if no other endpoint gives a better one.
+  std::optional<HttpResponse> fallback;
+  int sends = 0;
+  int permitDenials = 0;
+  int missingAnswers = 0;   ///< answers that an endpoint does not hold the model
+  Duration modelWaitTime{}; ///< total time spent waiting for the model
+};
+
+} // namespace catkin
