Count calls in a window by one function in all tests

The simulation of permits had its own copy of the count and of the allowance. Both were the same rule: a whole number is at most 1.5 x rate x 4 s + 5 exactly if it is at most the rounded down bound.

--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -416,19 +416,6 @@
   return id.empty() ? -1 : std::atoi(id.c_str() + 1);
 }
 
-int allowedInWindow(double perSecond) {
-  constexpr double Excess = 1.5;
-  constexpr int Allowance = 5;
-  return static_cast<int>(Excess * perSecond * toSeconds(LimitWindow)) + Allowance;
-}
-
-int largestWindowCount(const std::vector<Instant> &calls, Duration window) {
-  std::ptrdiff_t most = 0;
-  for (auto first = calls.begin(); first != calls.end(); ++first)
-    most = std::max(most, std::lower_bound(first, calls.end(), *first + window) - first);
-  return static_cast<int>(most);
-}
-
 asio::awaitable<void> StandinEngine::handleModelRequest(HttpExchange &exchange) {
   if (backoffSeconds <= 0)
     co_return co_await sendStream(exchange);
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "call_window_p.h"
 #include "fault_proxy_p.h"
 #include "http_p.h"
 #include "port_block_p.h"
@@ -154,12 +155,6 @@
   const std::set<std::string> firstModels;
 };
 
-/// Span in which the platform counts the calls to an engine that has named a limit.
-constexpr auto LimitWindow = std::chrono::seconds(4);
-/// Returns the number of calls that the platform allows in LimitWindow.
-int allowedInWindow(double perSecond);
-/// Returns the largest number of `calls`, which are in order, in any span of `window`.
-int largestWindowCount(const std::vector<Instant> &calls, Duration window);
 /// Returns the number of the host to which a test sent the request; -1 for a call without an id.
 int hostOfRequest(const HttpRequest &request);
 
--- a/tests/request_permits_test.cpp
+++ b/tests/request_permits_test.cpp
@@ -1,3 +1,4 @@
+#include "call_window_p.h"
 #include "fleet_peers_p.h"
 #include "fleet_world_p.h"
 #include "request_permits_p.h"
@@ -17,12 +18,8 @@
 constexpr auto Step = 10ms;
 constexpr auto Latency = 2ms;
 constexpr auto ReactionTime = 3000ms; // allowed by the platform after the first such answer
-constexpr auto Window = 4s;           // in which the platform counts the calls
 const EndpointIncarnation Endpoint{EndpointName("e"), 1};
 
-/// Highest number of calls that the platform allows in one window.
-double allowedInWindow(double perSecond) { return 1.5 * perSecond * toSeconds(Window) + 5; }
-
 struct SimulationOptions {
   int hosts = 3;
   double limit = 1;           ///< requests a second that the endpoint names
@@ -76,12 +73,8 @@
 
   /// Largest number of calls of all hosts in a window after the time that the platform allows.
   int largestWindowCount() const {
-    std::ptrdiff_t most = 0;
-    const Instant from = start + ReactionTime;
-    const auto first = std::lower_bound(calls.begin(), calls.end(), from);
-    for (auto it = first; it != calls.end(); ++it)
-      most = std::max(most, std::lower_bound(it, calls.end(), *it + Window) - it);
-    return static_cast<int>(most);
+    const auto first = std::lower_bound(calls.begin(), calls.end(), start + ReactionTime);
+    return catkin::largestWindowCount({first, calls.end()}, LimitWindow);
   }
 
   std::ptrdiff_t callsSince(Instant from) const {
