Build the digest of a data centre from each host's heartbeat in the same way

makeDigest took this host's announcements at the start and those of the others in loops of its own; one function adds those of any live host, one any unhealthy host. The address of a planner without a term was never sent.

--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -211,38 +211,47 @@
   return out;
 }
 
+namespace {
+
+/// Adds what a live host announces to the digest of its data centre.
+void addAnnouncements(const FleetHeartbeat &heartbeat, const Address &address,
+                      DataCentreDigest &digest) {
+  digest.configVersion = std::max(digest.configVersion, heartbeat.configVersion);
+  auto &leaving = digest.leavingEndpoints;
+  for (auto &it : heartbeat.leavingEndpoints)
+    if (std::count(leaving.begin(), leaving.end(), it) == 0)
+      leaving.push_back(it);
+  for (auto &it : heartbeat.limits)
+    addNewerLimit(digest.limits, it);
+  if (heartbeat.plannerTerm <= digest.plannerTerm)
+    return;
+  digest.plannerTerm = heartbeat.plannerTerm;
+  digest.plannerAddress = address;
+}
+
+/// Adds the host to the digest unless it is alive and well.
+void addIfUnhealthy(const HostName &host, bool alive, const FleetHeartbeat &heartbeat,
+                    DataCentreDigest &digest) {
+  const HostStatus status{host, alive, heartbeat.ready, heartbeat.leaving,
+                          heartbeat.storeConnected};
+  if (!status.alive || !status.ready || status.leaving || !status.storeConnected)
+    digest.unhealthyHosts.push_back(status);
+}
+
+} // namespace
+
 DataCentreDigest FleetPeers::makeDigest(const FleetHeartbeat &state, Instant now) const {
-  DataCentreDigest out{.dataCentre = self.dataCentre,
-                       .configVersion = state.configVersion,
-                       .plannerTerm = state.plannerTerm,
-                       .plannerAddress = self.peerAddress,
-                       .unhealthyHosts = {},
-                       .leavingEndpoints = state.leavingEndpoints,
-                       .limits = state.limits,
-                       .crashes = state.crashes};
-  const HostStatus own{self.host, true, state.ready, state.leaving, state.storeConnected};
-  if (!own.ready || own.leaving || !own.storeConnected)
-    out.unhealthyHosts.push_back(own);
+  // This host's heartbeat has the crashes that it has heard of from the others.
+  DataCentreDigest out{.dataCentre = self.dataCentre, .crashes = state.crashes};
+  addIfUnhealthy(self.host, true, state, out);
+  addAnnouncements(state, self.peerAddress, out);
   for (auto &[host, peer] : peers) {
     if (!isNearby(peer))
       continue;
-    auto &heartbeat = peer.heartbeat;
     const bool live = isAlive(peer, now);
-    if (!live || !heartbeat.ready || heartbeat.leaving || !heartbeat.storeConnected)
-      out.unhealthyHosts.push_back(
-          {host, live, heartbeat.ready, heartbeat.leaving, heartbeat.storeConnected});
-    if (!live)
-      continue;
-    out.configVersion = std::max(out.configVersion, heartbeat.configVersion);
-    for (auto &it : heartbeat.leavingEndpoints)
-      if (std::count(out.leavingEndpoints.begin(), out.leavingEndpoints.end(), it) == 0)
-        out.leavingEndpoints.push_back(it);
-    for (auto &it : heartbeat.limits)
-      addNewerLimit(out.limits, it);
-    if (heartbeat.plannerTerm <= out.plannerTerm)
-      continue;
-    out.plannerTerm = heartbeat.plannerTerm;
-    out.plannerAddress = peer.entry.peerAddress;
+    addIfUnhealthy(host, live, peer.heartbeat, out);
+    if (live)
+      addAnnouncements(peer.heartbeat, peer.entry.peerAddress, out);
   }
   return out;
 }
