Count crashes of engines that start again unseen, and crashes that come at once

What callers would have seen: at 18 hosts, with the store away and a fifth of the requests with the part, 32 such requests reached engines past the bound of 3 (QuarantineNeedsTheStore, found by this test; logs: all eight engines crashed within 0.9 s, two crashes by the clock of 0.2 s, and every later crash of them belonged to the incarnation that was registered before).

Cause: a crash was identified by the registered incarnation, which stays as it was while the store is away; and crashes less than 0.2 s apart counted once against any part.

Change: a crash of an incarnation that is known to have crashed more than a second ago is a further one, if the engine does not answer. Crashes at the same time count each against a part with which no answer is known to have begun; they still count once against parts of sound requests, which a lost rack would blame otherwise. Failed probes are the crashes that end a quarantine, however many came before. EnginesThatCrashTogetherByThemselvesMakeAPartSuspect now says that its preamble is known from sound requests, as it is in a rack's batch: one that nobody has seen is the case of the new test PartThatCrashesAllEnginesAtOnceIsTakenForALostRack, and cannot be told from it.

Evidence: the process test failed and passes at 18 hosts; two unit tests. More process tests of hosts that start or wake, of refusals, and of hosts that start or were frozen during a restore pass, at 3 to 18 hosts.

--- a/src/crash_watch.cpp
+++ b/src/crash_watch.cpp
@@ -25,10 +25,12 @@
       : env(env), view(view), engines(engines), hooks(std::move(hooks)) {}
 
   void onBroken(const FleetEndpoint &endpoint, const std::vector<PromptPart> &parts) {
+    const Instant now = env.now();
     const EndpointIncarnation engine = incarnationOf(endpoint);
-    if (quarantine.knowsCrash(engine))
-      return addCrash(engine, parts, env.now());
-    auto [it, isFirst] = pendingBreaks.try_emplace(engine, PendingBreak{env.now(), {}});
+    const EndpointIncarnation crash = quarantine.presentCrash(engine, now);
+    if (quarantine.knowsCrash(crash))
+      return addCrash(crash, parts, now);
+    auto [it, isFirst] = pendingBreaks.try_emplace(engine, PendingBreak{now, {}});
     auto &pending = it->second.parts;
     pending.insert(pending.end(), parts.begin(), parts.end());
     if (!isFirst)
@@ -42,16 +44,19 @@
     });
   }
 
+  /// An engine whose crash in this incarnation is known has started again, and may answer as
+  /// another one without having crashed since.
   void onStatus(const EndpointIncarnation &engine, const std::optional<EngineStatus> &status) {
     const PendingBreak pending = std::move(pendingBreaks[engine]);
     pendingBreaks.erase(engine);
-    const bool runsOn = status && status->incarnation == engine.incarnation;
+    const bool runsOn =
+        status && (status->incarnation == engine.incarnation || quarantine.knowsCrash(engine));
     logLine(LogLevel::Info, runsOn ? "engine runs on after a broken connection" : "engine crashed",
             {{"endpoint", engine.endpoint.value},
              {"incarnation", engine.incarnation},
              {"prompt_parts", static_cast<std::int64_t>(pending.parts.size())}});
     if (!runsOn)
-      return addCrash(engine, pending.parts, pending.since);
+      return addCrash(quarantine.presentCrash(engine, pending.since), pending.parts, pending.since);
     for (auto it : pending.parts)
       quarantine.endProbe(it);
   }
--- a/src/prompt_quarantine.cpp
+++ b/src/prompt_quarantine.cpp
@@ -10,9 +10,11 @@
 
 namespace {
 
-// Crashes at about the same time may have one cause outside the prompts, such as a lost rack, and
-// count once.
+// Crashes at about the same time may have one cause outside the prompts, such as a lost rack. They
+// count once against a part that is known to be in sound requests.
 constexpr Duration MinTimeBetweenCrashes = std::chrono::milliseconds(200);
+// An engine that crashes is back after some seconds; until then it is the same crash.
+constexpr Duration MinRestartTime = std::chrono::seconds(1);
 // A sound part that is rarely requested may be in the batch of one or two crashes by chance.
 constexpr int CrashesForQuarantine = 3;
 // The first probe comes this long after the last crash; the time doubles with each failed probe.
@@ -31,17 +33,17 @@
 constexpr std::size_t MaxSuspectsPerReport = 48;
 constexpr std::size_t MaxSuspectsPerCrash = 256;
 
-/// Returns those of the crashes, which are in order, that are apart from each other.
-std::vector<Instant> crashesApart(const std::vector<Instant> &times) {
-  std::vector<Instant> out;
-  for (auto it : times)
-    if (out.empty() || it - out.back() >= MinTimeBetweenCrashes)
-      out.push_back(it);
-  return out;
-}
-
+/// Returns how many of the crashes, which are in order, are apart from each other.
 int countApart(const std::vector<Instant> &times) {
-  return static_cast<int>(crashesApart(times).size());
+  int n = 0;
+  Instant last{};
+  for (auto it : times) {
+    if (n > 0 && it - last < MinTimeBetweenCrashes)
+      continue;
+    ++n;
+    last = it;
+  }
+  return n;
 }
 
 Duration quarantineTime(int failedProbes) {
@@ -66,6 +68,15 @@
   changed = true;
 }
 
+EndpointIncarnation PromptQuarantine::presentCrash(EndpointIncarnation engine, Instant now) const {
+  for (auto it = crashes.find(engine); it != crashes.end(); it = crashes.find(engine)) {
+    if (now - it->second.at < MinRestartTime)
+      break;
+    ++engine.incarnation;
+  }
+  return engine;
+}
+
 void PromptQuarantine::onAnswerBegun(const std::vector<PromptPart> &parts, Instant now) {
   for (auto part : parts) {
     probes.erase(part);
@@ -205,7 +216,9 @@
         times[it].push_back(at);
     // A part with which answers have begun, whenever, is less suspect than one without.
     const auto strengthOf = [&](const CrashTimes::value_type &it) {
-      return std::pair(begun.count(it.first) == 0, countApart(it.second));
+      const bool neverBegun = begun.count(it.first) == 0;
+      const int n = neverBegun ? static_cast<int>(it.second.size()) : countApart(it.second);
+      return std::pair(neverBegun, n);
     };
     std::pair<bool, int> strongest;
     std::vector<Instant> explained;
@@ -234,11 +247,10 @@
     if (crash.blames(part))
       times.push_back(crash.at);
   std::sort(times.begin(), times.end());
-  const auto apart = crashesApart(times);
-  Conviction out{.lastCrash = times.back(), .crashes = static_cast<int>(apart.size())};
+  Conviction out{.lastCrash = times.back(), .crashes = static_cast<int>(times.size())};
   // Requests that were under way when the quarantine began are not probes.
-  for (std::size_t i = CrashesForQuarantine; i < apart.size(); ++i)
-    out.failedProbes += apart[i] - apart[i - 1] >= FirstQuarantine ? 1 : 0;
+  for (std::size_t i = CrashesForQuarantine; i < times.size(); ++i)
+    out.failedProbes += times[i] - times[i - 1] >= FirstQuarantine ? 1 : 0;
   return out;
 }
 
--- a/src/prompt_quarantine_p.h
+++ b/src/prompt_quarantine_p.h
@@ -61,7 +61,10 @@
   /// An engine has crashed while requests with these parts waited for their answer to begin.
   void onCrash(const EndpointIncarnation &engine, const std::vector<PromptPart> &suspects,
                Instant now);
-  /// Returns true if this incarnation of the engine is known to have crashed.
+  /// Returns the crash of the engine that happens now. While the store is away, an engine that has
+  /// started again keeps the incarnation that was known before; its further crashes are numbered.
+  EndpointIncarnation presentCrash(EndpointIncarnation engine, Instant now) const;
+  /// Returns true if the engine is known to have crashed in this incarnation.
   bool knowsCrash(const EndpointIncarnation &engine) const { return crashes.count(engine) > 0; }
   /// The answer to a request with these parts has begun.
   void onAnswerBegun(const std::vector<PromptPart> &parts, Instant now);
@@ -110,7 +113,7 @@
   /// Why a part is in quarantine.
   struct Conviction {
     Instant lastCrash;
-    int crashes = 0;      ///< that were apart
+    int crashes = 0;
     int failedProbes = 0; ///< those of them that ended an earlier quarantine
     friend bool operator==(const Conviction &, const Conviction &) = default;
   };
--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <csignal>
 #include <random>
 
 /// Tests with daemons as processes before engines that crash when they begin to answer a request
@@ -185,6 +186,49 @@
   expectFewLateCalls(from);
 }
 
+TEST_P(CrashingPrompt, HostsThatStartOrWakeSendThePartAgain) {
+  startCallers();
+  setParts(DeadlyPart, {DeadlyPart});
+  std::this_thread::sleep_for(CrashTime);
+  cluster.signalHost(0, SIGKILL);
+  cluster.signalHost(1, SIGSTOP);
+  std::this_thread::sleep_for(4s);
+  cluster.startHost(0);
+  cluster.signalHost(1, SIGCONT);
+  ASSERT_TRUE(pollUntil([&] { return cluster.isHostReady(0) && cluster.isHostReady(1); }));
+  std::this_thread::sleep_for(ReactionTime);
+  const Instant from = steadyNow();
+  std::this_thread::sleep_for(8s);
+  EXPECT_LE(deadlyCallsSince(from), AllowedLateCalls);
+}
+
+// The hosts hear of crashes from each other, whether or not the store answers.
+TEST_P(CrashingPrompt, QuarantineNeedsTheStore) {
+  startCallers();
+  cluster.run([&] { cluster.store.down = true; });
+  std::this_thread::sleep_for(1s);
+  const Instant from = steadyNow();
+  setParts(DeadlyPart, {DeadlyPart});
+  std::this_thread::sleep_for(CrashTime);
+  expectFewLateCalls(from);
+}
+
+// A refusal that says that the request has not run must come at once and be true.
+TEST_P(CrashingPrompt, RequestInQuarantineIsHeldOrRefusedFalsely) {
+  startCallers();
+  setParts(DeadlyPart, {DeadlyPart});
+  std::this_thread::sleep_for(CrashTime / 2); // no probe yet
+  const Instant from = steadyNow();
+  for (int host = 0; host < hosts; ++host) {
+    const Instant start = steadyNow();
+    const auto result = cluster.requestStream(host, "m0", prompt(1, DeadlyPart));
+    EXPECT_EQ(statusOf(result), 503U) << "host " << host;
+    EXPECT_NE(result.response[http::field::retry_after], "");
+    EXPECT_LT(steadyNow() - start, 300ms);
+  }
+  EXPECT_LE(deadlyCallsSince(from), 1); // a probe of another caller's request
+}
+
 TEST_P(CrashingPrompt, RequestsAreRefusedAfterTheirPartIsSoundAgain) {
   startCallers();
   setParts(DeadlyPart, {DeadlyPart});
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -103,12 +103,36 @@
 }
 
 TEST_F(PromptQuarantineTest, EnginesThatCrashTogetherByThemselvesMakeAPartSuspect) {
+  quarantine.onAnswerBegun({Preamble}, now);
+  now += 1s;
   for (int i = 0; i < 8; ++i)
     quarantine.onCrash(engine(i), {Preamble}, now + i * 1ms);
   now += ReportDelay + 1s;
   EXPECT_EQ(judge({Preamble}), Kind::Clear);
 }
 
+// A burst of requests with a new part crashes all engines at once.
+TEST_F(PromptQuarantineTest, PartThatCrashesAllEnginesAtOnceIsTakenForALostRack) {
+  quarantine.onAnswerBegun({Preamble}, now);
+  now += 1s;
+  for (int i = 0; i < 8; ++i)
+    quarantine.onCrash(engine(i), {Preamble, Deadly}, now + i * 10ms);
+  now += ReportDelay + 1s;
+  EXPECT_EQ(judge({Deadly}), Kind::Quarantined);
+  EXPECT_EQ(judge({Preamble}), Kind::Clear);
+}
+
+// While the store is away, the registered incarnation of an engine that starts again stays.
+TEST_F(PromptQuarantineTest, CrashesOfOneEngineCountOnceWhileTheStoreIsAway) {
+  for (int i = 0; i < 3; ++i) {
+    const auto crash = quarantine.presentCrash(engine(1), now);
+    quarantine.onCrash(crash, {Deadly}, now);
+    EXPECT_EQ(quarantine.presentCrash(engine(1), now + 100ms), crash); // seen by another request
+    now += 3s;
+  }
+  EXPECT_EQ(judge({Deadly}), Kind::Quarantined);
+}
+
 TEST_F(PromptQuarantineTest, SecondPartHidesBehindTheFirst) {
   crashThrice({Preamble, Deadly});
   quarantine.onAnswerBegun({Preamble}, now);
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -256,6 +256,32 @@
   EXPECT_GT(cluster.lease().second, second);
 }
 
+TEST_P(RestoredStore, HostThatStartsOnAnOlderCopyKeepsIt) {
+  cluster.changeConfig({.extraRoute = true});
+  std::this_thread::sleep_for(CopyAge);
+  cluster.changeConfig({.extraRoute = false});
+  std::this_thread::sleep_for(ConfigTimeLimit);
+  cluster.signalHost(1, SIGKILL);
+  cluster.run([&] { cluster.store.restore(CopyAge); });
+  cluster.startHost(1);
+  ASSERT_TRUE(pollUntil([&] { return cluster.isHostReady(1); }));
+  std::this_thread::sleep_for(ConfigTimeLimit);
+  EXPECT_EQ(cluster.statusOfExtraRoute(1), 404U);
+}
+
+TEST_P(RestoredStore, HostThatWasFrozenMissesTheRestore) {
+  std::this_thread::sleep_for(CopyAge);
+  changeThrice();
+  cluster.signalHost(1, SIGSTOP);
+  cluster.restoreStore(CopyAge);
+  for (int i = 0; i < 12; ++i) // the revisions catch up while it sleeps
+    changeThrice();
+  cluster.signalHost(1, SIGCONT);
+  std::this_thread::sleep_for(ContactTime);
+  EXPECT_EQ(lateHosts(true), std::vector<int>{});
+  EXPECT_EQ(lateHosts(false), std::vector<int>{});
+}
+
 INSTANTIATE_TEST_SUITE_P(Hosts, RestoredStore, ::testing::Values(SmallFleet, LargeFleet));
 
 } // namespace
