--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -238,22 +238,24 @@
     auto sentAt = env.now();
     unconfirmedWrites[record.writeId] = sentAt;
     callPending = true;
-    env.platform().put(
-        LeaseKey, format(record), version,
-        [self = shared_from_this(), record, sentAt, done](StoreStatus s, StoreObject o) {
-          self->callPending = false;
-          self->observeEra(s, o.era);
-          // A condition on a version that was given out again proves nothing.
-          if (s == StoreStatus::Ok && record.era < self->era)
-            s = StoreStatus::Conflict;
-          self->renewalFailed = s == StoreStatus::Unreachable || s == StoreStatus::Unknown;
-          if (s == StoreStatus::Ok) {
-            self->unconfirmedWrites.clear();
-            self->leaseEnd = self->leaseEndFor(sentAt);
-            self->updateStored(record, o.version);
-          }
-          done(s, o);
-        });
+    env.platform().put(LeaseKey, format(record), version,
+                       [self = shared_from_this(), record, sentAt, done](StoreStatus answer,
+                                                                         const StoreObject &o) {
+                         self->callPending = false;
+                         self->observeEra(answer, o.era);
+                         // A condition on a version that was given out again proves nothing.
+                         const bool inLaterEra =
+                             answer == StoreStatus::Ok && record.era < self->era;
+                         const StoreStatus s = inLaterEra ? StoreStatus::Conflict : answer;
+                         self->renewalFailed =
+                             s == StoreStatus::Unreachable || s == StoreStatus::Unknown;
+                         if (s == StoreStatus::Ok) {
+                           self->unconfirmedWrites.clear();
+                           self->leaseEnd = self->leaseEndFor(sentAt);
+                           self->updateStored(record, o.version);
+                         }
+                         done(s, o);
+                       });
   }
 
   /// Former holders for a record that replaces `last`: those of `last` and its holder. Processes of
--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -34,7 +34,9 @@
   double share = 0.05; ///< of the requests
 };
 
-void PrintTo(const CrashingPromptCase &it, std::ostream *out) { *out << it.hosts << "_hosts"; }
+std::ostream &operator<<(std::ostream &out, const CrashingPromptCase &it) {
+  return out << it.hosts << "_hosts";
+}
 
 /// What callers of sound requests have got.
 struct SoundResults {
--- a/tests/prompt_quarantine_test.cpp
+++ b/tests/prompt_quarantine_test.cpp
@@ -192,9 +192,9 @@
   int preambles = 1;
 };
 
-void PrintTo(const FleetCase &it, std::ostream *out) {
-  *out << it.hosts << "_hosts_" << 100 * it.deadlyShare << "_percent_" << it.selfCrashesPerSecond
-       << "_crashes";
+std::ostream &operator<<(std::ostream &out, const FleetCase &it) {
+  return out << it.hosts << "_hosts_" << 100 * it.deadlyShare << "_percent_"
+             << it.selfCrashesPerSecond << "_crashes";
 }
 
 /// Plays a load in steps of StepTime: hosts send each request to a random engine that is up, which
