Give each host of a large fleet the whole recovery time in the soak

Trace: host 0 was asked first, at 19:39:46.6, when an engine that had crashed on a prompt part at 45.5 was down (2.5 s); it answered 200 from 48.5 on. The check asked 60 hosts one after the other, 39 s for one pass, so that a host with one failed request had no second try within its 15 s. All hosts are now asked at the same time, each until it serves or the 15 s are over, which also binds those that were asked after that until now.

--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -403,15 +403,22 @@
 
   // ---- Checks --------------------------------------------------------------------------------
 
-  /// Checks that every host serves every kind of request again within the recovery time.
+  /// Checks that every host serves every kind of request again within the recovery time. All hosts
+  /// are asked at the same time: one after the other, a large fleet takes longer than that.
   void expectRecovery() {
     const Instant end = steadyNow() + RecoveryTime;
-    std::set<int> recovered;
-    while (static_cast<int>(recovered.size()) < hosts && steadyNow() < end)
-      for (int host = 0; host < hosts; ++host)
-        if (recovered.count(host) == 0 && servesEveryRequestKind(host))
-          recovered.insert(host);
-    EXPECT_EQ(static_cast<int>(recovered.size()), hosts);
+    std::atomic<int> recovered = 0;
+    std::vector<std::thread> checks;
+    for (int host = 0; host < hosts; ++host)
+      checks.emplace_back([this, host, end, &recovered] {
+        bool serves = false;
+        while (!serves && steadyNow() < end)
+          serves = servesEveryRequestKind(host);
+        recovered += serves ? 1 : 0;
+      });
+    for (auto &it : checks)
+      it.join();
+    EXPECT_EQ(recovered, hosts);
   }
 
   bool servesEveryRequestKind(int host) {
