Read a lease that may have expired before renewing it

What would have happened: a paused planner wakes after a takeover and a restore, renews with the version that it knew, and overwrites the next planner's record, whose version was given out again. Nobody plans until that is noticed, and a host that has just started could take a lower term.

Traced in the code: the woken host renewed without looking; its write succeeded in the new era and was then counted as a conflict, but the record was overwritten.

Change: a holder whose lease may have expired reads it first, and renews only if the record is still its own in this era. A failed read counts like a failed renewal. While the lease is valid no other host can have written it.

Evidence: LeaseRestore.FormerHolderOverwritesTheNextOne failed before and passes; leases, promises and planners (202 tests) pass.

--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -113,7 +113,9 @@
     return sentAt + config::LeaseTtl - config::LeaseHolderMargin;
   }
 
-  /// Renews or reads the lease once in each renewal interval.
+  /// Renews or reads the lease once in each renewal interval. A lease that may have expired is read
+  /// first: if the store has come back from an older copy meanwhile, another holder's record may
+  /// have the version that this host would renew.
   void tick() {
     if (stopped)
       return;
@@ -121,9 +123,9 @@
     env.after(config::LeaseRenewInterval, [self] { self->tick(); });
     if (callPending)
       return;
-    if (holding)
+    if (holding && env.now() < leaseEnd)
       renew();
-    else if (isCandidate() || plannerLost || !everRead)
+    else if (holding || isCandidate() || plannerLost || !everRead)
       readStored();
   }
 
@@ -171,8 +173,10 @@
       return;
     if (status == StoreStatus::NotFound)
       return mayEarlierLeaseHold() && !isLastHolder ? void() : acquire(LeaseRecord{}, 0);
-    if (status != StoreStatus::Ok)
+    if (status != StoreStatus::Ok) {
+      renewalFailed = renewalFailed || holding;
       return;
+    }
     auto record = parse(object.value);
     if (!record)
       return; // perhaps edited by an operator: an unreadable record is not overwritten
@@ -204,6 +208,8 @@
     unconfirmedWrites.clear();
     if (!holding)
       becomeHolder(record);
+    else if (env.now() >= leaseEnd)
+      renew();
   }
 
   /// True if the lease is free or has expired for long enough that this host may acquire it.
--- a/tests/lease_restore_test.cpp
+++ b/tests/lease_restore_test.cpp
@@ -142,6 +142,22 @@
   expectTermsOnce();
 }
 
+// The next holder's record has the version that the former one, whose lease has expired, would
+// renew.
+TEST_F(LeaseRestore, FormerHolderOverwritesTheNextOne) {
+  startHost(0);
+  run(2s);
+  StoreObject lease = env.store.objects.at("planner/lease");
+  env.store.down = true;
+  run(5s);
+  lease.value = R"({"holder":"h9","incarnation":1,"address":"10.0.0.1:9","term":5000,"renewal":0,)"
+                R"("write_id":"w","formers":[],"era":1})";
+  env.store.restore({{lease.key, lease}}, lease.version);
+  env.store.down = false;
+  run(2s);
+  EXPECT_EQ(env.store.objects.at("planner/lease").value, lease.value);
+}
+
 TEST_F(LeaseRestore, TwoRestoresInARow) {
   startAll();
   takeCopy();
