--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -1,28 +1,13 @@
-#include "platform_standin_p.h"
-#include "process_cluster_p.h"
-#include "real_env_p.h"
+#include "crash_load_p.h"
 
-#include <gtest/gtest.h>
-
-#include <algorithm>
 #include <csignal>
-#include <random>
 
 /// Tests with daemons as processes before engines that crash when they begin to answer a request
 /// with a certain part in its prompt: such requests stop reaching engines, and sound ones go on.
 namespace catkin::platform {
 namespace {
 
-using namespace std::chrono_literals;
-
-constexpr int Engines = 8;
-constexpr int Callers = 16;
-constexpr auto CallerPause = 260ms; // about 60 requests a second from all callers
-constexpr auto CalmTime = 4s;
-constexpr auto CrashTime = 14s;
-constexpr auto ReactionTime = 3000ms; // allowed by the platform after the fifth crash
 constexpr std::size_t ReactionCrashes = 5;
-constexpr int AllowedLateCalls = 3;
 constexpr auto EndTimeLimit = 45s; // until requests with a part that is sound again are served
 constexpr auto DeadlyPart = "dead";
 constexpr auto SecondDeadlyPart = "beef";
@@ -38,18 +23,9 @@
   return out << it.hosts << "_hosts";
 }
 
-/// What callers of sound requests have got.
-struct SoundResults {
-  int sent = 0;
-  int served = 0;
-  double servedShare() const { return sent > 0 ? static_cast<double>(served) / sent : 0; }
-};
-
-class CrashingPrompt : public ::testing::TestWithParam<CrashingPromptCase> {
+class CrashingPrompt : public ::testing::TestWithParam<CrashingPromptCase>, protected CrashLoad {
 protected:
-  CrashingPrompt()
-      : hosts(GetParam().hosts), cluster(hosts, std::vector<std::set<std::string>>(Engines, {"m0"}),
-                                         {.dataCentres = hosts > 3 ? 3 : 1}) {}
+  CrashingPrompt() : CrashLoad(GetParam().hosts, GetParam().share) {}
 
   void SetUp() override {
     ASSERT_TRUE(cluster.waitUntilReady());
@@ -58,15 +34,8 @@
 
   void TearDown() override { stopCallers(); }
 
-  void startCallers() {
-    for (int i = 0; i < Callers; ++i)
-      callers.emplace_back([this, i] {
-        std::minstd_rand random(static_cast<unsigned>(i + 1));
-        for (int n = i; !stopRequested; ++n) {
-          sendOne(n % hosts, n, random);
-          std::this_thread::sleep_for(CallerPause);
-        }
-      });
+  HttpResult send(int host, int n, bool deadly) override {
+    return cluster.requestStream(host, "m0", prompt(n, deadly ? currentPart() : std::string()));
   }
 
   /// Returns the parts of a prompt; `extra` stands at the case's position if it is not empty.
@@ -80,87 +49,22 @@
     return out + "c" + std::to_string(n) + ":250";
   }
 
-  void sendOne(int host, int n, std::minstd_rand &random) {
-    constexpr int Steps = 1000;
-    const bool deadly = random() % Steps < GetParam().share * Steps;
-    const std::string extra = deadly ? currentPart() : std::string();
-    const auto result = cluster.requestStream(host, "m0", prompt(n, extra));
-    const std::lock_guard lock(mutex);
-    if (!extra.empty())
-      return;
-    ++sound.sent;
-    sound.served += statusOf(result) == 200 ? 1 : 0;
-  }
-
-  void stopCallers() {
-    stopRequested = true;
-    for (auto &it : callers)
-      it.join();
-    callers.clear();
-  }
-
   std::string currentPart() {
-    const std::lock_guard lock(mutex);
+    const std::lock_guard lock(partMutex);
     return part;
   }
 
   /// From now on, some requests have `newPart`; the engines crash on `deadly` parts.
   void setParts(const std::string &newPart, const std::set<std::string> &deadly) {
-    cluster.run([&] {
-      for (auto &it : cluster.engines)
-        it->crashes.deadlyParts = deadly;
-    });
-    const std::lock_guard lock(mutex);
+    setDeadly([&](StandinCrashes &it) { it.deadlyParts = deadly; });
+    const std::lock_guard lock(partMutex);
     part = newPart;
   }
 
-  SoundResults takeSoundResults() {
-    const std::lock_guard lock(mutex);
-    return std::exchange(sound, {});
-  }
-
-  /// Returns the crashes of all engines since `from`, in order.
-  std::vector<Instant> crashesSince(Instant from) {
-    std::vector<Instant> out;
-    cluster.run([&] {
-      for (auto &it : cluster.engines)
-        for (auto &at : it->crashes.times)
-          if (at >= from)
-            out.push_back(at);
-    });
-    std::sort(out.begin(), out.end());
-    return out;
-  }
-
-  /// Returns the number of requests with a deadly part that reached engines since `from`.
-  int deadlyCallsSince(Instant from) {
-    std::ptrdiff_t n = 0;
-    cluster.run([&] {
-      for (auto &it : cluster.engines)
-        n += std::count_if(it->crashes.deadlyCalls.begin(), it->crashes.deadlyCalls.end(),
-                           [&](auto &call) { return call.at >= from; });
-    });
-    return static_cast<int>(n);
-  }
-
-  /// Checks that at most AllowedLateCalls requests with the part came later than ReactionTime after
-  /// the fifth crash since `from`.
-  void expectFewLateCalls(Instant from) {
-    const auto crashes = crashesSince(from);
-    ASSERT_GE(crashes.size(), 3U) << "the engines do not crash";
-    if (crashes.size() < ReactionCrashes)
-      return;
-    const Instant bound = crashes[ReactionCrashes - 1] + ReactionTime;
-    EXPECT_LE(deadlyCallsSince(bound), AllowedLateCalls) << crashes.size() << " crashes";
-  }
+  void expectFewLateCallsSince(Instant from) { expectFewLateCalls(from, ReactionCrashes); }
 
-  const int hosts;
-  PlatformCluster cluster;
-  std::atomic<bool> stopRequested = false;
-  std::vector<std::thread> callers;
-  std::mutex mutex; ///< guards the members below
-  std::string part;
-  SoundResults sound;
+  std::mutex partMutex; ///< guards part
+  std::string part = DeadlyPart;
 };
 
 TEST_P(CrashingPrompt, RequestsWithTheSamePartCrashOneEngineAfterTheOther) {
@@ -170,7 +74,7 @@
   const Instant from = steadyNow();
   setParts(DeadlyPart, {DeadlyPart});
   std::this_thread::sleep_for(CrashTime);
-  expectFewLateCalls(from);
+  expectFewLateCallsSince(from);
   takeSoundResults();
   std::this_thread::sleep_for(CalmTime);
   const SoundResults beside = takeSoundResults();
@@ -185,7 +89,7 @@
   const Instant from = steadyNow();
   setParts(SecondDeadlyPart, {DeadlyPart, SecondDeadlyPart});
   std::this_thread::sleep_for(CrashTime);
-  expectFewLateCalls(from);
+  expectFewLateCallsSince(from);
 }
 
 TEST_P(CrashingPrompt, HostsThatStartOrWakeSendThePartAgain) {
@@ -212,7 +116,7 @@
   const Instant from = steadyNow();
   setParts(DeadlyPart, {DeadlyPart});
   std::this_thread::sleep_for(CrashTime);
-  expectFewLateCalls(from);
+  expectFewLateCallsSince(from);
 }
 
 // A refusal that says that the request has not run must come at once and be true.
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -284,6 +284,8 @@
 }
 
 bool StandinEngine::isDeadly(const HttpRequest &request) const {
+  if (crashes.deadlyRequests.count({textOf(request.target()), request.body()}) > 0)
+    return true;
   const std::string parts = textOf(request["Prompt-Prefix"]);
   const std::string shared = "," + parts.substr(0, parts.rfind(',') + 1); // all but the last
   return std::any_of(crashes.deadlyParts.begin(), crashes.deadlyParts.end(),
@@ -645,6 +647,17 @@
   return post(host, "/s/x", newRequestId(host), "9000", model, promptParts);
 }
 
+HttpResult PlatformCluster::requestStreamAt(int host, const std::string &model,
+                                            const std::string &target,
+                                            const std::string &body) const {
+  Call call{.method = "POST", .target = target, .body = body};
+  call.headers = {{"Host", HostName},
+                  {"Request-Id", newRequestId(host)},
+                  {"Deadline-Ms", "9000"},
+                  {"Model", model}};
+  return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
+}
+
 HttpResult PlatformCluster::requestOnce(int host, std::string &id) const {
   id = newRequestId(host);
   return post(host, "/u/x", id, "2500", {});
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -106,9 +106,11 @@
 /// `downTime`, and then starts as a new incarnation with the models that it had at first.
 struct StandinCrashes {
   std::set<std::string> deadlyParts; ///< prompt parts that crash it when an answer begins
+  /// Targets and bodies of requests that crash it when an answer begins.
+  std::set<std::pair<std::string, std::string>> deadlyRequests;
   Duration downTime = std::chrono::milliseconds(2500);
   std::vector<Instant> times;           ///< of its crashes
-  std::vector<StandinCall> deadlyCalls; ///< requests with one of `deadlyParts`
+  std::vector<StandinCall> deadlyCalls; ///< requests that crash it
   std::function<void()> onCrashed;      ///< starts the engine again after `downTime`
 };
 
@@ -145,7 +147,7 @@
 
 private:
   bool isDown() const;
-  /// Returns whether a shared part of the request's prompt crashes the engine.
+  /// Returns whether the request or a shared part of its prompt crashes the engine.
   bool isDeadly(const HttpRequest &request) const;
   HttpResponse applyOrder(const HttpRequest &request);
   void setAnnouncements(HttpResponse &response) const;
@@ -215,6 +217,9 @@
   /// `promptParts` has the ids of its prompt parts, separated by commas.
   HttpResult requestStream(int host, const std::string &model,
                            const std::string &promptParts = {}) const;
+  /// Sends a streaming request for `model` with a target and a body of its own to a host.
+  HttpResult requestStreamAt(int host, const std::string &model, const std::string &target,
+                             const std::string &body) const;
   /// Sends a request that may run at most once to a host. Sets `id` to its request id.
   HttpResult requestOnce(int host, std::string &id) const;
   /// Returns the status of a request to the extra route.
