Quarantine a request that crashes engines, not only parts of prompts

What callers saw: one request, repeated at any host, crashed engine after engine; sound requests failed beside it.

Cause: the suspects of a crash were the shared parts of prompts only. The deadly request's shared parts are cleared by sound requests, and a request without a prompt leaves no suspect at all. Class: a request that kills its server and is sent on.

Change: a request has traits of three kinds: the exact request (with all headers that a repeat keeps), the request (method, host, target, caller, body) and the parts of its prompt. PromptQuarantine is now CrashQuarantine.

--- a/src/crash_watch.cpp
+++ b/src/crash_watch.cpp
@@ -10,29 +10,29 @@
   /// Requests whose connection to an engine broke, until the engine's status is known.
   struct PendingBreak {
     Instant since;
-    std::vector<PromptPart> parts;
+    std::vector<RequestTrait> traits;
   };
 
   CoreEnv &env;
   FleetView &view;
   EngineControl &engines;
   CrashWatchHooks hooks;
-  PromptQuarantine quarantine;
+  CrashQuarantine quarantine;
   std::map<EndpointIncarnation, PendingBreak> pendingBreaks;
   bool stopped = false;
 
   Impl(CoreEnv &env, FleetView &view, EngineControl &engines, CrashWatchHooks hooks)
       : env(env), view(view), engines(engines), hooks(std::move(hooks)) {}
 
-  void onBroken(const FleetEndpoint &endpoint, const std::vector<PromptPart> &parts) {
+  void onBroken(const FleetEndpoint &endpoint, const std::vector<RequestTrait> &traits) {
     const Instant now = env.now();
     const EndpointIncarnation engine = incarnationOf(endpoint);
     const EndpointIncarnation crash = quarantine.presentCrash(engine, now);
     if (quarantine.knowsCrash(crash))
-      return addCrash(crash, parts, now);
+      return addCrash(crash, traits, now);
     auto [it, isFirst] = pendingBreaks.try_emplace(engine, PendingBreak{now, {}});
-    auto &pending = it->second.parts;
-    pending.insert(pending.end(), parts.begin(), parts.end());
+    auto &pending = it->second.traits;
+    pending.insert(pending.end(), traits.begin(), traits.end());
     if (!isFirst)
       return;
     // A status call would count towards the limit of requests that the engine has named.
@@ -54,16 +54,17 @@
     logLine(LogLevel::Info, runsOn ? "engine runs on after a broken connection" : "engine crashed",
             {{"endpoint", engine.endpoint.value},
              {"incarnation", engine.incarnation},
-             {"prompt_parts", static_cast<std::int64_t>(pending.parts.size())}});
+             {"traits", static_cast<std::int64_t>(pending.traits.size())}});
     if (!runsOn)
-      return addCrash(quarantine.presentCrash(engine, pending.since), pending.parts, pending.since);
-    for (auto it : pending.parts)
+      return addCrash(quarantine.presentCrash(engine, pending.since), pending.traits,
+                      pending.since);
+    for (auto it : pending.traits)
       quarantine.endProbe(it);
   }
 
-  void addCrash(const EndpointIncarnation &engine, const std::vector<PromptPart> &parts,
+  void addCrash(const EndpointIncarnation &engine, const std::vector<RequestTrait> &traits,
                 Instant at) {
-    quarantine.onCrash(engine, parts, at);
+    quarantine.onCrash(engine, traits, at);
     hooks.announce();
   }
 };
@@ -73,25 +74,25 @@
 
 CrashWatch::~CrashWatch() { impl->stopped = true; }
 
-PromptVerdict CrashWatch::judge(const std::vector<PromptPart> &parts) {
-  return impl->quarantine.judge(parts, impl->env.now(), impl->hooks.mayProbe);
+QuarantineVerdict CrashWatch::judge(const std::vector<RequestTrait> &traits) {
+  return impl->quarantine.judge(traits, impl->env.now(), impl->hooks.mayProbe);
 }
 
-void CrashWatch::onProbeSent(PromptPart part) {
-  logLine(LogLevel::Info, "prompt part is probed", {{"part", promptPartText(part)}});
-  impl->quarantine.startProbe(part, impl->env.now());
+void CrashWatch::onProbeSent(const RequestTrait &trait) {
+  logLine(LogLevel::Info, "request trait is probed", {{"trait", traitText(trait)}});
+  impl->quarantine.startProbe(trait, impl->env.now());
 }
 
-void CrashWatch::onProbeEnded(PromptPart part) { impl->quarantine.endProbe(part); }
+void CrashWatch::onProbeEnded(const RequestTrait &trait) { impl->quarantine.endProbe(trait); }
 
-void CrashWatch::onAnswerBegun(const std::vector<PromptPart> &parts) {
-  impl->quarantine.onAnswerBegun(parts, impl->env.now());
+void CrashWatch::onAnswerBegun(const std::vector<RequestTrait> &traits) {
+  impl->quarantine.onAnswerBegun(traits, impl->env.now());
 }
 
 void CrashWatch::onBrokenBeforeAnswer(const FleetEndpoint &endpoint,
-                                      const std::vector<PromptPart> &parts) {
-  if (!parts.empty())
-    impl->onBroken(endpoint, parts);
+                                      const std::vector<RequestTrait> &traits) {
+  if (!traits.empty())
+    impl->onBroken(endpoint, traits);
 }
 
 bool CrashWatch::onReports(const std::vector<CrashReport> &reports) {
@@ -107,7 +108,7 @@
 
 void CrashWatch::setReportDelay(Duration d) { impl->quarantine.setReportDelay(d); }
 
-std::size_t CrashWatch::quarantinedParts() const { return impl->quarantine.size(); }
+std::size_t CrashWatch::quarantinedTraits() const { return impl->quarantine.size(); }
 
 void CrashWatch::expire() { impl->quarantine.expire(impl->env.now()); }
 
--- a/src/fleet_gateway_impl_p.h
+++ b/src/fleet_gateway_impl_p.h
@@ -17,8 +17,8 @@
   FleetGatewayHooks hooks;
   HttpClient client;
   RetryBudget budget;
-  PromptGuard noPromptGuard;
-  PromptGuard &promptGuard;
+  CrashGuard noCrashGuard;
+  CrashGuard &crashGuard;
   BufferBudget buffers{
       {.perAnswer = config::FleetAnswerBytes, .total = config::FleetHeldAnswersBytes}};
   FleetMetrics metrics;
@@ -32,7 +32,7 @@
        FleetGatewayOptions options, FleetGatewayHooks hooks)
       : executor(executor), view(view), codec(codec), options(std::move(options)),
         hooks(std::move(hooks)), client(executor), budget(this->options.budget),
-        promptGuard(this->hooks.promptGuard ? *this->hooks.promptGuard : noPromptGuard) {}
+        crashGuard(this->hooks.crashGuard ? *this->hooks.crashGuard : noCrashGuard) {}
 };
 
 } // namespace catkin
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "crash_guard_p.h"
 #include "demand_meter_p.h"
 #include "fleet_view_p.h"
 #include "http_p.h"
 #include "metrics_p.h"
 #include "permit_issuer_p.h"
-#include "prompt_guard_p.h"
 #include "retry_budget_p.h"
 
 #include <functional>
@@ -26,9 +26,11 @@
   std::string host;
   std::optional<Duration> deadline; ///< time that the caller waits for the answer
   ModelRef model;
-  std::uint64_t affinity = 0;          ///< identifies prompt parts that requests share; 0 if none
-  std::vector<PromptPart> sharedParts; ///< parts of the prompt but the last, its own
-  std::string rejectionReason;         ///< fault of the request; empty if it has none
+  std::uint64_t affinity = 0; ///< identifies prompt parts that requests share; 0 if none
+  /// What the request may have in common with others that crash engines: itself, and the parts of
+  /// its prompt but the last, its own.
+  std::vector<RequestTrait> traits;
+  std::string rejectionReason; ///< fault of the request; empty if it has none
 };
 
 /// What the gateway adds to a request that it forwards.
@@ -77,7 +79,7 @@
   std::function<std::uint64_t()> random;
   std::function<int()> hostCount; ///< hosts of the fleet, for the retry budget
   AcquirePermit acquirePermit;
-  PromptGuard *promptGuard = nullptr; ///< null if no request is refused for its prompt
+  CrashGuard *crashGuard = nullptr; ///< null if no request is refused for its prompt
   /// The number of requests that wait for a model that no endpoint holds has changed by `change`.
   std::function<void(const ServiceName &, const ModelRef &, int change)> onModelNeedChanged;
   /// A request was refused with a retry time, since no endpoint holds its model.
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -84,7 +84,7 @@
                  .share = [this] { return peers.permitShare(env.now()); },
                  .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
         crashWatch(env, view, *adapter.engines,
-                   {.mayProbe = [this](PromptPart it) { return isResponsibleFor(it); },
+                   {.mayProbe = [this](RequestTrait it) { return isResponsibleFor(it); },
                     .announce = [this] { announceState(); }}),
         planner(env, view, *adapter.engines,
                 {.host = options.self.host,
@@ -104,7 +104,7 @@
              .hostCount = [this] { return peers.hostCount(); },
              .acquirePermit = [this](auto &to, Duration maxDelay,
                                      auto done) { permits.acquire(to, maxDelay, done); },
-             .promptGuard = &crashWatch,
+             .crashGuard = &crashWatch,
              .onModelNeedChanged = [this](auto &service, auto &model,
                                           int change) { onNeedChanged(service, model, change); },
              .onModelUnavailable = [this](auto &service,
@@ -387,8 +387,8 @@
     return peers.responsibleHost(endpoint.value, stopping, env.now());
   }
 
-  bool isResponsibleFor(PromptPart part) const {
-    return peers.responsibleHost(promptPartText(part), stopping, env.now()).empty();
+  bool isResponsibleFor(RequestTrait part) const {
+    return peers.responsibleHost(traitText(part), stopping, env.now()).empty();
   }
 
   void onHeartbeat(const FleetHeartbeat &message, const Address &from) {
@@ -665,7 +665,7 @@
                      .endpoints = static_cast<double>(host.view.endpoints().size()),
                      .peersAlive = static_cast<double>(host.peers.aliveCount(now) - 1),
                      .storeConnected = host.endpointFollower.isConnected() ? 1.0 : 0.0,
-                     .quarantinedParts = static_cast<double>(host.crashWatch.quarantinedParts())};
+                     .quarantinedTraits = static_cast<double>(host.crashWatch.quarantinedTraits())};
   return host.gateway.metrics().text(gauges);
 }
 
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -116,12 +116,12 @@
   json::object out{
       {"e", m.engine.endpoint.value}, {"i", m.engine.incarnation}, {"age_us", m.age.count()}};
   for (auto state : SuspectStates) {
-    json::array parts;
+    json::array traits;
     for (auto &it : m.suspects)
       if (it.state == state)
-        parts.emplace_back(promptPartText(it.part));
-    if (!parts.empty())
-      out[toString(state)] = std::move(parts);
+        traits.emplace_back(traitText(it.trait));
+    if (!traits.empty())
+      out[toString(state)] = std::move(traits);
   }
   return out;
 }
@@ -135,9 +135,9 @@
 
 void readSuspects(JsonReader &in, SuspectState state, CrashReport &report) {
   for (auto &it : in.texts(toString(state))) {
-    const auto part = parsePromptPart(it);
-    in.ok = in.ok && part;
-    report.suspects.push_back({part.value_or(0), state});
+    const auto trait = parseTrait(it);
+    in.ok = in.ok && trait;
+    report.suspects.push_back({trait.value_or(RequestTrait{}), state});
   }
 }
 
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "crash_quarantine_p.h"
 #include "fleet_view_p.h"
 #include "permit_issuer_p.h"
-#include "prompt_quarantine_p.h"
 
 #include <map>
 #include <optional>
--- a/src/fleet_types.cpp
+++ b/src/fleet_types.cpp
@@ -12,19 +12,34 @@
   return {entry.name, entry.incarnation};
 }
 
-std::string promptPartText(PromptPart part) {
+namespace {
+
+/// Letters before the ids of traits, by kind. None of them is a hexadecimal digit.
+constexpr std::array<std::string_view, static_cast<std::size_t>(TraitKind::Count)> TraitPrefixes{
+    "x", "r", ""};
+
+} // namespace
+
+std::string traitText(const RequestTrait &trait) {
   std::array<char, 17> buf{};
   const auto n =
-      std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(part));
-  return {buf.data(), static_cast<std::size_t>(n)};
+      std::snprintf(buf.data(), buf.size(), "%llx", static_cast<unsigned long long>(trait.id));
+  const std::string_view prefix = TraitPrefixes[static_cast<std::size_t>(trait.kind)];
+  return std::string(prefix) + std::string(buf.data(), static_cast<std::size_t>(n));
 }
 
-std::optional<PromptPart> parsePromptPart(std::string_view text) {
+std::optional<RequestTrait> parseTrait(std::string_view text) {
   constexpr int Hexadecimal = 16;
-  PromptPart part = 0;
-  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), part, Hexadecimal);
+  RequestTrait trait;
+  for (auto kind : {TraitKind::ExactRequest, TraitKind::Request})
+    if (text.starts_with(TraitPrefixes[static_cast<std::size_t>(kind)])) {
+      trait.kind = kind;
+      text.remove_prefix(1);
+      break;
+    }
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), trait.id, Hexadecimal);
   const bool isNumber = ec == std::errc() && end == text.data() + text.size();
-  return isNumber ? std::optional(part) : std::nullopt;
+  return isNumber ? std::optional(trait) : std::nullopt;
 }
 
 std::string toText(const ModelRef &ref) {
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -12,12 +12,29 @@
 /// them.
 namespace catkin {
 
-/// Identifies a part of a prompt that requests share.
-using PromptPart = std::uint64_t;
-/// Returns the part's id as a hexadecimal number, for logs.
-std::string promptPartText(PromptPart part);
-/// Parses a hexadecimal number. Empty if the text is not one.
-std::optional<PromptPart> parsePromptPart(std::string_view text);
+/// What requests may have in common that crashes an engine, from what few of them share to what
+/// many do.
+enum class TraitKind {
+  ExactRequest, ///< target, caller, body and all headers that a repeat of the request keeps
+  Request,      ///< target, caller and body
+  PromptPart,   ///< a part of the prompt
+  Count
+};
+template <> struct EnumNames<TraitKind> {
+  static constexpr std::array<std::string_view, 3> Table{"exact_request", "request", "prompt_part"};
+};
+
+/// A property by which requests that crash engines are recognised. Ordered by kind first.
+struct RequestTrait {
+  TraitKind kind = TraitKind::PromptPart;
+  std::uint64_t id = 0; ///< of the part, or a hash of the request
+  friend auto operator<=>(const RequestTrait &, const RequestTrait &) = default;
+};
+/// Returns the trait as a short text for logs and messages: a hexadecimal number, after a letter
+/// for the kinds other than parts of prompts.
+std::string traitText(const RequestTrait &trait);
+/// Parses the result of traitText(). Empty if the text is not one.
+std::optional<RequestTrait> parseTrait(std::string_view text);
 
 /// Kind of a route's calls. It decides what may be retried after a failure of unknown outcome.
 enum class CallKind { Idempotent, NonIdempotent, Stream, Count };
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -44,7 +44,7 @@
     {"endpoints", &FleetGauges::endpoints},
     {"peers_alive", &FleetGauges::peersAlive},
     {"store_connected", &FleetGauges::storeConnected},
-    {"quarantined_parts", &FleetGauges::quarantinedParts},
+    {"quarantined_traits", &FleetGauges::quarantinedTraits},
 }};
 
 template <class Table>
--- a/src/metrics_p.h
+++ b/src/metrics_p.h
@@ -30,7 +30,7 @@
   double endpoints = 0;
   double peersAlive = 0;
   double storeConnected = 0;
-  double quarantinedParts = 0; ///< prompt parts that engines crash on
+  double quarantinedTraits = 0; ///< traits of requests that engines crash on
 };
 
 /// Metrics of one fleet host.
--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -75,9 +75,9 @@
   ++sends;
   answerBegun = false;
   brokenOff = false;
-  const bool isProbe = promptVerdict.kind == PromptVerdict::Kind::Probe;
+  const bool isProbe = quarantineVerdict.kind == QuarantineVerdict::Kind::Probe;
   if (isProbe)
-    g.promptGuard.onProbeSent(promptVerdict.part);
+    g.crashGuard.onProbeSent(quarantineVerdict.trait);
   ++g.runningRequests[runKey];
   g.view.onSent(to.name);
   result = EndpointResult::Failed;
@@ -120,9 +120,9 @@
                           (brokenOff || stream->status() == HttpTransferStatus::Broken) &&
                           !answerBegun;
   if (brokeBeforeFirstEvent)
-    g.promptGuard.onBrokenBeforeAnswer(to, caller.sharedParts);
+    g.crashGuard.onBrokenBeforeAnswer(to, caller.traits);
   else if (isProbe && !answerBegun)
-    g.promptGuard.onProbeEnded(promptVerdict.part);
+    g.crashGuard.onProbeEnded(quarantineVerdict.trait);
   currentStream = nullptr;
   stream.reset();
   bool isEndpointBlameless =
@@ -141,7 +141,7 @@
 /// Records that the prompt has not crashed the endpoint.
 void RequestForwarder::onAnswerBegun() {
   if (!std::exchange(answerBegun, true))
-    g.promptGuard.onAnswerBegun(caller.sharedParts);
+    g.crashGuard.onAnswerBegun(caller.traits);
 }
 
 /// Records what the head of an answer announces about the endpoint itself.
--- a/src/request_explainer.cpp
+++ b/src/request_explainer.cpp
@@ -22,8 +22,8 @@
 
 /// Log messages that may explain a failed request; others are dropped.
 constexpr std::array<std::string_view, 14> RelevantMessages{"attempt failed",
-                                                            "prompt part in quarantine, engines "
-                                                            "crash on it",
+                                                            "request trait in quarantine, "
+                                                            "engines crash on it",
                                                             "endpoint names a request limit",
                                                             "order",
                                                             "order completed",
@@ -170,13 +170,15 @@
 }
 
 std::string RequestExplainer::explainQuarantine(const LogRecord &end) const {
-  const auto part = end.text("quarantined_part");
-  auto lines = findRecords(0, end.atMs, "prompt part in quarantine, engines crash on it");
-  std::erase_if(lines, [&](auto *it) { return it->host != end.host || it->text("part") != part; });
+  const auto trait = end.text("quarantined_trait");
+  auto lines = findRecords(0, end.atMs, "request trait in quarantine, engines crash on it");
+  std::erase_if(lines,
+                [&](auto *it) { return it->host != end.host || it->text("trait") != trait; });
   if (lines.empty())
-    return "prompt part " + part + " is in quarantine; the line that says why is not logged";
-  return std::to_string(lines.back()->number("crashes")) + " engines crashed on prompt part " +
-         part + ", in quarantine from " + lines.front()->time + " on";
+    return "trait " + trait + " is in quarantine; the line that says why is not logged";
+  return std::to_string(lines.back()->number("crashes")) + " engines crashed on requests with " +
+         lines.back()->text("kind") + " " + trait + ", in quarantine from " + lines.front()->time +
+         " on";
 }
 
 std::string RequestExplainer::explainEndpointFailure(const LogRecord &end) const {
@@ -223,7 +225,7 @@
     return explainNoModel(end);
   if (outcome == "the request limit of the endpoints is used up")
     return explainUsedUpLimit(end);
-  if (outcome == "engines crash on a part of the prompt")
+  if (outcome == "engines crash on this request")
     return explainQuarantine(end);
   if (outcome == "no route matches")
     return explainNoRoute(end);
--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -55,17 +55,18 @@
   return std::nullopt;
 }
 
-/// Returns true if engines crash on a part of the prompt, so that the request must not be sent.
+/// Returns true if engines crash on the request, so that it must not be sent.
 bool RequestForwarder::isQuarantined() {
-  promptVerdict = g.promptGuard.judge(caller.sharedParts);
-  return promptVerdict.kind == PromptVerdict::Kind::Quarantined;
+  quarantineVerdict = g.crashGuard.judge(caller.traits);
+  return quarantineVerdict.kind == QuarantineVerdict::Kind::Quarantined;
 }
 
 /// Returns the time until the quarantine may end, within the time in which the caller can retry.
 Duration RequestForwarder::quarantineRetryAfter() const {
   const Duration latest = std::max<Duration>(remainingTime() / 3, config::FleetRetryAfterMin);
-  return promptVerdict.remaining > Duration::zero() ? std::min(promptVerdict.remaining, latest)
-                                                    : latest;
+  return quarantineVerdict.remaining > Duration::zero()
+             ? std::min(quarantineVerdict.remaining, latest)
+             : latest;
 }
 
 std::optional<RequestForwarder::Refusal>
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -39,7 +39,7 @@
 
 private:
   static constexpr int MaxSends = 6; ///< of one request, including refused sends
-  static constexpr std::string_view QuarantineReason = "engines crash on a part of the prompt";
+  static constexpr std::string_view QuarantineReason = "engines crash on this request";
   /// A model that is about to be loaded is present after this many answers that it is missing. If
   /// it is not, another host may know a better endpoint.
   static constexpr int MaxMissingAnswers = 2;
@@ -120,9 +120,9 @@
   /// The connection of the newest attempt broke before its answer began, as in a crash of the
   /// endpoint that this request or another one at the endpoint has caused.
   bool brokeBeforeFirstEvent = false;
-  bool brokenOff = false;      ///< the newest attempt's stream ended too early
-  bool answerBegun = false;    ///< that of the newest attempt
-  PromptVerdict promptVerdict; ///< at the arrival, then before each attempt
+  bool brokenOff = false;              ///< the newest attempt's stream ended too early
+  bool answerBegun = false;            ///< that of the newest attempt
+  QuarantineVerdict quarantineVerdict; ///< at the arrival, then before each attempt
   EventRelay events;
   /// Newest complete answer of an endpoint, used if no other endpoint gives a better one.
   std::optional<HttpResponse> fallback;
--- a/src/request_outcome.cpp
+++ b/src/request_outcome.cpp
@@ -40,7 +40,7 @@
     co_await refuse(isDeadlinePassed() ? 504 : 502, "the endpoint failed");
     co_return;
   }
-  if (promptVerdict.kind == PromptVerdict::Kind::Quarantined)
+  if (quarantineVerdict.kind == QuarantineVerdict::Kind::Quarantined)
     co_return co_await refuse(503, QuarantineReason, quarantineRetryAfter());
   co_await refuse(503, notRunReason());
 }
@@ -104,10 +104,10 @@
 
 void RequestForwarder::logFailedAttempt(const FleetEndpoint &to) {
   g.metrics.onFailedAttempt(toString(failure));
-  boost::json::array parts;
+  boost::json::array traits;
   if (brokeBeforeFirstEvent)
-    for (auto it : caller.sharedParts)
-      parts.emplace_back(promptPartText(it));
+    for (auto &it : caller.traits)
+      traits.emplace_back(traitText(it));
   logLine(LogLevel::Info, "attempt failed",
           {{"request", caller.id},
            {"endpoint", to.name.value},
@@ -117,7 +117,7 @@
            {"not_run", lastHead.notRun},
            {"events", events.eventCount()},
            {"broke_before_first_event", brokeBeforeFirstEvent},
-           {"prompt_parts", std::move(parts)},
+           {"traits", std::move(traits)},
            {"after_ms", toMillis(g.hooks.now() - arrivedAt)}});
 }
 
@@ -134,9 +134,9 @@
            {"config", configVersion},
            {"choices", choices},
            {"sends", sends},
-           {"quarantined_part", promptVerdict.kind == PromptVerdict::Kind::Clear
-                                    ? std::string()
-                                    : promptPartText(promptVerdict.part)},
+           {"quarantined_trait", quarantineVerdict.kind == QuarantineVerdict::Kind::Clear
+                                     ? std::string()
+                                     : traitText(quarantineVerdict.trait)},
            {"limit_ms", toMillis(limit)},
            {"waited_ms", toMillis(modelWaitTime)},
            {"took_ms", toMillis(took)},
