Refuse a request as not run only on a refusal that proves it

What callers saw (REFUSED, TWICE in real processes): callers were told 'not run, try again' for requests that an engine had run or was running, or the same attempt ran at a second engine.

Cause: two readers of an engine's answer believed too much. An engine's own 503, 429, 408 without its report that the request has not run was passed on, though to callers the status is that promise. And any refusal was taken for the answer to the request that was just sent; on a kept connection it may be an earlier one sent once more, with its former id (when the same attempt is sent again to the same engine), without one, or with the id of the request that runs. Class: a promise passed on without its proof.

For such requests a refusal holds if it carries the request's id on a connection that has served nothing before, or that ends with it. Otherwise a marker follows on the same connection: a health request to an engine that does not exist, which every engine rejects without running anything. Answers come in order, so what comes next is the answer to the marker (the refusal holds) or the true answer (which is delivered). Answers with another request's id on a kept connection are skipped. A connection on which that happened is not used again. The scripted endpoints of platform_gateway_test reject requests for another endpoint, as engines do.

--- a/src/attempt_p.h
+++ b/src/attempt_p.h
@@ -10,6 +10,7 @@
 enum class AttemptFailure {
   NotConnected, ///< no connection, hence no byte was sent
   Refused,      ///< the endpoint reported that it did not run the request
+  Unproven,     ///< a refusal that does not prove that the request has not run
   Broken,       ///< the connection closed before the answer was complete
   Silent,       ///< no byte arrived within the silence timeout
   WrongAnswer,  ///< the answer carries the id of another attempt
@@ -18,8 +19,9 @@
   Count
 };
 template <> struct EnumNames<AttemptFailure> {
-  static constexpr std::array<std::string_view, 7> Table{
-      "not_connected", "refused", "broken", "silent", "wrong_answer", "deadline", "caller_gone"};
+  static constexpr std::array<std::string_view, 8> Table{
+      "not_connected", "refused",      "unproven_refusal", "broken",
+      "silent",        "wrong_answer", "deadline",         "caller_gone"};
 };
 
 /// What is known about a request when one of its attempts fails.
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -45,9 +45,12 @@
 /// The head of an endpoint's answer, decoded.
 struct AnswerHead {
   unsigned status = 0;
-  bool notRun = false;             ///< the endpoint reports that it did not run the request
-  bool wrongEndpoint = false;      ///< the address now belongs to another endpoint
-  bool wrongRequest = false;       ///< the answer carries the id of another request
+  bool notRun = false;        ///< the endpoint reports that it did not run the request
+  bool wrongEndpoint = false; ///< the address now belongs to another endpoint
+  bool wrongRequest = false;  ///< the answer carries the id of another request
+  bool hasRequestId = false;  ///< the answer carries the id of this request
+  /// The status promises that the request has not run, whether or not the endpoint reports so.
+  bool promisesNotRun = false;
   EndpointAnnouncements announced; ///< none if the answer may be another endpoint's
   std::optional<Duration> backoff; ///< time in which the endpoint wants no request from this host
 };
@@ -64,6 +67,11 @@
   /// Decodes the head of an answer of `from` to `request`.
   virtual AnswerHead readHead(const http::response_header<> &head, const CallerRequest &request,
                               const FleetEndpoint &from) const = 0;
+  /// Returns a request that the endpoint answers at once and does not run. Its answer on the same
+  /// connection shows that the requests before it have been answered.
+  virtual HttpRequest buildMarker() const = 0;
+  /// Returns true if an answer is the one to the marker.
+  virtual bool answersMarker(const http::response_header<> &head) const = 0;
   /// Returns the head of an endpoint's answer as the caller gets it: without hop-by-hop headers.
   virtual http::response_header<> headForCaller(const http::response_header<> &head) const = 0;
 };
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -140,9 +140,9 @@
 class Call final : public HttpStream {
 public:
   Call(asio::any_io_executor ioExecutor, std::shared_ptr<ConnectionPool> pool, Address to,
-       HttpTimeouts timeouts, std::function<bool()> shouldFailOnSilence = {})
+       HttpTimeouts timeouts, StreamHooks hooks = {})
       : ioExecutor(std::move(ioExecutor)), pool(std::move(pool)), to(std::move(to)),
-        timeouts(timeouts), shouldFailOnSilence(std::move(shouldFailOnSilence)),
+        timeouts(timeouts), hooks(std::move(hooks)), parser(std::in_place),
         socket(this->ioExecutor), buffer(MaxResponseHeaderBytes + ReadAheadBytes) {}
   ~Call() override { finish(); }
 
@@ -153,11 +153,16 @@
   asio::awaitable<void> start(HttpRequest request, std::optional<std::uint64_t> bodyLimit);
   /// Reads the rest of the body into the parser.
   asio::awaitable<void> readAll();
-  HttpResponse releaseResponse() { return parser.release(); }
+  HttpResponse releaseResponse() { return parser->release(); }
 
   HttpTransferStatus status() const override { return state; }
-  const http::response_header<> &head() const override { return parser.get().base(); }
+  const http::response_header<> &head() const override { return parser->get().base(); }
   asio::awaitable<std::string> read() override;
+  bool isOnReusedConnection() const override { return reused; }
+  bool keepsConnection() const override { return parser->keep_alive(); }
+  void release() override { finish(); }
+  asio::awaitable<bool> sendFurther(HttpRequest request) override;
+  asio::awaitable<bool> readNextHead() override;
   void cancel() override {
     if (!finished)
       fail(HttpTransferStatus::Broken);
@@ -166,6 +171,9 @@
 private:
   asio::awaitable<bool> connect();
   asio::awaitable<bool> send(HttpRequest &request);
+  asio::awaitable<void> readHead();
+  void prepareRequest(HttpRequest &request) const;
+  void resetParser(std::optional<std::uint64_t> bodyLimit);
   asio::awaitable<bool> readSome();
   void fail(HttpTransferStatus reason) {
     if (state == HttpTransferStatus::Ok)
@@ -184,13 +192,14 @@
   std::shared_ptr<ConnectionPool> pool;
   Address to;
   HttpTimeouts timeouts;
-  std::function<bool()> shouldFailOnSilence; ///< as in StreamHooks
+  StreamHooks hooks;
+  std::optional<http::response_parser<http::string_body>> parser; ///< of the current response
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
   std::shared_ptr<ConnectionDeadlines> deadlines;
   HttpTransferStatus state = HttpTransferStatus::Ok;
   std::size_t sent = 0;
+  bool isOutOfStep = false; ///< it is not known how many responses are still to come
   bool reused = false;
   bool finished = false;
 };
@@ -199,19 +208,9 @@
   deadlines = std::make_shared<ConnectionDeadlines>(co_await asio::this_coro::executor,
                                                     [this](DeadlineSlot slot) { onExpire(slot); });
   deadlines->expireAfter(DeadlineSlot::Total, timeouts.total);
-  request.version(11);
-  if (request.find(http::field::host) == request.end())
-    request.set(http::field::host, to.toString());
-  request.prepare_payload();
-  // An eager parser waits for more input before it delivers the pieces that it has parsed.
-  parser.eager(false);
-  parser.skip(request.method() == http::verb::head);
-  parser.header_limit(MaxResponseHeaderBytes);
-  if (bodyLimit)
-    parser.body_limit(*bodyLimit);
-  else
-    parser.body_limit(boost::none);
-
+  prepareRequest(request);
+  resetParser(bodyLimit);
+  parser->skip(request.method() == http::verb::head);
   for (bool complete = false; !complete && state == HttpTransferStatus::Ok;) {
     const bool connected = co_await connect();
     if (!connected) {
@@ -221,13 +220,56 @@
     }
     complete = co_await send(request);
   }
-  while (state == HttpTransferStatus::Ok && !parser.is_header_done())
+  co_await readHead();
+}
+
+void Call::prepareRequest(HttpRequest &request) const {
+  request.version(11);
+  if (request.find(http::field::host) == request.end())
+    request.set(http::field::host, to.toString());
+  request.prepare_payload();
+}
+
+void Call::resetParser(std::optional<std::uint64_t> bodyLimit) {
+  parser.emplace();
+  // An eager parser waits for more input before it delivers the pieces that it has parsed.
+  parser->eager(false);
+  parser->header_limit(MaxResponseHeaderBytes);
+  if (bodyLimit)
+    parser->body_limit(*bodyLimit);
+  else
+    parser->body_limit(boost::none);
+}
+
+asio::awaitable<void> Call::readHead() {
+  while (state == HttpTransferStatus::Ok && !parser->is_header_done())
     co_await readSome();
   // After an interim response, the next request would read the final response as its own.
-  if (state == HttpTransferStatus::Ok && parser.get().result_int() < 200)
+  if (state == HttpTransferStatus::Ok && parser->get().result_int() < 200)
     fail(HttpTransferStatus::Malformed);
 }
 
+asio::awaitable<bool> Call::sendFurther(HttpRequest request) {
+  if (state != HttpTransferStatus::Ok)
+    co_return false;
+  isOutOfStep = true;
+  prepareRequest(request);
+  co_return co_await send(request);
+}
+
+asio::awaitable<bool> Call::readNextHead() {
+  isOutOfStep = true;
+  while (state == HttpTransferStatus::Ok && !parser->is_done()) {
+    parser->get().body().clear();
+    co_await readSome();
+  }
+  if (state != HttpTransferStatus::Ok || !parser->keep_alive())
+    co_return false;
+  resetParser(std::nullopt);
+  co_await readHead();
+  co_return state == HttpTransferStatus::Ok;
+}
+
 /// Reuses an idle connection or opens a new one. Returns false if neither succeeds.
 asio::awaitable<bool> Call::connect() {
   if (auto idle = pool->acquire(to, timeouts.maxIdleForReuse)) {
@@ -275,7 +317,7 @@
   if (slot == DeadlineSlot::Total)
     return fail(HttpTransferStatus::Timeout);
   const bool connecting = sent == 0;
-  if (!connecting && shouldFailOnSilence && !shouldFailOnSilence())
+  if (!connecting && hooks.shouldFailOnSilence && !hooks.shouldFailOnSilence())
     return deadlines->expireAfter(DeadlineSlot::Progress, SilenceRecheckInterval);
   fail(HttpTransferStatus::Silent);
 }
@@ -292,32 +334,33 @@
   if (state != HttpTransferStatus::Ok)
     co_return false;
   deadlines->expireAfter(DeadlineSlot::Progress, timeouts.silence);
-  auto [ec, n] = co_await http::async_read_some(socket, buffer, parser, Tuple);
+  auto [ec, n] = co_await http::async_read_some(socket, buffer, *parser, Tuple);
   // A pause of the reader must not count as silence of the peer.
   deadlines->clear(DeadlineSlot::Progress);
   if (ec)
     onError(ec);
   if (state != HttpTransferStatus::Ok)
     co_return false;
-  if (parser.is_done())
+  if (parser->is_done() && !hooks.mayReadFurther)
     finish();
   co_return true;
 }
 
 asio::awaitable<void> Call::readAll() {
-  while (state == HttpTransferStatus::Ok && !parser.is_done())
+  while (state == HttpTransferStatus::Ok && !parser->is_done())
     co_await readSome();
 }
 
 asio::awaitable<std::string> Call::read() {
-  while (state == HttpTransferStatus::Ok && parser.get().body().empty() && !parser.is_done())
+  while (state == HttpTransferStatus::Ok && parser->get().body().empty() && !parser->is_done())
     co_await readSome();
   std::string piece;
-  piece.swap(parser.get().body()); // includes bytes that arrived before a failure
+  piece.swap(parser->get().body()); // includes bytes that arrived before a failure
   co_return piece;
 }
 
-/// Returns the connection to the pool if the whole response was read, otherwise closes it.
+/// Returns the connection to the pool if the whole response was read and no other one may come,
+/// otherwise closes it.
 void Call::finish() {
   if (finished)
     return;
@@ -325,10 +368,10 @@
   if (deadlines)
     deadlines->stop();
   // After an interim response, the next request would read the final response as its own.
-  const bool isFinal = parser.is_header_done() && parser.get().result_int() >= 200;
-  const bool isComplete = state == HttpTransferStatus::Ok && parser.is_done();
-  if (isComplete && isFinal && parser.keep_alive() && buffer.size() == 0)
-    pool->returnIdle(to, std::move(socket), announcedIdleTimeout(parser.get().base()));
+  const bool isFinal = parser->is_header_done() && parser->get().result_int() >= 200;
+  const bool isComplete = state == HttpTransferStatus::Ok && parser->is_done() && !isOutOfStep;
+  if (isComplete && isFinal && parser->keep_alive() && buffer.size() == 0)
+    pool->returnIdle(to, std::move(socket), announcedIdleTimeout(parser->get().base()));
   else
     closeSocket();
 }
@@ -360,8 +403,7 @@
 
 asio::awaitable<std::unique_ptr<HttpStream>>
 HttpClient::open(Address to, HttpRequest request, HttpTimeouts timeouts, StreamHooks hooks) {
-  auto call = std::make_unique<Call>(impl->executor, impl->pool, std::move(to), timeouts,
-                                     std::move(hooks.shouldFailOnSilence));
+  auto call = std::make_unique<Call>(impl->executor, impl->pool, std::move(to), timeouts, hooks);
   if (hooks.started)
     hooks.started(call.get());
   co_await call->start(std::move(request), std::nullopt);
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -150,6 +150,20 @@
   virtual asio::awaitable<std::string> read() = 0;
   /// Closes the connection. The status of a pending read becomes Broken.
   virtual void cancel() = 0;
+  /// Returns true if the connection had served other requests before.
+  virtual bool isOnReusedConnection() const = 0;
+  /// Returns true if the peer keeps the connection open after the response.
+  virtual bool keepsConnection() const = 0;
+  /// Ends the use of the connection. No further response can be read.
+  virtual void release() = 0;
+  /// Sends a further request on the connection, which then is not reused, before the stream is
+  /// destroyed. Its response follows those to earlier requests. Only for streams opened with
+  /// StreamHooks::mayReadFurther. Returns false if the connection has failed.
+  virtual asio::awaitable<bool> sendFurther(HttpRequest request) = 0;
+  /// Discards the rest of the response and reads the head of the next one, which then is head().
+  /// Only for streams opened with StreamHooks::mayReadFurther. Returns false if there is none,
+  /// since the peer ends the connection or it has failed.
+  virtual asio::awaitable<bool> readNextHead() = 0;
 };
 
 /// Callbacks of a streamed request. Either may be empty.
@@ -161,6 +175,9 @@
   /// Called when the silence timeout has passed, and then at short intervals. Returns true if the
   /// request should fail as Silent, false to continue waiting. If empty, the request fails.
   std::function<bool()> shouldFailOnSilence;
+  /// Keeps the connection for the stream after the end of the response, until the stream is
+  /// destroyed.
+  bool mayReadFurther = false;
 };
 
 /// HTTP/1.1 client that keeps idle connections per address.
--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -82,16 +82,20 @@
   g.view.onSent(to.name);
   result = EndpointResult::Failed;
   const StreamHooks streamHooks{.started = [this](HttpStream *it) { currentStream = it; },
-                                .shouldFailOnSilence = [this, &to] { return canAbandon(to.name); }};
+                                .shouldFailOnSilence = [this, &to] { return canAbandon(to.name); },
+                                .mayReadFurther = !state.idempotent};
   auto stream = co_await g.client.open(to.address, std::move(request), limits, streamHooks);
   AttemptOutcome attemptOutcome = AttemptOutcome::Failed;
   lastHead = {};
+  if (stream->status() == HttpTransferStatus::Ok)
+    co_await readAnswerHead(*stream, to);
   if (stream->status() == HttpTransferStatus::Ok) {
     search->onReceived(to.name);
-    lastHead = g.codec.readHead(stream->head(), caller, to);
     recordSignals(to, sentAt);
     if (lastHead.wrongRequest) {
       failure = AttemptFailure::WrongAnswer;
+    } else if (lastHead.promisesNotRun && !refusalProven) {
+      failure = AttemptFailure::Unproven;
     } else if (lastHead.notRun) {
       failure = AttemptFailure::Refused;
       result = EndpointResult::Refused;
@@ -138,7 +142,56 @@
   co_return attemptOutcome;
 }
 
-/// Records that the prompt has not crashed the endpoint.
+/// Reads the head of the answer. An endpoint may send an earlier answer once more where the answer
+/// to a request that may run only once is due. It is skipped if its id or the marker shows that.
+asio::awaitable<void> RequestForwarder::readAnswerHead(HttpStream &stream,
+                                                       const FleetEndpoint &from) {
+  lastHead = g.codec.readHead(stream.head(), caller, from);
+  refusalProven = lastHead.notRun;
+  if (state.idempotent)
+    co_return;
+  for (int n = 0; lastHead.wrongRequest && stream.isOnReusedConnection() && n < MaxSurplusAnswers;
+       ++n) {
+    const bool hasNext = co_await stream.readNextHead();
+    if (!hasNext)
+      co_return;
+    lastHead = g.codec.readHead(stream.head(), caller, from);
+  }
+  refusalProven = lastHead.notRun && provesNotRun(stream);
+  if (lastHead.notRun && !lastHead.wrongRequest && !refusalProven)
+    refusalProven = co_await confirmRefusal(stream, from);
+}
+
+/// Returns true if the refusal can only be the answer to this request: a connection that has served
+/// nothing before has no earlier answers, and one that ends has no later ones.
+bool RequestForwarder::provesNotRun(const HttpStream &stream) const {
+  return lastHead.hasRequestId && (!stream.isOnReusedConnection() || !stream.keepsConnection());
+}
+
+/// Finds out whether a refusal is the answer to this request or an earlier one sent once more: the
+/// next answer on the connection is the one to the marker or to this request. Returns true if the
+/// refusal holds. `lastHead` is the newest answer to this request.
+asio::awaitable<bool> RequestForwarder::confirmRefusal(HttpStream &stream,
+                                                       const FleetEndpoint &from) {
+  const AnswerHead refusal = lastHead;
+  const bool sent = co_await stream.sendFurther(g.codec.buildMarker());
+  for (int n = 0; sent && n < MaxSurplusAnswers; ++n) {
+    const bool hasNext = co_await stream.readNextHead();
+    if (!hasNext)
+      break;
+    if (g.codec.answersMarker(stream.head())) {
+      lastHead = refusal;
+      co_return true;
+    }
+    lastHead = g.codec.readHead(stream.head(), caller, from);
+    if (!lastHead.wrongRequest) // a second answer, hence the first was surplus
+      co_return false;
+  }
+  lastHead = refusal;
+  co_return false;
+}
+
+/// Records that the request has not crashed the endpoint.
 void RequestForwarder::onAnswerBegun() {
   if (!std::exchange(answerBegun, true))
     g.crashGuard.onAnswerBegun(caller.traits);
@@ -171,6 +224,7 @@
     failure = failureOf(stream);
     co_return AttemptOutcome::Failed;
   }
+  stream.release();
   const bool failed = head.status >= 500;
   if (!failed)
     onAnswerBegun();
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -43,6 +43,8 @@
   /// A model that is about to be loaded is present after this many answers that it is missing. If
   /// it is not, another host may know a better endpoint.
   static constexpr int MaxMissingAnswers = 2;
+  /// Answers to other requests that are skipped on a kept connection before the right one.
+  static constexpr int MaxSurplusAnswers = 4;
 
   /// Finished: the caller has got its answer, or has gone. Failed: `failure` has the reason.
   enum class AttemptOutcome { Finished, Failed };
@@ -71,6 +73,9 @@
   Duration maxPermitWait() const;
   asio::awaitable<AttemptOutcome> sendTo(const FleetEndpoint &to);
   void onAnswerBegun();
+  asio::awaitable<void> readAnswerHead(HttpStream &stream, const FleetEndpoint &from);
+  bool provesNotRun(const HttpStream &stream) const;
+  asio::awaitable<bool> confirmRefusal(HttpStream &stream, const FleetEndpoint &from);
   void recordSignals(const FleetEndpoint &from, Instant sentAt);
   asio::awaitable<AttemptOutcome> relayCompleteAnswer(HttpStream &stream, const AnswerHead &head);
   asio::awaitable<AttemptOutcome> relayEvents(HttpStream &stream);
@@ -116,7 +121,8 @@
   AttemptState state;
   AttemptFailure failure = AttemptFailure::NotConnected;
   EndpointResult result = EndpointResult::Abandoned;
-  AnswerHead lastHead; ///< of the newest attempt
+  AnswerHead lastHead;        ///< of the newest attempt
+  bool refusalProven = false; ///< the newest attempt's refusal proves that it has not run
   /// The connection of the newest attempt broke before its answer began, as in a crash of the
   /// endpoint that this request or another one at the endpoint has caused.
   bool brokeBeforeFirstEvent = false;
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -92,11 +92,25 @@
             .services = {{ServiceName("s"), 1}}};
   }
 
+  static bool isForAnotherEndpoint(const HttpRequest &request, std::size_t i) {
+    return request["Expect-Instance"] != "e" + std::to_string(i);
+  }
+
+  /// Answers as every engine does to a request for another one.
+  static asio::awaitable<void> rejectAsAnotherEndpoint(HttpExchange &exchange) {
+    HttpResponse response{http::status::misdirected_request, 11};
+    response.set("Instance", "e");
+    response.set("Not-Run", "1");
+    co_await exchange.respond(std::move(response));
+  }
+
   void startEndpoint(std::size_t i) {
     auto &it = endpoints[i];
     it.server = std::make_unique<HttpServer>(io.get_executor(),
                                              HttpServerOptions{.listen = {"127.0.0.1", 0}},
-                                             [&it](HttpExchange &exchange) {
+                                             [&it, i](HttpExchange &exchange) {
+                                               if (isForAnotherEndpoint(exchange.request(), i))
+                                                 return rejectAsAnotherEndpoint(exchange);
                                                it.receivedRequests.push_back(exchange.request());
                                                return it.handler(exchange);
                                              });
