--- a/src/json.cpp
+++ b/src/json.cpp
@@ -1,5 +1,6 @@
 #include "json_p.h"
 
+#include <cmath>
 #include <limits>
 
 namespace catkin {
@@ -33,23 +34,23 @@
   return out;
 }
 
-std::int64_t JsonReader::integer64(std::string_view key) {
-  auto *v = find(key);
-  if (!v)
-    return 0;
-  boost::system::error_code ec;
-  auto n = v->to_number<std::int64_t>(ec);
-  ok = ok && !ec;
-  return ec ? 0 : n;
-}
+std::int64_t JsonReader::integer64(std::string_view key) { return wholeNumber<std::int64_t>(key); }
 
 std::uint64_t JsonReader::unsignedInt(std::string_view key) {
+  return wholeNumber<std::uint64_t>(key);
+}
+
+template <class N> N JsonReader::wholeNumber(std::string_view key) {
   auto *v = find(key);
   if (!v)
     return 0;
+  // Beyond this, a number with a fraction or an exponent need not be the one that was written, and
+  // its conversion may be undefined.
+  constexpr double MaxExact = 1ULL << 53;
+  const bool isInexact = v->is_double() && !(std::abs(v->get_double()) <= MaxExact);
   boost::system::error_code ec;
-  auto n = v->to_number<std::uint64_t>(ec);
-  ok = ok && !ec;
+  const N n = isInexact ? 0 : v->to_number<N>(ec);
+  ok = ok && !ec && !isInexact;
   return ec ? 0 : n;
 }
 
--- a/src/json_p.h
+++ b/src/json_p.h
@@ -73,6 +73,7 @@
 
 private:
   std::int64_t integer64(std::string_view key);
+  template <class N> N wholeNumber(std::string_view key);
   const json::value *find(std::string_view key) const;
 
   const json::object &object;
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -155,6 +155,20 @@
   recordEvent(kind, false, describe(kind, name));
 }
 
+void StandinStore::putRaw(const std::string &kind, const std::string &name,
+                          const std::string &content) {
+  const std::string placeholder = "@raw-" + std::to_string(rawContents.size()) + "@";
+  rawContents["\"" + placeholder + "\""] = content;
+  put(kind, name, json::value(placeholder));
+}
+
+void StandinStore::insertRawContents(HttpResponse &response) const {
+  for (auto &[placeholder, content] : rawContents)
+    for (auto at = response.body().find(placeholder); at != std::string::npos;
+         at = response.body().find(placeholder, at + content.size()))
+      response.body().replace(at, placeholder.size(), content);
+}
+
 void StandinStore::remove(const std::string &kind, const std::string &name) {
   if (kinds[kind].count(name) == 0)
     return;
@@ -269,6 +283,7 @@
     exchange.abort();
     co_return;
   }
+  insertRawContents(response);
   response.set("Store-Era", std::to_string(era));
   co_await exchange.respond(std::move(response));
 }
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -34,6 +34,8 @@
   asio::awaitable<void> handle(HttpExchange &exchange);
   /// Writes an object without a condition, as the operator or an engine does.
   void put(const std::string &kind, const std::string &name, const json::value &content);
+  /// Writes an object whose content is any text, which answers contain as it is.
+  void putRaw(const std::string &kind, const std::string &name, const std::string &content);
   void remove(const std::string &kind, const std::string &name);
   /// Returns the content of an object if it is a string; empty otherwise.
   std::string text(const std::string &kind, const std::string &name) const;
@@ -76,10 +78,13 @@
     Kinds kinds;
     std::uint64_t revision = 0;
   };
+  /// Replaces the placeholders of raw contents in an answer.
+  void insertRawContents(HttpResponse &response) const;
   void recordCopy();
   void recordLeaseHolder(const json::value &content);
 
   Kinds kinds;
+  std::map<std::string, std::string> rawContents; ///< by placeholder
   std::deque<Copy> copies;
   Kinds lostKinds;                    ///< the state before the newest restore
   std::uint64_t restoredRevision = 0; ///< of the copy that the newest restore came back from
