--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -174,6 +174,14 @@
 asio::awaitable<bool> RequestForwarder::confirmRefusal(HttpStream &stream,
                                                        const FleetEndpoint &from) {
   const AnswerHead refusal = lastHead;
+  const auto finish = [&](bool holds, std::string_view outcome) {
+    logLine(LogLevel::Info, "refusal checked by a marker",
+            {{"request", caller.id},
+             {"endpoint", from.name.value},
+             {"has_id", refusal.hasRequestId},
+             {"result", outcome}});
+    return holds;
+  };
   const bool sent = co_await stream.sendFurther(g.codec.buildMarker());
   for (int n = 0; sent && n < MaxSurplusAnswers; ++n) {
     const bool hasNext = co_await stream.readNextHead();
@@ -181,14 +189,14 @@
       break;
     if (g.codec.answersMarker(stream.head())) {
       lastHead = refusal;
-      co_return true;
+      co_return finish(true, "holds");
     }
     lastHead = g.codec.readHead(stream.head(), caller, from);
     if (!lastHead.wrongRequest) // a second answer, hence the first was surplus
-      co_return false;
+      co_return finish(false, lastHead.promisesNotRun ? "unproven" : "answered");
   }
   lastHead = refusal;
-  co_return false;
+  co_return finish(false, "unproven");
 }
 
 /// Records that the request has not crashed the endpoint.
--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -1,3 +1,4 @@
+#include "faulty_endpoint_p.h"
 #include "platform_standin_p.h"
 #include "process_cluster_p.h"
 #include "real_env_p.h"
@@ -24,6 +25,8 @@
 constexpr unsigned FirstSeedWithLimits = 2000;
 constexpr unsigned FirstSeedWithCrashingPrompts = 3000;
 constexpr unsigned FirstSeedWithRestores = 4000;
+constexpr unsigned FirstSeedWithCrashingRequests = 5000; // also with false refusals and odd entries
+constexpr auto DeadlyBody = "deadly";
 constexpr int PromptParts = 4; // that requests for models share
 constexpr int FaultsPerRun = 8;
 constexpr auto FaultPause = 600ms;
@@ -31,8 +34,9 @@
 constexpr auto DrainBound = 2s;
 constexpr auto ConfigBound = 2s;
 constexpr auto ReactionTime = 3s; // to a limit or to crashes; also after a disturbance of a host
-constexpr std::size_t ReactionCrashes = 5;
-constexpr int AllowedLateCalls = 3; // of requests on which engines crash
+constexpr std::size_t CrashesOfPart = 5;    // after which ReactionTime begins
+constexpr std::size_t CrashesOfRequest = 3; // likewise
+constexpr int AllowedLateCalls = 3;         // of requests on which engines crash
 constexpr double EngineMegabytes = 130'000;
 
 /// Returns the number in an environment variable, or `fallback` if it is not set.
@@ -61,11 +65,25 @@
                 {.proxied = true, .plainEndpoints = 2}) {}
 
   void SetUp() override {
+    if (GetParam() >= FirstSeedWithCrashingRequests)
+      addFaultyEndpoint();
     ASSERT_TRUE(cluster.waitUntilReady());
     ASSERT_TRUE(
         pollUntil([&] { return static_cast<int>(cluster.directoryAddresses(0).size()) == hosts; }));
   }
 
+  /// Adds an endpoint some of whose refusals are not true.
+  void addFaultyEndpoint() {
+    faultyEndpoint = std::make_unique<FaultyEndpoint>(
+        "f-0", EndpointFaults{.failsAfterRun = 0.03,
+                              .refuses = 0.1,
+                              .repeats = 0.3,
+                              .repeatedId = EndpointFaults::RepeatedId(randomBelow(3)),
+                              .repeatsAnywhere = true});
+    cluster.run(
+        [&] { cluster.store.put("servers", faultyEndpoint->id, faultyEndpoint->registryEntry()); });
+  }
+
   int randomBelow(int n) { return static_cast<int>(random() % static_cast<unsigned>(n)); }
 
   // ---- Load --------------------------------------------------------------------------------
@@ -74,7 +92,9 @@
     std::minstd_rand callerRandom(seed);
     while (!stopRequested) {
       const int host = static_cast<int>(callerRandom() % static_cast<unsigned>(hosts));
-      if (callerRandom() % 2 == 0)
+      if (GetParam() >= FirstSeedWithCrashingRequests && callerRandom() % 16 == 0)
+        checkStream(cluster.requestStreamAt(host, "m0", "/s/x", DeadlyBody));
+      else if (callerRandom() % 2 == 0)
         requestOnce(host);
       else
         checkStream(cluster.requestStream(host, "m" + std::to_string(callerRandom() % 4),
@@ -128,7 +148,12 @@
     }
     if (GetParam() >= FirstSeedWithCrashingPrompts) {
       faults.insert(faults.end(), {&FaultSoak::crashOnPromptPart, &FaultSoak::crashEngine});
-      crashOnPromptPart();
+      if (GetParam() < FirstSeedWithCrashingRequests)
+        crashOnPromptPart();
+    }
+    if (GetParam() >= FirstSeedWithCrashingRequests) {
+      faults.insert(faults.end(), {&FaultSoak::crashOnRequest, &FaultSoak::leaveOddEntry});
+      crashOnRequest();
     }
     if (GetParam() >= FirstSeedWithRestores)
       faults.insert(faults.end(), {&FaultSoak::restoreStore, &FaultSoak::restoreStore});
@@ -342,26 +367,43 @@
         << "limit of endpoint " << n;
   }
 
-  /// All engines crash when they begin to answer a request with one prompt part, for some seconds.
   void crashOnPromptPart() {
+    const int n = randomBelow(PromptParts);
+    crashOn("engines crash on prompt part", n, CrashesOfPart,
+            [n](StandinCrashes &it) { it.deadlyParts = {"b" + std::to_string(n)}; });
+  }
+
+  void crashOnRequest() {
+    crashOn("engines crash on a request", 0, CrashesOfRequest, [](StandinCrashes &it) {
+      it.deadlyRequests = {{"/s/x", DeadlyBody}};
+    });
+  }
+
+  /// All engines crash for some seconds when they begin to answer some requests, which `change`
+  /// sets.
+  void crashOn(const std::string &what, int n, std::size_t reactionCrashes,
+               const std::function<void(StandinCrashes &)> &change) {
     if (deadlySince)
       return;
-    const int n = randomBelow(PromptParts);
-    recordFault("engines crash on prompt part", n);
+    recordFault(what, n);
     deadlySince = steadyNow();
-    setDeadlyParts({"b" + std::to_string(n)});
-    scheduleAfter(1s * (8 + randomBelow(8)), [this] { endCrashesOnPromptPart(); });
+    changeCrashes(change);
+    scheduleAfter(1s * (8 + randomBelow(8)),
+                  [this, reactionCrashes] { endCrashes(reactionCrashes); });
   }
 
-  void setDeadlyParts(const std::set<std::string> &parts) {
+  void changeCrashes(const std::function<void(StandinCrashes &)> &change) {
     cluster.run([&] {
       for (auto &it : cluster.engines)
-        it->crashes.deadlyParts = parts;
+        change(it->crashes);
     });
   }
 
-  void endCrashesOnPromptPart() {
-    setDeadlyParts({});
+  void endCrashes(std::size_t reactionCrashes) {
+    changeCrashes([](StandinCrashes &it) {
+      it.deadlyParts.clear();
+      it.deadlyRequests.clear();
+    });
     std::vector<Instant> crashes;
     std::vector<StandinCall> calls;
     cluster.run([&] {
@@ -376,13 +418,26 @@
     });
     deadlySince.reset();
     std::sort(crashes.begin(), crashes.end());
-    if (crashes.size() < ReactionCrashes)
+    if (crashes.size() < reactionCrashes)
       return;
-    const Instant bound = crashes[ReactionCrashes - 1] + ReactionTime;
+    const Instant bound = crashes[reactionCrashes - 1] + ReactionTime;
     std::erase_if(calls, [&](auto &it) { return it.at < bound; });
     EXPECT_LE(static_cast<int>(calls.size()), AllowedLateCalls) << crashes.size() << " crashes";
   }
 
+  /// Another writer leaves an entry among those of the endpoints.
+  void leaveOddEntry() {
+    const std::array<std::string, 3> contents{std::string(500, '[') + std::string(500, ']'),
+                                              R"({"slots":1e999})",
+                                              R"({"service":"app","address":"127.0.0.1:65536"})"};
+    const int n = randomBelow(static_cast<int>(contents.size()));
+    recordFault("odd entry", n);
+    cluster.run([&] {
+      cluster.store.putRaw("servers", "odd-" + std::to_string(n),
+                           contents[static_cast<std::size_t>(n)]);
+    });
+  }
+
   /// An engine crashes by itself.
   void crashEngine() {
     const int n = randomBelow(static_cast<int>(cluster.engines.size()));
@@ -442,6 +497,9 @@
         for (auto &[id, n] : it->runsById)
           runs[id] += n;
     });
+    if (faultyEndpoint)
+      for (auto &[id, n] : faultyEndpoint->runs())
+        runs[id] += n;
     for (auto &[id, n] : runs)
       EXPECT_LE(n, 1) << id << " ran more than once";
     for (auto &it : callerOutcomes) {
@@ -491,6 +549,7 @@
   std::mt19937 random;
   const int hosts;
   std::string faultLog;
+  std::unique_ptr<FaultyEndpoint> faultyEndpoint; // must outlive the hosts
   PlatformCluster cluster;
   std::mutex mutex; ///< guards callerOutcomes
   std::vector<CallerOutcome> callerOutcomes;
@@ -534,7 +593,8 @@
             // A restarted host was killed when the test thread that had started it ended.
             106, FirstSeedWithBlackholes, FirstSeedWithLimits, FirstSeedWithLimits + 1,
             FirstSeedWithCrashingPrompts, FirstSeedWithCrashingPrompts + 1, FirstSeedWithRestores,
-            FirstSeedWithRestores + 1};
+            FirstSeedWithRestores + 1, FirstSeedWithCrashingRequests,
+            FirstSeedWithCrashingRequests + 1};
   const auto first = static_cast<unsigned>(environmentNumber("CATKIN_SOAK_FIRST", 1));
   std::vector<unsigned> out;
   for (unsigned i = 0; i < static_cast<unsigned>(n); ++i)
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -274,6 +274,68 @@
   EXPECT_NE(result.response.find(http::field::retry_after), result.response.end());
 }
 
+const std::string RawAnswer =
+    "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ndone";
+const std::string RawRefusal = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nRequest-Id: id1\r\n"
+                               "Content-Length: 0\r\n\r\n";
+const std::string RawMarkerAnswer = "HTTP/1.1 421 X\r\nInstance: e0\r\nContent-Length: 0\r\n\r\n";
+
+/// An endpoint with one kept connection that answers its first request, and its second one with
+/// `second`, whatever it is.
+class PlatformGatewayKeptConnectionTest : public PlatformGatewayTest {
+protected:
+  /// Returns the status of the second request.
+  unsigned statusOfSecondRequest(const std::string &second) {
+    view.removeEndpoint(EndpointName("e1"), steadyNow());
+    rawServers.push_back(std::make_unique<RawServer>([=](tcp::socket &socket, int) {
+      RawServer::readHead(socket);
+      RawServer::send(socket, RawAnswer);
+      RawServer::readHead(socket);
+      RawServer::send(socket, second);
+      RawServer::readHead(socket); // the marker, or the end of the connection
+    }));
+    FleetEndpoint entry = view.find(EndpointName("e0"))->entry;
+    entry.address = rawServers.back()->address();
+    view.putEndpoint(entry, steadyNow());
+    auto request = makeCall("/unsafe/x");
+    request.set("Deadline-Ms", "400");
+    EXPECT_EQ(call(request).response.result_int(), 200U);
+    return call(request).response.result_int();
+  }
+};
+
+TEST_F(PlatformGatewayKeptConnectionTest, EarlierRefusalIsTakenForTheAnswer) {
+  EXPECT_EQ(statusOfSecondRequest(RawRefusal + RawAnswer), 200U);
+}
+
+TEST_F(PlatformGatewayKeptConnectionTest, EarlierRefusalIsBelievedThoughTheRequestIsRunning) {
+  EXPECT_EQ(statusOfSecondRequest(RawRefusal), 502U);
+}
+
+TEST_F(PlatformGatewayKeptConnectionTest, EarlierRefusalHidesThatTheRequestFailedOnItsRun) {
+  const std::string failure = "HTTP/1.1 503 X\r\nRequest-Id: id1\r\nContent-Length: 0\r\n\r\n";
+  EXPECT_EQ(statusOfSecondRequest(RawRefusal + failure + RawMarkerAnswer), 502U);
+}
+
+TEST_F(PlatformGatewayKeptConnectionTest, AnswerToAnotherRequestCostsTheRightOne) {
+  std::string other = RawAnswer;
+  other.replace(other.find("id1"), 3, "id0");
+  EXPECT_EQ(statusOfSecondRequest(other + RawAnswer), 200U);
+}
+
+// The request is sent once more, on a new connection.
+TEST_F(PlatformGatewayKeptConnectionTest, TrueRefusalIsNotBelieved) {
+  EXPECT_EQ(statusOfSecondRequest(RawRefusal + RawMarkerAnswer), 200U);
+}
+
+TEST_F(PlatformGatewayTest, FailureAfterARunIsReportedAsNotRun) {
+  for (unsigned status : {503U, 429U, 408U}) {
+    for (auto &it : endpoints)
+      it.handler = makeAnswerHandler(status, "");
+    EXPECT_EQ(call(makeCall("/unsafe/x")).response.result_int(), 502U) << status;
+  }
+}
+
 // Guards against a resumed stream with a missing, repeated or truncated event.
 TEST_F(PlatformGatewayTest, ResumesAStreamAfterItsLastWholeEvent) {
   std::string resumeEventId;
