Give each era of the store its own range of planner terms

Cause: the store came back twice from copies without a lease. The holder in between remembered its earlier term, added 1000 for each of two eras and planned with term 3002; a host that had just started knew nothing, counted three eras from zero and planned with 3001. The others dropped its notices as those of a former planner. Class: a number that must rise, derived from what each host remembers.

Change: a term is above 1000 times the era, besides all known terms, so that a host without memory gives out a higher one than any of an earlier era.

Evidence: the logs of the four hosts (terms 3002 at 16:02:01, 3001 at 16:02:02); LeaseRestore.TermGoesBackWhenASecondRestoreLosesTheLease failed with the same two terms and passes; so do the other seven.

--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -17,8 +17,9 @@
 
 // A host that is not a candidate waits longer than the candidates before it acquires the lease.
 constexpr Duration NonCandidateDelay = std::chrono::milliseconds(2000);
-// More terms than can be given out in the seconds that a restore of the store loses.
-constexpr std::uint64_t TermsPerRestore = 1000;
+// More terms than are given out between two restores of the store. Each era has its own range, so
+// that a host that knows nothing of an era that was lost gives out a higher term than any of it.
+constexpr std::uint64_t TermsPerEra = 1000;
 
 std::string format(const LeaseRecord &r) {
   json::array formerHolders;
@@ -278,8 +279,7 @@
   /// Returns a term above all that may have been given out.
   std::uint64_t nextTerm(const LeaseRecord &last) const {
     const std::uint64_t known = std::max(last.term, newest.term);
-    const std::uint64_t restores = era - std::min(era, last.era);
-    return known + 1 + restores * TermsPerRestore;
+    return std::max(known, era * TermsPerEra) + 1;
   }
 
   void acquire(const LeaseRecord &last, std::uint64_t version) {
--- a/tests/lease_restore_test.cpp
+++ b/tests/lease_restore_test.cpp
@@ -142,6 +142,27 @@
   expectTermsOnce();
 }
 
+// Notices of a planner with a lower term are ignored, so that hosts believe the former one.
+TEST_F(LeaseRestore, TermGoesBackWhenASecondRestoreLosesTheLease) {
+  const std::string record =
+      R"({"holder":"h9","incarnation":1,"address":"10.0.0.1:9","term":1001,"renewal":0,)"
+      R"("write_id":"w","formers":[],"era":0})";
+  env.store.restore({}, 0);
+  env.store.restore({{"planner/lease", {.key = "planner/lease", .version = 1, .value = record}}},
+                    1);
+  startAll();
+  run(12s);
+  ASSERT_EQ(terms.size(), 1U);
+  const auto before = terms.begin()->first;
+  for (auto &it : hosts)
+    it.lease.reset();
+  env.store.restore({}, 0);
+  startAll();
+  run(12s);
+  ASSERT_EQ(terms.size(), 2U);
+  EXPECT_EQ(terms.begin()->first, before) << "a lower term was given out later";
+}
+
 // The next holder's record has the version that the former one, whose lease has expired, would
 // renew.
 TEST_F(LeaseRestore, FormerHolderOverwritesTheNextOne) {
