Keep reports of crashes within a datagram

What callers would see: in a burst of crashes with large batches, hosts hear nothing more of each other, since a heartbeat over 64 kB cannot be sent.

Cause: 24 crashes of up to 192 traits, 93 kB in the test. Change: 480 traits a message (about 10 kB), those of several crashes first where one crash does not fit.

Evidence: CrashQuarantineTest.ReportsOfManyCrashesExceedADatagram failed before with 93,123 bytes and passes.

--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t MaxCrashes = 512;
 constexpr std::size_t MaxReports = 24;
 constexpr std::size_t KeptCrashesPerTrait = 2 * CrashesForQuarantine;
-constexpr std::size_t MaxSuspectsPerReport = 192;
+constexpr std::size_t MaxSuspectsPerMessage = 480; // about 10 kB of a datagram
 constexpr std::size_t MaxSuspectsPerCrash = 512;
 
 /// Returns how many of the crashes, which are in order, are apart from each other.
@@ -180,8 +180,11 @@
   list.insert(list.end(), news.begin(), news.end());
   std::vector<CrashReport> out;
   out.reserve(list.size());
-  for (auto *it : list)
-    out.push_back(reportOf(it->first, it->second, now));
+  std::size_t suspectsLeft = MaxSuspectsPerMessage;
+  for (auto *it : list) {
+    out.push_back(reportOf(it->first, it->second, suspectsLeft, now));
+    suspectsLeft -= out.back().suspects.size();
+  }
   return out;
 }
 
@@ -196,12 +199,18 @@
   return state == SuspectState::Cleared && (isShared || now - crash.changedAt < AnnouncementTime);
 }
 
+/// Suspects of several crashes come first: they tell most, and others may not find room.
 CrashReport CrashQuarantine::reportOf(const EndpointIncarnation &engine, const Crash &crash,
-                                      Instant now) const {
+                                      std::size_t maxSuspects, Instant now) const {
   CrashReport out{.engine = engine, .age = now - crash.at, .suspects = {}};
   for (auto &[trait, state] : crash.suspects)
-    if (out.suspects.size() < MaxSuspectsPerReport && mattersToOthers(trait, state, crash, now))
+    if (mattersToOthers(trait, state, crash, now))
       out.suspects.push_back({trait, state});
+  if (out.suspects.size() <= maxSuspects)
+    return out;
+  std::stable_partition(out.suspects.begin(), out.suspects.end(),
+                        [&](auto &it) { return timesBlamed(it.trait) > 1; });
+  out.suspects.resize(maxSuspects);
   return out;
 }
 
@@ -245,6 +254,11 @@
   return *begun > crash.at ? SuspectState::Cleared : SuspectState::BegunBefore;
 }
 
+int CrashQuarantine::timesBlamed(const RequestTrait &trait) const {
+  auto it = blamedCrashes.find(trait);
+  return it == blamedCrashes.end() ? 0 : it->second;
+}
+
 void CrashQuarantine::setState(Crash &crash, const RequestTrait &trait, SuspectState state) {
   const bool before = crash.blames(trait);
   crash.suspects[trait] = state;
--- a/src/crash_quarantine_p.h
+++ b/src/crash_quarantine_p.h
@@ -146,9 +146,12 @@
   CrashList crashesThatKeepQuarantine() const;
   /// Sorts a list from the newest crash to older ones, and cuts it after `n`.
   static void keepNewest(CrashList &list, std::size_t n);
-  CrashReport reportOf(const EndpointIncarnation &engine, const Crash &crash, Instant now) const;
+  CrashReport reportOf(const EndpointIncarnation &engine, const Crash &crash,
+                       std::size_t maxSuspects, Instant now) const;
   /// Sets what is known of a suspect. All changes go through here, so that `blamedCrashes` holds.
   void setState(Crash &crash, const RequestTrait &trait, SuspectState state);
+  /// Returns how many crashes blame the trait.
+  int timesBlamed(const RequestTrait &trait) const;
   /// Removes a crash and returns the next one.
   Crashes::iterator forget(Crashes::iterator crash);
   bool mattersToOthers(const RequestTrait &trait, SuspectState state, const Crash &crash,
