--- a/tests/crash_load_p.h
+++ b/tests/crash_load_p.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <functional>
 #include <mutex>
 #include <random>
@@ -25,6 +26,7 @@
 constexpr auto CrashTime = 14s;
 constexpr auto ReactionTime = 3000ms; // allowed by the platform after a number of crashes
 constexpr int AllowedLateCalls = 3;
+constexpr auto EndTimeLimit = 45s; // until requests that are sound again are served
 
 /// What callers of sound requests have got.
 struct SoundResults {
@@ -120,6 +122,31 @@
     EXPECT_LE(deadlyCallsSince(bound), AllowedLateCalls) << crashes.size() << " crashes";
   }
 
+  /// Kills a host and pauses another one for some seconds, and waits until both have heard of what
+  /// they have missed.
+  void disturbHosts() {
+    cluster.signalHost(0, SIGKILL);
+    cluster.signalHost(1, SIGSTOP);
+    std::this_thread::sleep_for(4s);
+    cluster.startHost(0);
+    cluster.signalHost(1, SIGCONT);
+    ASSERT_TRUE(pollUntil([&] { return cluster.isHostReady(0) && cluster.isHostReady(1); }));
+    std::this_thread::sleep_for(ReactionTime);
+  }
+
+  /// Checks that each host serves a formerly deadly request within EndTimeLimit.
+  void expectServedAgain(const std::function<HttpResult(int host)> &sendTo) {
+    const Instant end = steadyNow() + EndTimeLimit;
+    for (int host = 0; host < hosts; ++host) {
+      bool served = statusOf(sendTo(host)) == 200;
+      while (!served && steadyNow() < end) {
+        std::this_thread::sleep_for(500ms);
+        served = statusOf(sendTo(host)) == 200;
+      }
+      EXPECT_TRUE(served) << "host " << host;
+    }
+  }
+
   const int hosts;
   const double share;
   PlatformCluster cluster;
--- a/tests/crashing_prompt_test.cpp
+++ b/tests/crashing_prompt_test.cpp
@@ -1,14 +1,11 @@
 #include "crash_load_p.h"
 
-#include <csignal>
-
 /// Tests with daemons as processes before engines that crash when they begin to answer a request
 /// with a certain part in its prompt: such requests stop reaching engines, and sound ones go on.
 namespace catkin::platform {
 namespace {
 
 constexpr std::size_t ReactionCrashes = 5;
-constexpr auto EndTimeLimit = 45s; // until requests with a part that is sound again are served
 constexpr auto DeadlyPart = "dead";
 constexpr auto SecondDeadlyPart = "beef";
 
@@ -96,13 +93,7 @@
   startCallers();
   setParts(DeadlyPart, {DeadlyPart});
   std::this_thread::sleep_for(CrashTime);
-  cluster.signalHost(0, SIGKILL);
-  cluster.signalHost(1, SIGSTOP);
-  std::this_thread::sleep_for(4s);
-  cluster.startHost(0);
-  cluster.signalHost(1, SIGCONT);
-  ASSERT_TRUE(pollUntil([&] { return cluster.isHostReady(0) && cluster.isHostReady(1); }));
-  std::this_thread::sleep_for(ReactionTime);
+  disturbHosts();
   const Instant from = steadyNow();
   std::this_thread::sleep_for(8s);
   EXPECT_LE(deadlyCallsSince(from), AllowedLateCalls);
@@ -140,18 +131,8 @@
   setParts(DeadlyPart, {DeadlyPart});
   std::this_thread::sleep_for(CrashTime);
   setParts(DeadlyPart, {});
-  const Instant end = steadyNow() + EndTimeLimit;
-  const auto isServed = [&](int host) {
-    return statusOf(cluster.requestStream(host, "m0", prompt(1, DeadlyPart))) == 200;
-  };
-  for (int host = 0; host < hosts; ++host) {
-    bool served = isServed(host);
-    while (!served && steadyNow() < end) {
-      std::this_thread::sleep_for(500ms);
-      served = isServed(host);
-    }
-    EXPECT_TRUE(served) << "host " << host;
-  }
+  expectServedAgain(
+      [&](int host) { return cluster.requestStream(host, "m0", prompt(1, DeadlyPart)); });
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/crashing_request_test.cpp
+++ b/tests/crashing_request_test.cpp
@@ -1,7 +1,5 @@
 #include "crash_load_p.h"
 
-#include <csignal>
-
 /// Tests with daemons as processes before engines that crash when they begin to answer one request,
 /// which callers repeat at any host: it stops reaching engines, and sound requests on the same path
 /// go on.
@@ -9,7 +7,6 @@
 namespace {
 
 constexpr std::size_t ReactionCrashes = 3;
-constexpr auto EndTimeLimit = 45s; // until the request is served once it is sound again
 
 /// The request that engines crash on, and how often callers send it.
 struct CrashingRequestCase {
@@ -88,13 +85,7 @@
   startCallers();
   startCrashes();
   std::this_thread::sleep_for(CrashTime);
-  cluster.signalHost(0, SIGKILL);
-  cluster.signalHost(1, SIGSTOP);
-  std::this_thread::sleep_for(4s);
-  cluster.startHost(0);
-  cluster.signalHost(1, SIGCONT);
-  ASSERT_TRUE(pollUntil([&] { return cluster.isHostReady(0) && cluster.isHostReady(1); }));
-  std::this_thread::sleep_for(ReactionTime);
+  disturbHosts();
   const Instant from = steadyNow();
   std::this_thread::sleep_for(8s);
   EXPECT_LE(deadlyCallsSince(from), AllowedLateCalls);
@@ -115,16 +106,7 @@
   startCrashes();
   std::this_thread::sleep_for(CrashTime);
   endCrashes();
-  const Instant end = steadyNow() + EndTimeLimit;
-  const auto isServed = [&](int host) { return statusOf(sendDeadly(host)) == 200; };
-  for (int host = 0; host < hosts; ++host) {
-    bool served = isServed(host);
-    while (!served && steadyNow() < end) {
-      std::this_thread::sleep_for(500ms);
-      served = isServed(host);
-    }
-    EXPECT_TRUE(served) << "host " << host;
-  }
+  expectServedAgain([&](int host) { return sendDeadly(host); });
 }
 
 // A body that is cut or compared in part would put sound requests in quarantine with the deadly
