Quarantine several deadly requests that are in each other's batches

What callers would see: with several deadly requests at once, the first ones explain the crashes of the others, which then crash up to three more engines each.

Cause: a trait counted only crashes that no stronger one explained. Change: an exact request without an answer in three crashes is in quarantine in any case.

--- a/src/crash_quarantine.cpp
+++ b/src/crash_quarantine.cpp
@@ -329,7 +329,7 @@
       explained = it.second;
     }
     if (explained.empty())
-      return out;
+      break;
     // Traits of one kind with exactly the same crashes cannot be told apart.
     for (auto &it : times)
       if (it.first.kind == kind && it.second == explained && strengthOf(it) == strongest)
@@ -337,6 +337,19 @@
     for (auto it : explained)
       unexplained.erase(it);
   }
+  // Several deadly requests at once are in each other's batches. A request without an answer in so
+  // many crashes is one of them, whatever else explains these.
+  for (auto &it : repeated)
+    if (it.kind == TraitKind::ExactRequest && begun.count(it) == 0 &&
+        countedCrashes(it, now) >= CrashesForQuarantine)
+      out.try_emplace(it, convictionOf(it));
+  return out;
+}
+
+int CrashQuarantine::countedCrashes(const RequestTrait &trait, Instant now) const {
+  return static_cast<int>(std::count_if(crashes.begin(), crashes.end(), [&](auto &it) {
+    return it.second.at + reportDelay <= now && it.second.blames(trait);
+  }));
 }
 
 /// Counts all crashes of a trait in quarantine, also those that have just been reported.
--- a/src/crash_quarantine_p.h
+++ b/src/crash_quarantine_p.h
@@ -142,6 +142,8 @@
   /// Determines the quarantine from the evidence if that has changed.
   void update(Instant now);
   std::map<RequestTrait, Conviction> convict(Instant now) const;
+  /// Returns how many crashes that all hosts should have heard of blame the trait.
+  int countedCrashes(const RequestTrait &trait, Instant now) const;
   Conviction convictionOf(const RequestTrait &trait) const;
   CrashList crashesThatKeepQuarantine() const;
   /// Sorts a list from the newest crash to older ones, and cuts it after `n`.
--- a/tests/crash_quarantine_test.cpp
+++ b/tests/crash_quarantine_test.cpp
@@ -184,6 +184,23 @@
   EXPECT_LE(probes, 3);
 }
 
+TEST_F(CrashQuarantineTest, SeveralDeadlyRequestsAtOnceHideEachOther) {
+  constexpr std::uint64_t Requests = 4;
+  for (int round = 0; round < 3; ++round)
+    for (std::uint64_t n = 0; n < Requests; ++n) {
+      // Another deadly request waits in the batch of this one's crash.
+      crash({{TraitKind::ExactRequest, n},
+             {TraitKind::ExactRequest, (n + static_cast<unsigned>(round) + 1) % Requests},
+             Preamble});
+      now += 100ms;
+      quarantine.onAnswerBegun({Preamble}, now);
+    }
+  now += ReportDelay;
+  for (std::uint64_t n = 0; n < Requests; ++n)
+    EXPECT_EQ(judge({{TraitKind::ExactRequest, n}}), Kind::Quarantined) << n;
+  EXPECT_EQ(judge({{TraitKind::ExactRequest, Requests}, Preamble}), Kind::Clear);
+}
+
 TEST_F(CrashQuarantineTest, ReportsOfManyCrashesExceedADatagram) {
   constexpr std::size_t MaxMessageBytes = 16 * 1024;
   for (unsigned i = 0; i < 24; ++i) {
