--- a/tests/request_limit_test.cpp
+++ b/tests/request_limit_test.cpp
@@ -45,17 +45,17 @@
 
   /// Starts callers that send requests for `model`, or to the plain endpoint if it is empty, to all
   /// hosts in turn, with a pause after each.
-  void startCallers(const std::string &model, Duration pause, CallerResults &results) {
+  void startCallers(const std::string &model, Duration pause) {
     for (int i = 0; i < Callers; ++i)
-      callers.emplace_back([this, i, model, pause, &results] {
+      callers.emplace_back([this, i, model, pause] {
         for (int n = i; !stopRequested; ++n) {
-          recordCall(model, n % hosts, results);
+          recordCall(model, n % hosts);
           std::this_thread::sleep_for(pause);
         }
       });
   }
 
-  void recordCall(const std::string &model, int host, CallerResults &results) {
+  void recordCall(const std::string &model, int host) {
     const Instant start = steadyNow();
     std::string id;
     const auto result =
@@ -103,14 +103,14 @@
   const int hosts;
   const int dataCentres;
   std::atomic<bool> stopRequested = false;
+  CallerResults results; // must outlive the callers
   PlatformCluster cluster;
   std::vector<std::thread> callers;
 };
 
 TEST_P(RequestLimit, EngineGetsMoreThanItsLimitFromAllHostsTogether) {
   constexpr double PerSecond = 2;
-  CallerResults results;
-  startCallers("m0", 40ms, results);
+  startCallers("m0", 40ms);
   std::this_thread::sleep_for(1s);
   nameLimit(cluster.engines[0]->limit, PerSecond);
   std::this_thread::sleep_for(ReactionTime);
@@ -127,9 +127,8 @@
 }
 
 TEST_P(RequestLimit, LimitOutlivesTheAnswersThatNamedIt) {
-  CallerResults results;
   nameLimit(cluster.engines[0]->limit, 2);
-  startCallers("m0", 40ms, results);
+  startCallers("m0", 40ms);
   std::this_thread::sleep_for(ReactionTime);
   nameLimit(cluster.engines[0]->limit, std::nullopt);
   std::this_thread::sleep_for(ReactionTime);
@@ -143,8 +142,7 @@
   constexpr double PerSecond = 0.5; // less than one request a host and window
   auto &endpoint = *cluster.plainEndpoints[0];
   nameLimit(endpoint.limit, PerSecond);
-  CallerResults results;
-  startCallers("", 100ms, results);
+  startCallers("", 100ms);
   std::this_thread::sleep_for(ReactionTime);
   const Instant from = steadyNow();
   std::this_thread::sleep_for(ObservedTime);
@@ -162,8 +160,7 @@
 
 TEST_P(RequestLimit, ModelOfAnEngineWithALowLimitIsNotLoadedElsewhere) {
   nameLimit(cluster.engines[0]->limit, 0.5);
-  CallerResults results;
-  startCallers("m1", 100ms, results); // no other engine holds it
+  startCallers("m1", 100ms); // no other engine holds it
   std::this_thread::sleep_for(2 * ReactionTime);
   const int answered = results.answered;
   const int failed = results.refused + results.other;
