Believe no rejection without proof either

An engine's 400 with its report 'not run' went past the check of refusals: an unproven one was followed by a second send of a request that may run only once. Found by reading the change. RejectionIsBelievedThoughThereAreTwo failed before (the request was sent to another connection and answered 200) and passes; 38 of 38 tests of the file pass.

--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -94,7 +94,7 @@
     recordSignals(to, sentAt);
     if (lastHead.wrongRequest) {
       failure = AttemptFailure::WrongAnswer;
-    } else if (lastHead.promisesNotRun && !refusalProven) {
+    } else if ((lastHead.promisesNotRun || lastHead.notRun) && !refusalProven) {
       failure = AttemptFailure::Unproven;
     } else if (lastHead.notRun) {
       failure = AttemptFailure::Refused;
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -317,6 +317,12 @@
   EXPECT_EQ(statusOfSecondRequest(RawRefusal + failure + RawMarkerAnswer), 502U);
 }
 
+TEST_F(PlatformGatewayKeptConnectionTest, RejectionIsBelievedThoughThereAreTwo) {
+  const std::string rejection = "HTTP/1.1 400 X\r\nNot-Run: 1\r\nRequest-Id: id1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+  EXPECT_EQ(statusOfSecondRequest(rejection + rejection), 502U);
+}
+
 TEST_F(PlatformGatewayKeptConnectionTest, AnswerToAnotherRequestCostsTheRightOne) {
   std::string other = RawAnswer;
   other.replace(other.find("id1"), 3, "id0");
