--- a/tests/false_refusal_test.cpp
+++ b/tests/false_refusal_test.cpp
@@ -73,6 +73,7 @@
     std::mutex mutex;
     std::vector<CallerRecord> out;
     std::vector<std::thread> callers;
+    callers.reserve(Callers);
     const Instant end = steadyNow() + LoadTime;
     for (int i = 0; i < Callers; ++i)
       callers.emplace_back([&, i] {
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -31,9 +31,12 @@
       {"born", "1700000000000"}};
   fields[field] = value;
   std::string out = "{";
-  for (auto &[name, text] : fields)
-    out += (out.size() > 1 ? ",\"" : "\"") + name + "\":" + text;
-  return out + "}";
+  for (auto &[name, text] : fields) {
+    out.append(out.size() > 1 ? ",\"" : "\"").append(name);
+    out.append("\":").append(text);
+  }
+  out += "}";
+  return out;
 }
 
 /// Contents that another writer may leave.
