End the faulty endpoint's faults before the soak's last checks

Change: the endpoint's faults end before these checks; all faults stay in force during the checks of recovery. The check itself is unchanged.

--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -529,6 +529,8 @@
   /// Checks, without faults, that a draining endpoint gets no request after the drain bound and
   /// that a removed route is unknown after the configuration's bound.
   void expectBounds() {
+    if (faultyEndpoint)
+      faultyEndpoint->endFaults();
     cluster.changeConfig({.timeout = 9s, .extraRoute = true});
     std::this_thread::sleep_for(ConfigBound);
     for (int host = 0; host < hosts; ++host)
--- a/tests/faulty_endpoint_p.h
+++ b/tests/faulty_endpoint_p.h
@@ -69,6 +69,9 @@
             {"sequence", 0},    {"born", 1'700'000'000'000}};
   }
 
+  /// From now on, requests run and are answered truthfully.
+  void endFaults() { faultsEnded = true; }
+
   /// Returns the number of runs of each request.
   std::map<std::string, int> runs() {
     const std::lock_guard lock(mutex);
@@ -123,6 +126,8 @@
   }
 
   bool happens(double share) {
+    if (faultsEnded)
+      return false;
     const std::lock_guard lock(mutex);
     return std::uniform_real_distribution<double>(0, 1)(random) < share;
   }
@@ -192,6 +197,7 @@
   tcp::acceptor acceptor;
   std::uint16_t bound;
   std::atomic<bool> stopping = false;
+  std::atomic<bool> faultsEnded = false;
   std::mutex mutex; ///< guards the members below
   std::minstd_rand random{5};
   std::optional<std::string> lastRefused;
