Test that streams go on at another software version, failing

What callers see: events of engines of two software versions in one stream.

A play with daemons as processes before 8 engines of two or three versions that crash one after another, streams of about a second, 40 callers that take broken streams up at other hosts.

Nothing reads the version of an engine's entry nor the header that names the stream's first try. The stand-in engines now write their version into events and may come back with another one; the soak checks that a stream is of one version.

--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -26,6 +26,8 @@
 constexpr unsigned FirstSeedWithCrashingPrompts = 3000;
 constexpr unsigned FirstSeedWithRestores = 4000;
 constexpr unsigned FirstSeedWithCrashingRequests = 5000; // also with false refusals and odd entries
+constexpr unsigned FirstSeedWithVersions = 6000;         // engines of two software versions
+constexpr auto SecondVersion = "v2";
 constexpr auto DeadlyBody = "deadly";
 constexpr int PromptParts = 4; // that requests for models share
 constexpr int FaultsPerRun = 8;
@@ -120,14 +122,21 @@
     callerOutcomes.push_back({id, complete ? result.response.result_int() : 0});
   }
 
-  /// Checks that a complete stream has each event once and in order.
+  /// Returns a whole stream of engines of a software version.
+  static std::string wholeStream(const std::string &version) {
+    std::string out;
+    for (int i = 1; i <= StreamEventCount; ++i)
+      out += streamEvent(i, version);
+    return out;
+  }
+
+  /// Checks that a complete stream has each event once and in order, all of one software version.
   static void checkStream(const HttpResult &result) {
     if (result.status != HttpTransferStatus::Ok || result.response.result_int() != 200)
       return;
-    std::string expected;
-    for (int i = 1; i <= StreamEventCount; ++i)
-      expected += streamEvent(i);
-    EXPECT_EQ(result.response.body(), expected);
+    const bool isOfSecondVersion = result.response.body() == wholeStream(SecondVersion);
+    if (!isOfSecondVersion)
+      EXPECT_EQ(result.response.body(), wholeStream("v1"));
   }
 
   // ---- Faults --------------------------------------------------------------------------------
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -322,14 +322,20 @@
   ++incarnation;
 }
 
-void StandinEngine::startAgainWithFirstModels() { startAgain(firstModels); }
+void StandinEngine::startAgainWithFirstModels() {
+  if (!nextVersions.empty()) {
+    version = nextVersions.front();
+    nextVersions.pop_front();
+  }
+  startAgain(firstModels);
+}
 
 json::object StandinEngine::registryEntry(const std::string &state) const {
   json::array held;
   for (auto &it : models)
     held.push_back(json::object{{"name", it}, {"version", 1}, {"adapters", json::array{}}});
   return {{"service", Service},  {"address", address.toString()},
-          {"zone", "z"},         {"version", "v1"},
+          {"zone", "z"},         {"version", version},
           {"slots", 8},          {"state", state},
           {"models", held},      {"sequence", acceptedOrders},
           {"born", incarnation}, {"busy", false}};
@@ -359,8 +365,8 @@
   return makeResponse(202);
 }
 
-std::string streamEvent(int n) {
-  return "id: " + std::to_string(n) + "\ndata: e" + std::to_string(n) + "\n\n";
+std::string streamEvent(int n, const std::string &version) {
+  return "id: " + std::to_string(n) + "\ndata: e" + std::to_string(n) + " " + version + "\n\n";
 }
 
 asio::awaitable<void> StandinEngine::sendStream(HttpExchange &exchange) {
@@ -372,10 +378,11 @@
   head.set("Request-Id", textOf(request["Request-Id"]));
   head.set("Server-Stamp", id);
   setAnnouncements(head);
+  const std::string began = version;
   const std::size_t crashesBefore = crashes.times.size();
   const auto hasCrashed = [&] { return crashes.times.size() > crashesBefore; };
   co_await exchange.startStream(std::move(head));
-  co_await sleepFor(EventPause);
+  co_await sleepFor(eventPause);
   if (!hasCrashed() && isDeadly(request))
     crash();
   for (int i = first; i <= StreamEventCount; ++i) {
@@ -384,9 +391,9 @@
       co_return;
     }
     // The run ends when the caller has disconnected.
-    if (!co_await exchange.writeChunk(streamEvent(i)))
+    if (!co_await exchange.writeChunk(streamEvent(i, began)))
       co_return;
-    co_await sleepFor(EventPause);
+    co_await sleepFor(eventPause);
   }
   co_await exchange.endStream();
 }
@@ -480,7 +487,6 @@
 
 namespace {
 
-constexpr int PortsPerHost = 8;
 /// Returns the path of the log of one host.
 std::string logPath(const std::string &directory, int n) {
   return directory + "/host-" + std::to_string(n) + ".log";
@@ -650,7 +656,7 @@
     call.headers.emplace_back("Model", model);
   if (!promptParts.empty())
     call.headers.emplace_back("Prompt-Prefix", promptParts);
-  return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
+  return callOnce(hostAddress(host), call);
 }
 
 std::string PlatformCluster::newRequestId(int host) const {
@@ -670,7 +676,7 @@
                   {"Request-Id", newRequestId(host)},
                   {"Deadline-Ms", "9000"},
                   {"Model", model}};
-  return callOnce({"127.0.0.1", port(host * PortsPerHost)}, call);
+  return callOnce(hostAddress(host), call);
 }
 
 HttpResult PlatformCluster::requestOnce(int host, std::string &id) const {
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -134,8 +134,12 @@
   void startAgain(std::set<std::string> heldModels);
 
   const std::string id;
+  std::string version = "v1"; ///< of its software; its events contain it
+  /// Versions with which it starts again after crashes, one after the other.
+  std::deque<std::string> nextVersions;
   std::set<std::string> models;
   Address address;
+  Duration eventPause = std::chrono::milliseconds(20); ///< before each event and at the end
   int runs = 0;
   int cutAfter = 0;          ///< event id after which the next stream is aborted; 0: never
   bool leaving = false;      ///< announced in all responses
@@ -150,8 +154,9 @@
   double peakMegabytes = 0;  ///< peak size of the models that the engine was ordered to hold
   std::uint64_t incarnation; ///< incremented by a restart
 
-private:
   bool isDown() const;
+
+private:
   /// Returns whether the request or a shared part of its prompt crashes the engine.
   bool isDeadly(const HttpRequest &request) const;
   HttpResponse applyOrder(const HttpRequest &request);
@@ -166,8 +171,8 @@
 int hostOfRequest(const HttpRequest &request);
 
 constexpr int StreamEventCount = 5;
-/// Returns event `n` of a stream, as an engine sends it.
-std::string streamEvent(int n);
+/// Returns event `n` of a stream, as an engine of a software version sends it.
+std::string streamEvent(int n, const std::string &version);
 
 /// An endpoint without models, for requests that may run at most once. Counts the runs of each
 /// request.
@@ -238,6 +243,10 @@
   void restoreStore(Duration age, Duration downTime = std::chrono::milliseconds(500));
   /// Ends all faults of the store and of the proxies.
   void clearFaults();
+  /// Returns the address at which a host takes requests.
+  Address hostAddress(int n) const { return {"127.0.0.1", port(n * PortsPerHost)}; }
+  /// Returns an id that hostOfRequest() can read.
+  std::string newRequestId(int host) const;
   /// Returns the directory of the hosts' logs, which are kept after the test.
   const std::string &logDirectory() const { return directory; }
   /// Returns holder and term of the planner's lease in the store; empty and 0 if there is none.
@@ -255,6 +264,7 @@
   std::vector<std::shared_ptr<FaultProxy>> plainProxies;
 
 private:
+  static constexpr int PortsPerHost = 8;
   std::shared_ptr<FaultProxy> addProxy(const Address &target);
   void restartAfterCrash(StandinEngine &engine);
   HttpResult post(int host, const char *target, const std::string &id, const char *deadlineMs,
@@ -262,8 +272,6 @@
   std::uint16_t port(int offset) const {
     return static_cast<std::uint16_t>(ports.first() + offset);
   }
-  /// Returns an id that hostOfRequest() can read.
-  std::string newRequestId(int host) const;
   /// Returns the name and last log line of a host that has ended; empty if there is none.
   std::string describeEndedHost();
   std::string settingsPath(int n) const;
--- /dev/null
+++ b/tests/stream_version_test.cpp
@@ -0,0 +1,165 @@
+#include "stream_load_p.h"
+
+#include <csignal>
+
+/// Tests with daemons as processes before engines of several software versions that crash one after
+/// another: a stream goes on only at the version that began it, and does go on there.
+namespace catkin::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int Engines = 8;
+constexpr int AllowedMixed = 2;
+constexpr int CountedTries = 12; // from which the share of streams that go on is compared
+constexpr double ShareThatGoesOn = 0.9;
+constexpr auto PlayTime = 20s;
+constexpr auto CrashPause = 700ms;
+
+/// What happens to the hosts and the store meanwhile.
+enum class Trouble { None, HostsKilled, HostsFrozen, StoreAway };
+
+struct StreamVersionCase {
+  const char *name;
+  int hosts = 3;
+  int versions = 2;
+  bool upgrades = false; ///< engines come back with the next version
+  Trouble trouble = Trouble::None;
+};
+
+std::ostream &operator<<(std::ostream &out, const StreamVersionCase &it) {
+  return out << it.hosts << "_hosts_" << it.name;
+}
+
+std::string versionName(int n) { return "v" + std::to_string(n + 1); }
+
+class StreamVersion : public ::testing::TestWithParam<StreamVersionCase> {
+protected:
+  StreamVersion()
+      : cluster(GetParam().hosts, std::vector<std::set<std::string>>(Engines, {"m0"}),
+                {.dataCentres = GetParam().hosts > 3 ? 3 : 1}),
+        caller(cluster) {}
+
+  void SetUp() override {
+    setVersions();
+    ASSERT_TRUE(cluster.waitUntilReady());
+    std::this_thread::sleep_for(2s); // time for the hosts to hear each other
+    startCallers();
+  }
+
+  void TearDown() override { stopCallers(); }
+
+  void setVersions() {
+    constexpr auto LongPause = 180ms; // for streams that last about a second
+    constexpr int Upgrades = 20;
+    cluster.run([&] {
+      for (int i = 0; i < Engines; ++i) {
+        auto &it = *cluster.engines[static_cast<std::size_t>(i)];
+        it.version = versionName(i % GetParam().versions);
+        it.eventPause = LongPause;
+        for (int n = 1; GetParam().upgrades && n < Upgrades; ++n)
+          it.nextVersions.push_back(versionName((i + n) % GetParam().versions));
+        cluster.store.put("servers", it.id, it.registryEntry("ready"));
+      }
+    });
+  }
+
+  void startCallers() {
+    constexpr unsigned Callers = 40;
+    for (unsigned i = 1; i <= Callers; ++i)
+      callers.emplace_back([this, i] {
+        std::minstd_rand random(i);
+        while (!stopRequested)
+          caller.runStream(
+              random, [&] { return pickHost(random); }, "m0");
+      });
+  }
+
+  void stopCallers() {
+    stopRequested = true;
+    for (auto &it : callers)
+      it.join();
+    callers.clear();
+  }
+
+  /// Returns a host that is not disturbed.
+  int pickHost(std::minstd_rand &random) const {
+    const auto hosts = static_cast<unsigned>(GetParam().hosts);
+    const auto host = static_cast<int>(random() % hosts);
+    return host == disturbedHost ? (host + 1) % GetParam().hosts : host;
+  }
+
+  /// Crashes engine after engine, beside the troubles of the case.
+  void play() {
+    const Instant end = steadyNow() + PlayTime;
+    for (int n = 0; steadyNow() < end; ++n) {
+      if (n % 4 == 0)
+        beginTrouble(n / 4 % GetParam().hosts);
+      cluster.run([&] { cluster.engines[static_cast<std::size_t>(n * 3 % Engines)]->crash(); });
+      std::this_thread::sleep_for(CrashPause);
+      if (n % 4 == 2)
+        endTrouble();
+    }
+    endTrouble();
+  }
+
+  void beginTrouble(int host) {
+    if (GetParam().trouble == Trouble::None)
+      return;
+    if (GetParam().trouble == Trouble::StoreAway)
+      return cluster.run([&] { cluster.store.down = true; });
+    disturbedHost = host;
+    cluster.signalHost(host, GetParam().trouble == Trouble::HostsKilled ? SIGKILL : SIGSTOP);
+  }
+
+  void endTrouble() {
+    cluster.run([&] { cluster.store.down = false; });
+    if (disturbedHost < 0)
+      return;
+    if (GetParam().trouble == Trouble::HostsKilled)
+      cluster.startHost(disturbedHost);
+    else
+      cluster.signalHost(disturbedHost, SIGCONT);
+    EXPECT_TRUE(pollUntil([&] { return cluster.isHostReady(disturbedHost); }));
+    disturbedHost = -1;
+  }
+
+  PlatformCluster cluster;
+  StreamCaller caller;
+  std::vector<std::thread> callers;
+  std::atomic<bool> stopRequested = false;
+  std::atomic<int> disturbedHost = -1;
+};
+
+TEST_P(StreamVersion, StreamGoesOnAtAnotherVersion) {
+  play();
+  stopCallers();
+  const auto it = caller.results();
+  std::printf("%d streams, %d begun, %d mixed, %d taken up, %d of them went on\n", it.sent,
+              it.begun, it.mixed, it.takenUp, it.wentOn);
+  EXPECT_LE(it.mixed, AllowedMixed);
+  EXPECT_EQ(it.outOfOrder, 0);
+  ASSERT_GE(it.takenUp, CountedTries) << "no streams are taken up";
+  EXPECT_GE(static_cast<double>(it.wentOn) / it.takenUp, ShareThatGoesOn * it.begun / it.sent);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fleets, StreamVersion,
+    ::testing::Values(
+        StreamVersionCase{.name = "quiet"},
+        StreamVersionCase{.name = "upgrades", .hosts = 9, .versions = 3, .upgrades = true},
+        StreamVersionCase{.name = "killed", .trouble = Trouble::HostsKilled},
+        StreamVersionCase{.name = "frozen",
+                          .hosts = 9,
+                          .versions = 3,
+                          .upgrades = true,
+                          .trouble = Trouble::HostsFrozen},
+        StreamVersionCase{
+            .name = "store_away", .hosts = 3, .upgrades = true, .trouble = Trouble::StoreAway},
+        StreamVersionCase{.name = "killed_upgrades",
+                          .hosts = 18,
+                          .upgrades = true,
+                          .trouble = Trouble::HostsKilled}));
+
+} // namespace
+} // namespace catkin::platform
