--- a/src/request_explainer.cpp
+++ b/src/request_explainer.cpp
@@ -21,7 +21,10 @@
 constexpr std::int64_t LeaseHandoverWindowMs = 5000;
 
 /// Log messages that may explain a failed request; others are dropped.
-constexpr std::array<std::string_view, 14> RelevantMessages{"attempt failed",
+constexpr std::array<std::string_view, 16> RelevantMessages{"attempt failed",
+                                                            "stream taken up",
+                                                            "endpoint does not confirm its "
+                                                            "incarnation",
                                                             "request trait in quarantine, "
                                                             "engines crash on it",
                                                             "endpoint names a request limit",
@@ -181,6 +184,40 @@
          " on";
 }
 
+/// Returns how the host found the version that began the stream, or why it did not.
+std::string RequestExplainer::explainOrigin() const {
+  auto lines = findRecords(0, INT64_MAX, "stream taken up");
+  std::erase_if(lines, [this](auto *it) { return it->text("request") != id; });
+  if (lines.empty())
+    return "no line says which stream the caller takes up";
+  const auto &it = *lines.back();
+  const auto source = it.text("source");
+  const auto first = it.text("first_request");
+  const auto asked = std::to_string(it.number("answered")) + " of " +
+                     std::to_string(it.number("asked")) + " hosts that were asked answered";
+  if (first.empty())
+    return "the caller named no request that brought the first event, or several";
+  if (source == "doubtful")
+    return "the engine that wrote the first events of " + first +
+           " may have been of another version than its entry said";
+  if (source == "unknown")
+    return "no host knew the stream of " + first + "; " + asked;
+  if (source == "no_answer")
+    return "this host did not know the stream of " + first + "; " + asked;
+  return "the stream of " + first + " began at version " + it.text("version") + " (" + source +
+         ", " + std::to_string(it.number("age_ms")) + " ms old)";
+}
+
+std::string RequestExplainer::explainNoVersion(const LogRecord &end) const {
+  auto lines = findRecords(end.atMs - end.number("took_ms"), end.atMs,
+                           "endpoint does not confirm its incarnation");
+  std::erase_if(lines, [this](auto *it) { return it->text("request") != id; });
+  std::string out = explainOrigin() + "; no endpoint of that version took it";
+  for (auto *it : lines)
+    out += "; " + it->text("endpoint") + " did not confirm that it still runs that version";
+  return out;
+}
+
 std::string RequestExplainer::explainEndpointFailure(const LogRecord &end) const {
   const auto failedAttempts = findFailedAttempts();
   if (failedAttempts.empty())
@@ -204,6 +241,15 @@
   if (failedAttempts.empty())
     return "no attempt is logged";
   const auto endpoint = failedAttempts.back()->text("endpoint");
+  const auto version = end.text("stream_version");
+  const std::string versionNote =
+      version.empty() ? "" : "; it could go on at version " + version + " only";
+  return explainLostEndpoint(end, endpoint) + versionNote;
+}
+
+/// Returns why the requests at an endpoint were lost when this one ended.
+std::string RequestExplainer::explainLostEndpoint(const LogRecord &end,
+                                                  const std::string &endpoint) const {
   const auto from = end.atMs - LeavingWindowMs;
   const auto to = end.atMs + LeavingWindowMs;
   for (auto *it : findRecords(from, to, "endpoint gone"))
@@ -227,6 +273,10 @@
     return explainUsedUpLimit(end);
   if (outcome == "engines crash on this request")
     return explainQuarantine(end);
+  if (outcome == "it is not known which version began the stream")
+    return explainOrigin();
+  if (outcome == "no endpoint of the stream's version takes it in time")
+    return explainNoVersion(end);
   if (outcome == "no route matches")
     return explainNoRoute(end);
   if (outcome == "caller_gone")
--- a/src/request_explainer_p.h
+++ b/src/request_explainer_p.h
@@ -54,6 +54,9 @@
   std::string explainNoModel(const LogRecord &end) const;
   std::string explainUsedUpLimit(const LogRecord &end) const;
   std::string explainQuarantine(const LogRecord &end) const;
+  std::string explainOrigin() const;
+  std::string explainNoVersion(const LogRecord &end) const;
+  std::string explainLostEndpoint(const LogRecord &end, const std::string &endpoint) const;
   std::string explainEndpointFailure(const LogRecord &end) const;
   std::string explainStreamCut(const LogRecord &end) const;
   std::string findCause(const LogRecord &end) const;
--- a/src/request_outcome.cpp
+++ b/src/request_outcome.cpp
@@ -131,22 +131,24 @@
   g.metrics.onRequest(route.name.empty() ? "none" : toString(route.kind), outcome, took);
   if (modelWaitTime > Duration::zero())
     g.metrics.onModelWait(modelWaitTime);
-  logLine(LogLevel::Info, "request",
-          {{"request", caller.id},
-           {"route", route.name},
-           {"service", service.value},
-           {"model", toText(caller.model)},
-           {"config", configVersion},
-           {"choices", choices},
-           {"sends", sends},
-           {"quarantined_trait", quarantineVerdict.kind == QuarantineVerdict::Kind::Clear
-                                     ? std::string()
-                                     : traitText(quarantineVerdict.trait)},
-           {"limit_ms", toMillis(limit)},
-           {"waited_ms", toMillis(modelWaitTime)},
-           {"took_ms", toMillis(took)},
-           {"status", status},
-           {"outcome", outcome}});
+  logLine(
+      LogLevel::Info, "request",
+      {{"request", caller.id},
+       {"route", route.name},
+       {"service", service.value},
+       {"model", toText(caller.model)},
+       {"stream_version", search && search->version() ? search->version()->value : std::string()},
+       {"config", configVersion},
+       {"choices", choices},
+       {"sends", sends},
+       {"quarantined_trait", quarantineVerdict.kind == QuarantineVerdict::Kind::Clear
+                                 ? std::string()
+                                 : traitText(quarantineVerdict.trait)},
+       {"limit_ms", toMillis(limit)},
+       {"waited_ms", toMillis(modelWaitTime)},
+       {"took_ms", toMillis(took)},
+       {"status", status},
+       {"outcome", outcome}});
 }
 
 } // namespace catkin
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -49,6 +49,35 @@
   EXPECT_EQ(choose(view), nullptr);
 }
 
+TEST(FleetViewTest, StreamGoesToAnotherVersion) {
+  FleetView view;
+  for (auto [name, version] : {std::pair("a", "v1"), std::pair("b", "v2")}) {
+    auto it = makeEndpoint(name);
+    it.softwareVersion = SoftwareVersion(version);
+    view.putEndpoint(it, Start);
+  }
+  const SoftwareVersion second("v2");
+  const SoftwareVersion third("v3");
+  EndpointQuery query{.service = ServiceName("s"), .model = Model, .softwareVersion = &second};
+  EXPECT_EQ(chooseEndpoint(view, query, Start, 42)->entry.name, EndpointName("b"));
+  query.softwareVersion = &third;
+  EXPECT_EQ(chooseEndpoint(view, query, Start, 42), nullptr);
+}
+
+TEST(FleetViewTest, EndpointComesBackUnnoticed) {
+  FleetView view;
+  view.putEndpoint(makeEndpoint("a"), Start);
+  const EndpointName name("a");
+  EXPECT_FALSE(view.find(name)->mayHaveRestarted);
+  view.onSent(name);
+  view.onEnded(name, EndpointResult::NotConnected, Start);
+  EXPECT_TRUE(view.find(name)->mayHaveRestarted);
+  view.onConfirmed({name, 2}, true, Start);
+  EXPECT_TRUE(view.find(name)->mayHaveRestarted) << "another incarnation has answered";
+  view.onConfirmed({name, 1}, true, Start);
+  EXPECT_FALSE(view.find(name)->mayHaveRestarted);
+}
+
 // Guards against a store outage that removes all endpoints: registrations that expired during the
 // outage return within two seconds.
 TEST(FleetViewTest, LapsedRegistrationsMayReturn) {
--- a/tests/request_explainer_test.cpp
+++ b/tests/request_explainer_test.cpp
@@ -68,6 +68,37 @@
   EXPECT_TRUE(contains(out, "3 engines crashed on requests with prompt_part 5c")) << out;
 }
 
+TEST(RequestExplainerTest, RefusedForAStreamOfUnknownVersion) {
+  const auto explainSource = [](const std::string &fields) {
+    return explainLines(
+        {makeLogLine("19.990", "a",
+                     R"("stream taken up","request":"r1","asked":3,"answered":2,)" + fields),
+         makeLogLine("20.000", "a",
+                     R"("request","request":"r1","sends":0,"status":503,)"
+                     R"("outcome":"it is not known which version began the stream")")});
+  };
+  const auto unanswered = explainSource(R"("first_request":"r0","source":"no_answer")");
+  EXPECT_TRUE(contains(unanswered, "2 of 3 hosts that were asked answered")) << unanswered;
+  const auto doubtful = explainSource(R"("first_request":"r0","source":"doubtful")");
+  EXPECT_TRUE(contains(doubtful, "may have been of another version")) << doubtful;
+  const auto unnamed = explainSource(R"("first_request":"","source":"unknown")");
+  EXPECT_TRUE(contains(unnamed, "named no request")) << unnamed;
+}
+
+TEST(RequestExplainerTest, RefusedWithoutAnEndpointOfTheVersion) {
+  const auto out = explainLines(
+      {makeLogLine("19.900", "a",
+                   R"("stream taken up","request":"r1","first_request":"r0","source":"other_host",)"
+                   R"("version":"v1","age_ms":700)"),
+       makeLogLine("19.950", "a",
+                   R"("endpoint does not confirm its incarnation","request":"r1","endpoint":"e1")"),
+       makeLogLine("20.000", "a",
+                   R"("request","request":"r1","sends":0,"status":503,"took_ms":100,)"
+                   R"("outcome":"no endpoint of the stream's version takes it in time")")});
+  EXPECT_TRUE(contains(out, "began at version v1 (other_host, 700 ms old)")) << out;
+  EXPECT_TRUE(contains(out, "e1 did not confirm")) << out;
+}
+
 TEST(RequestExplainerTest, FailedWithAnEndpointAtFault) {
   const std::string end = makeLogLine(
       "20.000", "a",
