--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -38,7 +38,7 @@
 // fleet, and those of two relays and a digest in a large one.
 constexpr Duration SmallFleetReportDelay = std::chrono::milliseconds(1100);
 constexpr Duration LargeFleetReportDelay = std::chrono::milliseconds(1900);
-// Within which a host that is connected to the registry reads that an endpoint has come back.
+// Within which a host that watches the registry reads that an endpoint has come back.
 constexpr Duration MaxEntryDelay = std::chrono::seconds(3);
 
 } // namespace
@@ -184,10 +184,15 @@
                             known->entry.softwareVersion != entry->softwareVersion;
     if (isReplaced)
       streams.onReplaced(incarnationOf(*entry), entry->softwareVersion,
-                         std::min(registryCurrentAt, env.now()) - MaxEntryDelay);
+                         std::min(registryCurrentAt, env.now()) - maxEntryDelay());
     view.putEndpoint(std::move(*entry), env.now());
   }
 
+  /// Returns the longest time after which this host reads that an endpoint has come back.
+  Duration maxEntryDelay() const {
+    return reliedOnSentinel ? config::FleetNonSentinelReadInterval + MaxEntryDelay : MaxEntryDelay;
+  }
+
   /// Asks the endpoint for its status. Without an answer in time, nothing is confirmed.
   void confirmIncarnation(const FleetEndpoint &to, const std::function<void(bool)> &done) {
     auto once = [pending = std::make_shared<std::function<void(bool)>>(done)](bool confirmed) {
--- a/src/request_resumption.cpp
+++ b/src/request_resumption.cpp
@@ -31,7 +31,7 @@
   OriginAnswer answer;
   if (!first.empty())
     answer = co_await awaitCallback<OriginAnswer>(g.executor, [this](auto done) {
-      g.streamOrigins.find(ownStreamKey(), route.services, originLifetime(), std::move(done));
+      g.streamOrigins.find(ownStreamKey(), route.services, originLifetime(), done);
     });
   const bool servesRoute =
       answer.origin && std::any_of(route.services.begin(), route.services.end(),
--- a/src/stream_keepers.cpp
+++ b/src/stream_keepers.cpp
@@ -73,12 +73,12 @@
     return StreamOrigin{.service = service, .version = *version, .writer = {}};
   }
 
-  void find(const StreamKey &key, std::optional<StreamOrigin> only, Done done) {
+  void find(const StreamKey &key, std::optional<StreamOrigin> only, const Done &done) {
     const OriginAnswer own = ownAnswer(key);
     if (own.source != OriginSource::Unknown)
       return done(own);
     const std::uint64_t id = ++lastId;
-    asks.emplace(id, Ask{.key = key, .onlyVersion = std::move(only), .done = std::move(done)});
+    asks.emplace(id, Ask{.key = key, .onlyVersion = std::move(only), .done = done});
     send(id);
   }
 
@@ -153,8 +153,8 @@
 }
 
 void StreamKeepers::find(const StreamKey &key, const std::vector<ServiceWeight> &services,
-                         Duration lifetime, Done done) {
-  impl->find(key, impl->onlyVersion(services, lifetime), std::move(done));
+                         Duration lifetime, const Done &done) {
+  impl->find(key, impl->onlyVersion(services, lifetime), done);
 }
 
 void StreamKeepers::onBegun(const StreamBegun &message) {
--- a/src/stream_keepers_p.h
+++ b/src/stream_keepers_p.h
@@ -33,7 +33,7 @@
   void record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime) override;
   bool isTrusted(const StreamKey &key) override;
   void find(const StreamKey &key, const std::vector<ServiceWeight> &services, Duration lifetime,
-            Done done) override;
+            const Done &done) override;
 
   /// Messages of other hosts.
   void onBegun(const StreamBegun &message);
--- a/src/stream_origin_p.h
+++ b/src/stream_origin_p.h
@@ -69,7 +69,7 @@
   /// Looks for the origin of a stream, whose record would be needed for `lifetime`. Calls `done`
   /// once, within a fraction of a second. `services`: those that may have begun it.
   virtual void find(const StreamKey &key, const std::vector<ServiceWeight> &services,
-                    Duration lifetime, Done done) {
+                    Duration lifetime, const Done &done) {
     (void)key;
     (void)services;
     (void)lifetime;
