Take an endpoint that an older copy has forgotten for one that may be back

Cause: a host that has read in an older copy that an endpoint is missing tells the others, and they send it nothing more. At the next restore, each of them took that for the endpoint's own announcement that it leaves, which holds for the whole incarnation, and told the others so.

Ruled out: a wrong order of revisions between eras; the endpoints' new registrations arrive with later ones.

Change: only what an endpoint has said itself, in its registration or an answer, holds for its incarnation.

--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -94,6 +94,7 @@
   if (!isNew && entry.holdings.orderCount < state.entry.holdings.orderCount)
     entry.holdings = std::move(state.entry.holdings);
   state.entry = std::move(entry);
+  state.registeredAsLeaving = !state.acceptsRequests();
   applySignals(state);
   recordArrival(state, !wasLive);
   if (!state.acceptsRequests() && wasLive)
@@ -128,9 +129,13 @@
     registryReconnectedAt = now;
   for (auto &it : restoreGuard.onRestored(now))
     endpointSignals.onLeaving(it, now);
-  for (auto &[name, state] : states)
-    if (!state.acceptsRequests())
-      endpointSignals.onLeaving(incarnationOf(state.entry), now);
+  for (auto &[name, state] : states) {
+    const EndpointIncarnation endpoint = incarnationOf(state.entry);
+    if (hasAnnouncedLeave(state))
+      endpointSignals.onLeaving(endpoint, now);
+    else if (!state.acceptsRequests())
+      restoreGuard.onDeparted(endpoint, false, now);
+  }
 }
 
 void FleetView::setRegistryConnected(bool connected, Instant now) {
@@ -171,7 +176,11 @@
 
 void FleetView::onGone(const EndpointState &state, Instant now) {
   recordDeparture(state, now);
-  restoreGuard.onDeparted(incarnationOf(state.entry), !state.acceptsRequests(), now);
+  restoreGuard.onDeparted(incarnationOf(state.entry), hasAnnouncedLeave(state), now);
+}
+
+bool FleetView::hasAnnouncedLeave(const EndpointState &state) const {
+  return state.registeredAsLeaving || endpointSignals.isLeaving(incarnationOf(state.entry));
 }
 
 void FleetView::recordDeparture(const EndpointState &state, Instant now) {
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -64,6 +64,7 @@
   /// When to remove the endpoint; set if its registration disappeared around a store outage.
   std::optional<Instant> expiresAt;
   std::optional<StoreRevision> departedRevision; ///< registrations up to this revision are void
+  bool registeredAsLeaving = false;              ///< its registration says that it leaves
   /// Returns when the endpoint may get requests for `ref`, judging by its answers; a time in the
   /// past if it may get them now.
   Instant readyTime(const ModelRef &ref) const;
@@ -165,6 +166,9 @@
   /// Records that the endpoint's registration is gone for good.
   void onGone(const EndpointState &state, Instant now);
   void recordDeparture(const EndpointState &state, Instant now);
+  /// Returns true if the endpoint itself has said that it leaves, in its registration or an answer.
+  /// One that another host has seen removed may only be missing in an older copy of the store.
+  bool hasAnnouncedLeave(const EndpointState &state) const;
 
   std::optional<FleetConfig> newestConfig;
   std::map<EndpointName, EndpointState> states;
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -180,6 +180,36 @@
   EXPECT_EQ(choose(view), nullptr);
 }
 
+TEST(FleetViewTest, EndpointThatACopyHadForgottenLeavesForGood) {
+  FleetView view;
+  view.setRegistryConnected(true, Start - 1min);
+  auto entry = makeEndpoint("a");
+  entry.revision = {1, 30};
+  view.putEndpoint(entry, Start);
+  view.onDeparture({EndpointName("a"), {1, 30}}); // another host has read the copy
+  view.onStoreRestored(Start);
+  EXPECT_TRUE(view.signals().leavingToAnnounce(Start).empty());
+  entry.revision = {2, 31};
+  view.putEndpoint(entry, Start + 1s);
+  view.expire(Start + GuardTime);
+  EXPECT_NE(choose(view), nullptr);
+}
+
+TEST(FleetViewTest, RemovalOfAForgottenEndpointIsTakenForItsLeave) {
+  FleetView view;
+  view.setRegistryConnected(true, Start - 1min);
+  auto entry = makeEndpoint("a");
+  entry.revision = {1, 30};
+  view.putEndpoint(entry, Start);
+  view.onDeparture({EndpointName("a"), {1, 30}});
+  view.removeEndpoint(EndpointName("a"), Start);
+  view.onStoreRestored(Start);
+  entry.revision = {2, 31};
+  view.putEndpoint(entry, Start + 1s);
+  view.expire(Start + GuardTime);
+  EXPECT_NE(choose(view), nullptr);
+}
+
 TEST(FleetViewTest, RemovedEndpointIsGoneAtOnceWithoutAnOutage) {
   FleetView view;
   view.setRegistryConnected(true, Start - 1min);
