--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -143,14 +143,6 @@
     callerOutcomes.push_back({id, complete ? result.response.result_int() : 0});
   }
 
-  /// Returns a whole stream of engines of a software version.
-  static std::string wholeStream(const std::string &version) {
-    std::string out;
-    for (int i = 1; i <= StreamEventCount; ++i)
-      out += streamEvent(i, version);
-    return out;
-  }
-
   /// Checks that a complete stream has each event once and in order, all of one software version.
   static void checkStream(const HttpResult &result) {
     if (result.status != HttpTransferStatus::Ok || result.response.result_int() != 200)
--- a/tests/platform_process_test.cpp
+++ b/tests/platform_process_test.cpp
@@ -10,13 +10,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto WholeStream = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
-                             "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
-
 /// Returns whether the response is a complete stream.
 bool isWholeStream(const HttpResult &result) {
   return result.status == HttpTransferStatus::Ok && result.response.result_int() == 200 &&
-         result.response.body() == WholeStream;
+         result.response.body() == wholeStream("v1");
 }
 
 class PlatformProcess : public ::testing::Test {
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -375,6 +375,13 @@
   return "id: " + std::to_string(n) + "\ndata: e" + std::to_string(n) + " " + version + "\n\n";
 }
 
+std::string wholeStream(const std::string &version) {
+  std::string out;
+  for (int i = 1; i <= StreamEventCount; ++i)
+    out += streamEvent(i, version);
+  return out;
+}
+
 asio::awaitable<void> StandinEngine::sendStream(HttpExchange &exchange) {
   const HttpRequest request = exchange.request();
   ++runs;
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -173,6 +173,8 @@
 constexpr int StreamEventCount = 5;
 /// Returns event `n` of a stream, as an engine of a software version sends it.
 std::string streamEvent(int n, const std::string &version);
+/// Returns all events of a stream.
+std::string wholeStream(const std::string &version);
 
 /// An endpoint without models, for requests that may run at most once. Counts the runs of each
 /// request.
