Take the ports of the embedded host's test from the reserved ones; lint

Its ports were fixed numbers among those that all other tests reserve by PortBlock, so any of them could have the port. It reserves its own now.

--- a/tests/host_test.cpp
+++ b/tests/host_test.cpp
@@ -1,19 +1,24 @@
 #include "catkin/catkin.h"
 
+#include "port_block_p.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <string>
 
 namespace catkin {
 namespace {
 
 Init validInit() {
+  static const PortBlock Ports(4);
+  const auto address = [](int n) { return "127.0.0.1:" + std::to_string(Ports.first() + n); };
   return {.host = "host-1",
           .dataCentre = "buda-a",
-          .listen = "127.0.0.1:18931",
-          .peerListen = "127.0.0.1:18932",
-          .operatorListen = "127.0.0.1:18933",
-          .platform = "127.0.0.1:18934",
+          .listen = address(0),
+          .peerListen = address(1),
+          .operatorListen = address(2),
+          .platform = address(3),
           .operatorKey = "example-operator-key"};
 }
 
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -82,7 +82,7 @@
 }
 
 TEST(PlatformDecode, OddHeadersNameTheFirstRequestOfAStream) {
-  const auto decode = [](std::vector<std::pair<const char *, std::string>> headers) {
+  const auto decode = [](const std::vector<std::pair<const char *, std::string>> &headers) {
     HttpRequest request;
     request.set("Request-Id", "a");
     for (auto &[name, value] : headers)
