--- a/tests/stream_version_test.cpp
+++ b/tests/stream_version_test.cpp
@@ -14,6 +14,7 @@
 constexpr int CountedTries = 12; // from which the share of streams that go on is compared
 constexpr double ShareThatGoesOn = 0.9;
 constexpr auto PlayTime = 20s;
+constexpr auto LongPlayTime = 36s; // where tries do not count for a part of the time
 constexpr auto CrashPause = 700ms;
 constexpr auto RegistryTime = 2s; // until hosts have read the registry after an outage
 
@@ -95,7 +96,8 @@
     // After an outage of the store, hosts learn meanwhile which engines are back.
     const int crashesBetweenTroubles = GetParam().trouble == Trouble::StoreAway ? 16 : 4;
     constexpr int CrashesInTrouble = 2;
-    const Instant end = steadyNow() + PlayTime;
+    const Instant end =
+        steadyNow() + (GetParam().trouble == Trouble::StoreAway ? LongPlayTime : PlayTime);
     for (int n = 0; steadyNow() < end; ++n) {
       if (n % crashesBetweenTroubles == 0)
         beginTrouble(n / crashesBetweenTroubles % GetParam().hosts);
