--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -1,6 +1,6 @@
 #include "request_forwarder_p.h"
 
-#include "await_callback_p.h"
+#include "async_p.h"
 #include "log_p.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -215,9 +215,8 @@
 }
 
 asio::awaitable<Permit> RequestForwarder::askForPermit(const FleetEndpoint &to, Duration maxDelay) {
-  co_return co_await awaitCallback<Permit>(g.executor, [&](auto done) {
-    g.hooks.acquirePermit(incarnationOf(to), maxDelay, std::move(done));
-  });
+  co_return co_await waitForCallback<Permit>(
+      [&](auto done) { g.hooks.acquirePermit(incarnationOf(to), maxDelay, std::move(done)); });
 }
 
 /// Returns the endpoint to send to, after a wait for the model if no endpoint holds it. Null if
--- a/src/request_resumption.cpp
+++ b/src/request_resumption.cpp
@@ -1,4 +1,4 @@
-#include "await_callback_p.h"
+#include "async_p.h"
 #include "log_p.h"
 #include "request_forwarder_p.h"
 
@@ -33,7 +33,7 @@
   const std::string &first = caller.resumption->firstRequestId;
   OriginAnswer answer;
   if (!first.empty())
-    answer = co_await awaitCallback<OriginAnswer>(g.executor, [this](auto done) {
+    answer = co_await waitForCallback<OriginAnswer>([this](auto done) {
       g.streamOrigins.find(ownStreamKey(), route.services, originLifetime(), done);
     });
   const bool servesRoute =
@@ -109,8 +109,8 @@
 
 /// Asks the endpoint whether it still is in the incarnation that this host knows.
 asio::awaitable<bool> RequestForwarder::confirmIncarnation(const FleetEndpoint &to) {
-  const bool confirmed = co_await awaitCallback<bool>(
-      g.executor, [&](auto done) { g.hooks.confirmIncarnation(to, std::move(done)); });
+  const bool confirmed = co_await waitForCallback<bool>(
+      [&](auto done) { g.hooks.confirmIncarnation(to, std::move(done)); });
   g.view.onConfirmed(incarnationOf(to), confirmed, g.hooks.now());
   if (confirmed)
     co_return !exchange.isCallerGone() && search->isStillUsable(to);
