--- a/review/rig/case_versions.cpp
+++ b/review/rig/case_versions.cpp
@@ -143,6 +143,8 @@
   rig::sleepFor(2);
   engine.crash();
   rig::sleepFor(std::max(0.0, start + 8.5 - rig::now()));
+  engine.startAgain("v2");
+  deployment.registerEngine(engine, "ready");
   *deployment.turnedAway[away] = false;
   if (trouble)
     rig::record("the store serves " + host.name + " again");
