--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -746,6 +746,9 @@
       R"("timeout_ms":2500,"objective_ms":150,"priority":2,"service":"plain","max_attempts":2},)"
       R"({"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming",)"
       R"("timeout_ms":13000,"objective_ms":2000,"priority":1,"service":"models",)"
+      R"("max_attempts":2,"session_affinity":true,"resumable":true,"gap_aim_ms":400},)"
+      R"({"name":"chat","host":"h.example","path_prefix":"/chat/","kind":"streaming",)"
+      R"("timeout_ms":15000,"objective_ms":500,"priority":0,"service":"models",)"
       R"("max_attempts":2,"session_affinity":true,"resumable":true,"gap_aim_ms":400})";
   const std::string models =
       R"({"name":"m0","weights_mb":65500.0,"load_s":6.0,"adapters":0,"adapter_mb":40.0,)"
