--- a/review/rig/case_stamp.cpp
+++ b/review/rig/case_stamp.cpp
@@ -1,8 +1,8 @@
 #include "rig.h"
 
-/// One of four engines is faulty for some seconds: in place of one of fifty answers, or before it,
-/// it sends bytes that are no answer of an engine, without an id and a stamp. Clients compare what
-/// they get with what the engines sent.
+/// One of four engines is faulty for some seconds: after one of fifty complete responses it sends
+/// further bytes late, when the next request has come. They have no id and no stamp. Clients
+/// compare what they get with what the engines sent.
 namespace {
 
 constexpr int ClientsPerHost = 8;
@@ -51,16 +51,22 @@
   std::atomic<bool> isFaulty{false};
   std::atomic<int> answers{0};
   faulty.handler = [&](rig::Engine &engine, rig::Channel &channel, const rig::Message &request) {
+    thread_local std::string previous; // request of the newest complete response on the channel
     engine.addRun(request);
     rig::sleepFor(engine.workSeconds);
     const auto id = request.header("Request-Id");
-    if (!isFaulty || ++answers % OneIn != 0)
-      return channel.write(rig::Engine::response(request, "answer to " + id));
-    const bool also = answers % (2 * OneIn) == 0;
-    rig::record(engine.id + " sends bytes without an id and a stamp " +
-                (also ? "before" : "in place of") + " its answer to id=" + id);
-    return channel.write(ForeignBytes +
-                         (also ? rig::Engine::response(request, "answer to " + id) : ""));
+    const auto own = rig::Engine::response(request, "answer to " + id);
+    if (!isFaulty || ++answers % OneIn != 0) {
+      previous = id;
+      return channel.write(own);
+    }
+    if (previous.empty()) {
+      rig::record(engine.id + " sends foreign bytes in place of its answer to id=" + id);
+      return channel.write(ForeignBytes);
+    }
+    rig::record(engine.id + " sends foreign bytes after its complete response to id=" + previous +
+                ", late, and then its answer to id=" + id);
+    return channel.write(ForeignBytes + own);
   };
   deployment.waitUntilReady();
   const double start = rig::now();
