--- a/review/rig/rig.cpp
+++ b/review/rig/rig.cpp
@@ -13,6 +13,7 @@
 #include <poll.h>
 #include <sstream>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -653,6 +654,7 @@
   pid = ::fork();
   if (pid != 0)
     return;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL); // a host must not outlive the case
   const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::dup2(fd, 1);
   ::dup2(fd, 2);
@@ -694,14 +696,6 @@
   return last;
 }
 
-double Host::residentMegabytes() const {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/statm");
-  double total = 0;
-  double resident = 0;
-  in >> total >> resident;
-  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
-}
-
 Deployment::Deployment(int hostCount, int plainEngines, int modelEngines) {
   std::signal(SIGPIPE, SIG_IGN);
   char path[] = "/tmp/review-XXXXXX";
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -219,8 +219,6 @@
   bool waitForEnd(double seconds);
   bool isReady() const;
   std::string lastLogLine() const;
-  /// Resident memory in megabytes.
-  double residentMegabytes() const;
   int port() const { return firstPort; }
   const std::string name;
   pid_t pid = -1;
