--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-program=review/rig/bin/case_length
+program="$here/case"
 [ -x "$program" ] && [ -x target/bin/catkin-platformd ] || exit 2
 timeout -k 5 115 "$program" "$here/record.txt" "${TROUBLE:-1}"
 rc=$?
