Reserve no memory for the length that an answer announces

Cause: the parser's string_body reserves the announced length once the first byte of the body arrives. The std::bad_alloc is thrown in the completion handler of the read, not in a coroutine, so it leaves io.run() and ends the process. BufferBudget counts bytes only after they have been handed over.

The new test ended with "terminate called after throwing an instance of 'std::bad_alloc'" before the change.

Change: answers are read into ArrivedBody, which grows with the bytes that have arrived and reserves nothing. Any announced length can be read in pieces; a whole answer over its limit is refused as before.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,3 +1,4 @@
+#include "http_body_p.h"
 #include "http_deadlines_p.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -153,7 +154,7 @@
   asio::awaitable<void> start(HttpRequest request, std::optional<std::uint64_t> bodyLimit);
   /// Reads the rest of the body into the parser.
   asio::awaitable<void> readAll();
-  HttpResponse releaseResponse() { return parser->release(); }
+  HttpResponse releaseResponse() { return toStringMessage(parser->release()); }
 
   HttpTransferStatus status() const override { return state; }
   const http::response_header<> &head() const override { return parser->get().base(); }
@@ -193,7 +194,7 @@
   Address to;
   HttpTimeouts timeouts;
   StreamHooks hooks;
-  std::optional<http::response_parser<http::string_body>> parser; ///< of the current response
+  std::optional<http::response_parser<ArrivedBody>> parser; ///< of the current response
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
   std::shared_ptr<ConnectionDeadlines> deadlines;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -113,6 +113,20 @@
   EXPECT_NE(text.find("\"outcome\":\"" + std::string(outcome) + "\""), std::string::npos) << text;
 }
 
+/// Opens a stream and reads its body in pieces. Returns the status at its end and the body.
+asio::awaitable<std::pair<HttpTransferStatus, std::string>> readPieces(HttpClient &client,
+                                                                       Address to) {
+  auto request = makeRequest("/");
+  const auto stream = co_await client.open(to, std::move(request), {});
+  std::string body;
+  for (;;) {
+    const std::string piece = co_await stream->read();
+    if (piece.empty())
+      co_return std::pair(stream->status(), body);
+    body += piece;
+  }
+}
+
 // Guards against bad input that reaches a handler, blocks a connection or gets no response.
 TEST_F(HttpTest, BadRequestsAreRefusedAsNotRun) {
   std::atomic<int> handled{0};
@@ -465,5 +479,21 @@
   }
 }
 
+// Guards against a process that ends because one answer names an enormous length: memory for it
+// must not be reserved before the bytes have arrived.
+TEST_F(HttpTest, EnormousLengthOfAnAnswerDoesNotEndTheProcess) {
+  for (const std::string length :
+       {"1099511627776", "1000000000000000", "9223372036854775807", "18446744073709551615"}) {
+    const RawServer peer([&](tcp::socket &socket, int) {
+      RawServer::readHead(socket);
+      RawServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nabc");
+    });
+    const auto [status, body] = run(readPieces(client, peer.address()));
+    EXPECT_EQ(status, HttpTransferStatus::Broken) << length;
+    EXPECT_EQ(body, "abc") << length;
+    EXPECT_EQ(request(peer.address(), makeRequest("/")).status, HttpTransferStatus::Malformed);
+  }
+}
+
 } // namespace
 } // namespace catkin
