Let no exception of the HTTP parser leave a completion handler

Callers saw: the same as with an enormous length, when an answer's trailer has a field of 64 KB or more: the process that reads it ends and all its requests are lost. A server of ours whose header limit is above 64 KB ends in the same way on a caller's trailer (the hosts' limit of 32 KB keeps such a field out).

Cause: the parser's fields throw std::length_error ("field value too large"). Beast's read operations call the parser in their completion handler, so the exception leaves the event loop.

Evidence: the new test ended with "terminate called after throwing an instance of 'boost::wrapexcept<std::length_error>'" before the change.

Change: readPart() reads and parses inside a coroutine and turns exceptions of the parser into the error of the read. The server and the client both use it; no call of Beast's asynchronous reads is left. The server also reads bodies without reserving what a head announces.

After: the test passes; the caller gets 431, the answer counts as malformed.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_body_p.h"
 #include "http_deadlines_p.h"
+#include "http_read_p.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -8,7 +9,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -335,7 +335,7 @@
   if (state != HttpTransferStatus::Ok)
     co_return false;
   deadlines->expireAfter(DeadlineSlot::Progress, timeouts.silence);
-  auto [ec, n] = co_await http::async_read_some(socket, buffer, *parser, Tuple);
+  const error_code ec = co_await readPart(socket, buffer, *parser);
   // A pause of the reader must not count as silence of the peer.
   deadlines->clear(DeadlineSlot::Progress);
   if (ec)
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,4 +1,6 @@
+#include "http_body_p.h"
 #include "http_deadlines_p.h"
+#include "http_read_p.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -12,7 +14,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -150,7 +151,7 @@
   tcp::socket socket;
   Address peer;
   boost::beast::flat_buffer buffer;
-  std::optional<http::request_parser<http::string_body>> parser;
+  std::optional<http::request_parser<ArrivedBody>> parser;
   HttpRequest request;
   std::shared_ptr<ConnectionDeadlines> deadlines;
   Phase phase = Phase::Idle;
@@ -330,16 +331,19 @@
   phase = Phase::Reading;
   deadlines->expireAfter(DeadlineSlot::Progress, state->options.readTimeout);
   parser.emplace();
+  parser->eager(false);
   parser->header_limit(static_cast<std::uint32_t>(state->options.maxHeaderBytes));
   parser->body_limit(state->options.maxBodyBytes);
-  auto [ec, n] = co_await http::async_read_header(socket, buffer, *parser, Tuple);
-  if (ec)
-    co_return co_await sendError(errorStatus(ec, expired));
+  while (!parser->is_header_done()) {
+    const error_code ec = co_await readPart(socket, buffer, *parser);
+    if (ec)
+      co_return co_await sendError(errorStatus(ec, expired));
+  }
   const bool complete = co_await readBody();
   if (!complete)
     co_return false;
   deadlines->clear(DeadlineSlot::Progress);
-  request = parser->release();
+  request = toStringMessage(parser->release());
   parser.reset();
   co_return true;
 }
@@ -355,9 +359,11 @@
     if (ec)
       co_return false;
   }
-  auto [ec, n] = co_await http::async_read(socket, buffer, *parser, Tuple);
-  if (ec)
-    co_return co_await sendError(errorStatus(ec, expired));
+  while (!parser->is_done()) {
+    const error_code ec = co_await readPart(socket, buffer, *parser);
+    if (ec)
+      co_return co_await sendError(errorStatus(ec, expired));
+  }
   // The size of a chunked body is known only after it has been read. maxBodyBytes limits it until
   // then.
   if (!length && !reserveBody(parser->get().body().size()))
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -495,5 +495,24 @@
   }
 }
 
+// Guards against a process that ends because a trailer has a field that the parser cannot hold.
+TEST_F(HttpTest, TrailerWithAnEnormousFieldDoesNotEndTheProcess) {
+  const std::string field = "X-Pad: " + std::string(70'000, 'z') + "\r\n";
+  const std::string body = "3\r\nabc\r\n0\r\n" + field + "\r\n";
+  const RawServer peer([&](tcp::socket &socket, int) {
+    RawServer::readHead(socket);
+    RawServer::send(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+  });
+  const auto [status, read] = run(readPieces(client, peer.address()));
+  EXPECT_EQ(status, HttpTransferStatus::Malformed);
+  EXPECT_EQ(read, "abc");
+
+  serve(echo, {.maxHeaderBytes = 128 * 1024});
+  expectProblem(exchangeRaw("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + body), 431,
+                "not_run");
+  EXPECT_NE(exchangeRaw("GET / HTTP/1.1\r\nConnection: close\r\n\r\n").find("200 OK"),
+            std::string::npos);
+}
+
 } // namespace
 } // namespace catkin
