Count bodies in chunks against the memory limit while they arrive

Cause: a body without an announced length was counted only after all of it had been read, so any number of callers could hold maxBodyBytes each.

Evidence: the new test got 408 after the read timeout of 20 s in place of 503 before the change: 120 bytes were held where 100 are allowed.

Change: the server counts the bytes of such a body after each read. Over the limit the request is refused with 503, not run, and its bytes are released.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -363,11 +363,11 @@
     const error_code ec = co_await readPart(socket, buffer, *parser);
     if (ec)
       co_return co_await sendError(errorStatus(ec, expired));
+    // A chunked body has no announced length, so it is counted as it arrives.
+    const std::size_t arrived = parser->get().body().size();
+    if (arrived > reservedBytes && !reserveBody(arrived - reservedBytes))
+      co_return co_await sendError(503);
   }
-  // The size of a chunked body is known only after it has been read. maxBodyBytes limits it until
-  // then.
-  if (!length && !reserveBody(parser->get().body().size()))
-    co_return co_await sendError(503);
   co_return true;
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -514,5 +514,26 @@
             std::string::npos);
 }
 
+// Guards against uploads in chunks that exceed the memory limit, since they are counted only once
+// they are complete.
+TEST_F(HttpTest, ChunkedBodiesAreCountedAsTheyArrive) {
+  std::atomic<int> handled{0};
+  serve(
+      [&](HttpExchange &exchange) -> asio::awaitable<void> {
+        ++handled;
+        co_await echo(exchange);
+      },
+      {.readTimeout = 20s, .maxBufferedBytes = 100});
+  const std::string begin = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "3c\r\n" + std::string(60, 'a') + "\r\n";
+  RawPeer first(server->address());
+  first.send(begin + chunk);
+  std::this_thread::sleep_for(100ms);
+  expectProblem(exchangeRaw(begin + chunk), 503, "not_run");
+  first.send("0\r\n\r\n");
+  EXPECT_NE(first.readUntil("\r\n\r\n").find("200 OK"), std::string::npos);
+  EXPECT_EQ(handled, 1);
+}
+
 } // namespace
 } // namespace catkin
