Keep the versions of each service in the store, and prove by them

Callers saw: streams joined from two versions and ended as complete after all hosts were killed during or after a release (users' report). And the opposite: with one version all along, no stream went on after such a kill.

Cause: what versions a service has had was a fact in each host's memory only. A host that had started after the old version's engines had left believed the new one to be the only version once it had run for twice the route's timeout, though callers come back later than that; before that time it refused everything.

Change: the planner's host keeps one object for each service in the store with the versions that its endpoints have had since the fleet began. A version leaves it 30 minutes after its last endpoint. A host that learns nothing of a stream from the others reads the object (one call for all who wait, at most four a second) and takes the only version for proved if the record is complete, written in the store's present era, and names what this host has seen itself. Without an answer of the store the stream is refused with a time to come back. A record of a stream also lasts as long as its caller says that it waits.

The check of VersionHistory is replaced by one of its new question, as strict: a host does not decide alone any more that a version is the only one, so the cases "not known since when" and "may have been missed" are those of VersionRecords.

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -55,6 +55,8 @@
   FleetPeers peers;
   FleetLinks links;
   RequestPermits permits;
+  VersionRecorder versionRecorder;
+  VersionReader versionReader;
   StreamKeepers streams;
   DigestCache digests; ///< digests of other data centres
   CrashWatch crashWatch;
@@ -91,10 +93,13 @@
                 {.issuer = [this](auto &it) { return permitIssuer(it); },
                  .share = [this] { return peers.permitShare(env.now()); },
                  .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
+        versionRecorder(env), versionReader(env),
         streams(env, view,
                 {.keepers = [this](auto &key,
                                    int n) { return peers.rankedHosts(key.hash, n, env.now()); },
-                 .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
+                 .send = [this](auto &to, auto &message) { links.send({to}, message); },
+                 .findOnlyVersion = [this](auto &service,
+                                           auto done) { findOnlyVersion(service, done); }}),
         crashWatch(env, view, *adapter.engines,
                    {.mayProbe = [this](RequestTrait it) { return isResponsibleFor(it); },
                     .announce = [this] { announceState(); }}),
@@ -107,7 +112,8 @@
                 {.broadcast = [this](auto &message) { broadcast(message); },
                  .send = [this](auto &to, auto &message) { sendNotices(to, message); },
                  .acquirePermit = [this](auto &to, Duration maxDelay,
-                                         auto done) { permits.acquire(to, maxDelay, done); }}),
+                                         auto done) { permits.acquire(to, maxDelay, done); },
+                 .termBegan = [this](bool isFirst) { versionRecorder.beginTerm(isFirst); }}),
         gateway(
             executor, view, *adapter.codec,
             {.dataCentre = options.self.dataCentre, .budget = options.budget},
@@ -190,6 +196,8 @@
     if (isNewIncarnation)
       streams.onReplaced(incarnationOf(*entry), entry->softwareVersion, earliestAnswer(*entry));
     view.putEndpoint(std::move(*entry), env.now());
+    if (isNewIncarnation && planner.isActive())
+      recordVersions(env.now());
   }
 
   /// Returns since when this incarnation may have answered requests that this host sent to an
@@ -283,6 +291,7 @@
     storeEra = era;
     restoredAt = env.now();
     view.onStoreRestored(env.now());
+    versionRecorder.onStoreRestored();
     registerSelf(); // the copy may be older than the registration
     configuration.onStoreRestored(era);
     endpointFollower.restartIfBefore(era);
@@ -590,11 +599,25 @@
     watchPlanner(now);
   }
 
+  /// Records the versions of the endpoints: on this host, and in the store if it is the planner.
   void recordVersions(Instant now) {
-    const bool isCurrent = endpointFollower.isSynced() && endpointFollower.isConnected();
-    view.recordVersions(isCurrent, now);
-    if (isCurrent)
-      registryCurrentAt = now;
+    const auto present = view.recordVersions(now);
+    if (!endpointFollower.isSynced() || !endpointFollower.isConnected())
+      return;
+    registryCurrentAt = now;
+    if (planner.isActive())
+      versionRecorder.update(present);
+  }
+
+  /// Finds the only version of a service that can have begun a stream. The store's record lacks a
+  /// version that has only just appeared, which this host may have read.
+  void findOnlyVersion(const ServiceName &service, const VersionReader::Done &done) {
+    versionReader.read(service, [this, service, done](RecordedVersion recorded) {
+      const Instant from = env.now() - config::FleetMaxStreamAge;
+      if (recorded.only && view.versions().hasSeenOther(service, *recorded.only, from))
+        recorded.only.reset();
+      done(recorded);
+    });
   }
 
   /// Sends this host's state to other data centres. In a large fleet, only hosts there that have
--- a/src/fleet_planner.cpp
+++ b/src/fleet_planner.cpp
@@ -27,6 +27,8 @@
   storeLoadMeter = {};
   notifier.clear();
   acquiredAt = env.now();
+  if (links.termBegan)
+    links.termBegan(mine.isFirst);
 }
 
 void FleetPlanner::Impl::tick() {
--- a/src/fleet_planner_p.h
+++ b/src/fleet_planner_p.h
@@ -85,6 +85,9 @@
   std::function<void(const HoldingsNotices &)> broadcast; ///< to all hosts including this one
   std::function<void(const Address &to, const HoldingsNotices &)> send;
   AcquirePermit acquirePermit; ///< if empty, every call is permitted
+  /// Called when this host becomes the planner; `isFirst`: of a fleet that has had none before. May
+  /// be empty.
+  std::function<void(bool isFirst)> termBegan;
 };
 
 /// Acquires the lease and plans while this host holds it.
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -271,12 +271,13 @@
     recordResult(it->second, EndpointResult::NotConnected, now);
 }
 
-void FleetView::recordVersions(bool isCurrent, Instant now) {
-  if (!isCurrent)
-    return versionHistory.onGap();
-  versionHistory.onSynced(now);
-  for (auto &[name, it] : states)
+std::map<ServiceName, SoftwareVersions> FleetView::recordVersions(Instant now) {
+  std::map<ServiceName, SoftwareVersions> out;
+  for (auto &[name, it] : states) {
     versionHistory.onSeen(it.entry.service, it.entry.softwareVersion, now);
+    out[it.entry.service].insert(it.entry.softwareVersion);
+  }
+  return out;
 }
 
 void FleetView::onModelMissing(const EndpointName &name, const ModelRef &ref, Instant now) {
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -132,9 +132,8 @@
   const EndpointSignals &signals() const { return endpointSignals; }
   /// The software versions of the endpoints, as far as this host has read them.
   const VersionHistory &versions() const { return versionHistory; }
-  /// Records which versions are registered now. `isCurrent`: the registry is connected, so that no
-  /// version is missed.
-  void recordVersions(bool isCurrent, Instant now);
+  /// Records which versions are registered now, and returns them by service.
+  std::map<ServiceName, SoftwareVersions> recordVersions(Instant now);
   /// Another host has read in the registry that the endpoint is leaving or gone.
   void onDeparture(const Departure &departure);
   /// Returns the departures that this host has read in the registry a short time ago.
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -289,7 +289,8 @@
                      .term = nextTerm(last),
                      .renewal = 0,
                      .writeId = {},
-                     .formerHolders = formerHoldersAfter(last)};
+                     .formerHolders = formerHoldersAfter(last),
+                     .isFirst = last.term == 0 && newest.term == 0};
     write(mine, version, [self = shared_from_this(), mine](StoreStatus s, auto &) {
       if (self->stopped)
         return self->writeRelease(1, [] {});
--- a/src/lease_p.h
+++ b/src/lease_p.h
@@ -36,6 +36,8 @@
   /// may still send an order, however many terms later.
   std::vector<LeaseHolder> formerHolders;
   std::uint64_t era = 0; ///< of the store when the record was written
+  /// No lease had been recorded before this one was acquired. Not stored.
+  bool isFirst = false;
 };
 
 struct LeaseOptions {
--- a/src/request_resumption.cpp
+++ b/src/request_resumption.cpp
@@ -10,8 +10,9 @@
 
 namespace {
 
-// A record is needed while the stream lasts and, after its end, until the caller has come back.
-constexpr int LifetimeInTimeouts = 2; // of the route
+// A record is needed while the stream lasts and, after its end, until the caller has come back: as
+// long as the caller says that it waits, and at least this many timeouts of the route.
+constexpr int LifetimeInTimeouts = 2;
 
 // For the registry to be read again.
 constexpr Duration MaxVersionWait = std::chrono::milliseconds(250);
@@ -20,7 +21,11 @@
 
 } // namespace
 
-Duration RequestForwarder::originLifetime() const { return route.timeout * LifetimeInTimeouts; }
+Duration RequestForwarder::originLifetime() const {
+  const Duration wait = caller.deadline.value_or(Duration::zero());
+  return std::max<Duration>(route.timeout * LifetimeInTimeouts,
+                            std::min<Duration>(wait, config::FleetMaxStreamAge));
+}
 
 /// Returns the key of the request's stream: that of the request that brought its first event.
 StreamKey RequestForwarder::ownStreamKey() const {
@@ -33,9 +38,8 @@
   const std::string &first = caller.resumption->firstRequestId;
   OriginAnswer answer;
   if (!first.empty())
-    answer = co_await waitForCallback<OriginAnswer>([this](auto done) {
-      g.streamOrigins.find(ownStreamKey(), route.services, originLifetime(), done);
-    });
+    answer = co_await waitForCallback<OriginAnswer>(
+        [this](auto done) { g.streamOrigins.find(ownStreamKey(), route.services, done); });
   const bool servesRoute =
       answer.origin && std::any_of(route.services.begin(), route.services.end(),
                                    [&](auto &it) { return it.service == answer.origin->service; });
--- a/src/stream_keepers.cpp
+++ b/src/stream_keepers.cpp
@@ -18,7 +18,7 @@
   /// A question of this host.
   struct Ask {
     StreamKey key;
-    std::optional<StreamOrigin> onlyVersion; ///< used if no host knows the stream
+    std::optional<ServiceName> service; ///< that must have begun it, if there is only one
     Done done;
     std::set<Address> asked;
     std::set<Address> answered; ///< that they do not know it
@@ -61,24 +61,15 @@
     return out;
   }
 
-  /// Returns the only version that could have begun the stream, if there is only one.
-  std::optional<StreamOrigin> onlyVersion(const std::vector<ServiceWeight> &services,
-                                          Duration lifetime) const {
-    if (services.size() != 1)
-      return std::nullopt;
-    const ServiceName &service = services.front().service;
-    const auto version = view.versions().onlyVersion(service, env.now() - lifetime);
-    if (!version)
-      return std::nullopt;
-    return StreamOrigin{.service = service, .version = *version, .writer = {}};
-  }
-
-  void find(const StreamKey &key, std::optional<StreamOrigin> only, const Done &done) {
+  void find(const StreamKey &key, const std::vector<ServiceWeight> &services, const Done &done) {
     const OriginAnswer own = ownAnswer(key);
     if (own.source != OriginSource::Unknown)
       return done(own);
+    Ask ask{.key = key, .done = done};
+    if (services.size() == 1)
+      ask.service = services.front().service;
     const std::uint64_t id = ++lastId;
-    asks.emplace(id, Ask{.key = key, .onlyVersion = std::move(only), .done = done});
+    asks.emplace(id, std::move(ask));
     send(id);
   }
 
@@ -102,21 +93,40 @@
               [self = shared_from_this(), id] { self->send(id); });
   }
 
+  /// No host knows the stream. Its version is certain only if the service has had no other.
   void finishUnknown(std::uint64_t id) {
     const auto &ask = asks.at(id);
     const bool allAnswered = ask.asked.size() == ask.answered.size();
-    OriginAnswer answer{.origin = ask.onlyVersion,
-                        .source = allAnswered ? OriginSource::Unknown : OriginSource::NoAnswer};
-    if (answer.origin)
-      answer.source = OriginSource::OnlyVersion;
-    finish(id, std::move(answer));
+    const OriginAnswer answer{.source =
+                                  allAnswered ? OriginSource::Unknown : OriginSource::NoAnswer};
+    if (!ask.service || !hooks.findOnlyVersion)
+      return finish(id, answer);
+    const ServiceName service = *ask.service;
+    auto finishRead = takeFinish(id);
+    hooks.findOnlyVersion(service, [finishRead, service, answer](const RecordedVersion &recorded) {
+      OriginAnswer out = answer;
+      if (recorded.only) {
+        out.origin = StreamOrigin{.service = service, .version = *recorded.only, .writer = {}};
+        out.source = OriginSource::OnlyVersion;
+      } else if (!recorded.answered) {
+        out.source = OriginSource::NoAnswer;
+      }
+      finishRead(out);
+    });
   }
 
-  void finish(std::uint64_t id, OriginAnswer answer) {
+  void finish(std::uint64_t id, const OriginAnswer &answer) { takeFinish(id)(answer); }
+
+  /// Ends the question and returns a function that passes on its answer.
+  std::function<void(OriginAnswer)> takeFinish(std::uint64_t id) {
     auto node = asks.extract(id);
-    answer.asked = static_cast<int>(node.mapped().asked.size());
-    answer.answered = static_cast<int>(node.mapped().answered.size());
-    node.mapped().done(answer);
+    Ask &ask = node.mapped();
+    return [done = std::move(ask.done), asked = static_cast<int>(ask.asked.size()),
+            answered = static_cast<int>(ask.answered.size())](OriginAnswer answer) {
+      answer.asked = asked;
+      answer.answered = answered;
+      done(answer);
+    };
   }
 
   void onAnswer(const StreamAnswer &message, const Address &from) {
@@ -153,13 +163,13 @@
 }
 
 void StreamKeepers::find(const StreamKey &key, const std::vector<ServiceWeight> &services,
-                         Duration lifetime, const Done &done) {
-  impl->find(key, impl->onlyVersion(services, lifetime), done);
+                         const Done &done) {
+  impl->find(key, services, done);
 }
 
 void StreamKeepers::onBegun(const StreamBegun &message) {
-  constexpr Duration MaxLifetime = std::chrono::minutes(30); // of a corrupted message
-  impl->record(message.key, message.origin, std::clamp(message.lifetime, Duration(), MaxLifetime));
+  impl->record(message.key, message.origin,
+               std::clamp<Duration>(message.lifetime, Duration(), config::FleetMaxStreamAge));
 }
 
 void StreamKeepers::onQuestion(const StreamQuestion &message, const Address &from) {
--- a/src/stream_keepers_p.h
+++ b/src/stream_keepers_p.h
@@ -4,6 +4,7 @@
 #include "fleet_messages_p.h"
 #include "fleet_view_p.h"
 #include "stream_origins_p.h"
+#include "version_record_p.h"
 
 #include <functional>
 #include <memory>
@@ -17,6 +18,8 @@
   /// Returns the first `n` other hosts that keep the record, the most likely first.
   std::function<std::vector<Address>(const StreamKey &, int n)> keepers;
   std::function<void(const Address &, const FleetMessage &)> send;
+  /// Finds the only version that can have begun a stream of the service. May be empty.
+  std::function<void(const ServiceName &, VersionReader::Done)> findOnlyVersion;
 };
 
 /// The records of one host and its questions to others.
@@ -32,7 +35,7 @@
   /// The messages are sent before this returns, hence before the caller gets the first event.
   void record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime) override;
   bool isTrusted(const StreamKey &key) override;
-  void find(const StreamKey &key, const std::vector<ServiceWeight> &services, Duration lifetime,
+  void find(const StreamKey &key, const std::vector<ServiceWeight> &services,
             const Done &done) override;
 
   /// Messages of other hosts.
--- a/src/stream_origin_p.h
+++ b/src/stream_origin_p.h
@@ -29,7 +29,7 @@
 enum class OriginSource {
   OwnRecord,   ///< this host relayed events of the stream, or keeps its record for another host
   OtherHost,   ///< another host has answered
-  OnlyVersion, ///< the service has had engines of one version only for long enough
+  OnlyVersion, ///< no other version of the service can have begun it, by the store's record
   Unknown,     ///< all hosts that were asked have answered that they do not know it
   NoAnswer,    ///< not all hosts that were asked have answered
   Doubtful,    ///< the writer may have been replaced by another version before it wrote
@@ -66,13 +66,12 @@
     return true;
   }
   using Done = std::function<void(const OriginAnswer &)>;
-  /// Looks for the origin of a stream, whose record would be needed for `lifetime`. Calls `done`
-  /// once, within a fraction of a second. `services`: those that may have begun it.
+  /// Looks for the origin of a stream. Calls `done` once, within a second. `services`: those that
+  /// may have begun it.
   virtual void find(const StreamKey &key, const std::vector<ServiceWeight> &services,
-                    Duration lifetime, const Done &done) {
+                    const Done &done) {
     (void)key;
     (void)services;
-    (void)lifetime;
     done({});
   }
 };
--- a/src/version_history.cpp
+++ b/src/version_history.cpp
@@ -1,5 +1,7 @@
 #include "version_history_p.h"
 
+#include <algorithm>
+
 namespace catkin {
 
 void VersionHistory::onSeen(const ServiceName &service, const SoftwareVersion &version,
@@ -16,20 +18,12 @@
   versions.erase(oldest);
 }
 
-std::optional<SoftwareVersion> VersionHistory::onlyVersion(const ServiceName &service,
-                                                           Instant from) const {
+bool VersionHistory::hasSeenOther(const ServiceName &service, const SoftwareVersion &version,
+                                  Instant from) const {
   auto it = lastSeen.find(service);
-  if (it == lastSeen.end() || !syncedSince || *syncedSince > from)
-    return std::nullopt;
-  std::optional<SoftwareVersion> only;
-  for (auto &[version, seenAt] : it->second) {
-    if (seenAt < from)
-      continue;
-    if (only)
-      return std::nullopt;
-    only = version;
-  }
-  return only;
+  return it != lastSeen.end() && std::any_of(it->second.begin(), it->second.end(), [&](auto &seen) {
+           return seen.first != version && seen.second >= from;
+         });
 }
 
 } // namespace catkin
--- a/tests/fleet_world_helper.cpp
+++ b/tests/fleet_world_helper.cpp
@@ -26,6 +26,7 @@
 }
 
 void FakeStore::get(const std::string &key, StoreGetDone done) {
+  ++reads;
   if (down)
     return answer(std::move(done), StoreStatus::Unreachable, {});
   auto it = objects.find(key);
--- a/tests/fleet_world_p.h
+++ b/tests/fleet_world_p.h
@@ -28,6 +28,7 @@
   std::uint64_t version() const { return revision; }
 
   bool down = false;
+  int reads = 0; ///< calls of get()
   std::map<std::string, StoreObject> objects;
 
 private:
--- a/tests/stream_keepers_test.cpp
+++ b/tests/stream_keepers_test.cpp
@@ -36,7 +36,8 @@
                 [this, host](auto &key, int count) {
                   return host->peers.rankedHosts(key.hash, count, env.now());
                 },
-            .send = [this, host](auto &to, auto &message) { send(*host, to, message); }});
+            .send = [this, host](auto &to, auto &message) { send(*host, to, message); },
+            .findOnlyVersion = [this](auto &, auto done) { done(recorded); }});
   }
 
   /// All hosts hear all others that are reachable.
@@ -61,7 +62,7 @@
   OriginAnswer ask(int host, const StreamKey &key) {
     std::optional<OriginAnswer> out;
     const Instant from = env.now();
-    at(host).streams->find(key, {{.service = Service}}, Lifetime, [&](auto &it) { out = it; });
+    at(host).streams->find(key, {{.service = Service}}, [&](auto &it) { out = it; });
     while (!out)
       env.run(1ms);
     askTime = env.now() - from;
@@ -83,6 +84,7 @@
   Host &at(int n) { return *hosts.at(static_cast<std::size_t>(n)); }
 
   FakeEnv env;
+  RecordedVersion recorded{.answered = true, .only = {}}; ///< what the store says
   double messageLoss = 0;
   int messages = 0;
   Duration askTime{};
@@ -257,14 +259,31 @@
 TEST(VersionHistory, VersionThatIsGoneMayHaveBegunTheStream) {
   VersionHistory history;
   const Instant now{1h};
-  history.onSynced(now);
-  history.onSeen(Service, SoftwareVersion("v1"), now);
-  EXPECT_FALSE(history.onlyVersion(Service, now - 1s)) << "not known since when";
-  history.onSeen(Service, SoftwareVersion("v2"), now + 30s);
-  EXPECT_EQ(history.onlyVersion(Service, now + 10s), SoftwareVersion("v2"));
-  EXPECT_FALSE(history.onlyVersion(Service, now)) << "both since then";
-  history.onGap();
-  EXPECT_FALSE(history.onlyVersion(Service, now + 10s)) << "versions may have been missed";
+  const SoftwareVersion first("v1");
+  const SoftwareVersion second("v2");
+  history.onSeen(Service, first, now);
+  EXPECT_FALSE(history.hasSeenOther(Service, first, now));
+  history.onSeen(Service, second, now + 30s);
+  EXPECT_TRUE(history.hasSeenOther(Service, first, now)) << "both since then";
+  EXPECT_TRUE(history.hasSeenOther(Service, second, now)) << "both since then";
+  EXPECT_FALSE(history.hasSeenOther(Service, second, now + 10s));
+  EXPECT_FALSE(history.hasSeenOther(ServiceName("other"), first, now));
+}
+
+// Guards against a stream that goes on at a version which is only believed to be the only one.
+TEST_P(StreamKeepersOf, UnknownStreamGoesOnWithoutAProof) {
+  beginAll();
+  fleet.env.run(Latency);
+  const StreamKey forgotten = keyOf(Streams);
+  const int host = fleet.size() - 1;
+  fleet.recorded = {.answered = true, .only = {}};
+  EXPECT_EQ(fleet.ask(host, forgotten).source, OriginSource::Unknown);
+  fleet.recorded = {.answered = false, .only = {}};
+  EXPECT_EQ(fleet.ask(host, forgotten).source, OriginSource::NoAnswer);
+  fleet.recorded = {.answered = true, .only = SoftwareVersion("v1")};
+  const auto proved = fleet.ask(host, forgotten);
+  EXPECT_EQ(proved.source, OriginSource::OnlyVersion);
+  EXPECT_EQ(proved.origin->version, SoftwareVersion("v1"));
 }
 
 } // namespace
--- a/tests/stream_load_p.h
+++ b/tests/stream_load_p.h
@@ -33,6 +33,9 @@
   Duration firstEventAfter{};     ///< time from the first try to its first event
 };
 
+/// When a caller leaves a try.
+enum class ReadUntil { End, FirstEvent };
+
 /// Callers that begin streams and take them up, and what they have seen.
 class StreamCaller {
 public:
@@ -50,7 +53,8 @@
 
   /// Makes one try at a host: a new stream, or the rest of `stream`. Returns true if it has brought
   /// an event or the end.
-  bool attempt(int host, const std::string &model, StreamProgress &stream) {
+  bool attempt(int host, const std::string &model, StreamProgress &stream,
+               ReadUntil until = ReadUntil::End) {
     const std::string id = cluster.newRequestId(host);
     Call call{.method = "POST", .target = "/s/x"};
     call.headers = {
@@ -61,7 +65,7 @@
     }
     const int before = stream.events;
     const Instant from = steadyNow();
-    stream.complete = read(cluster.hostAddress(host), call, stream);
+    stream.complete = read(cluster.hostAddress(host), call, stream, until);
     if (before == 0 && stream.events > 0) {
       stream.firstEventTry = id;
       stream.firstEventAfter = stream.firstEventAt - from;
@@ -135,7 +139,7 @@
 
   /// Sends the request and adds the events of its answer to `stream`. Returns true if the answer is
   /// complete.
-  static bool read(const Address &host, const Call &call, StreamProgress &stream) {
+  static bool read(const Address &host, const Call &call, StreamProgress &stream, ReadUntil until) {
     constexpr HttpTimeouts Timeouts{.connect = std::chrono::seconds(1),
                                     .silence = std::chrono::seconds(6),
                                     .total = std::chrono::seconds(12)};
@@ -159,6 +163,8 @@
                piece = co_await it->read()) {
             stream.firstEventAt = body.empty() ? steadyNow() : stream.firstEventAt;
             body += piece;
+            if (until == ReadUntil::FirstEvent)
+              co_return;
           }
           complete = it->status() == HttpTransferStatus::Ok;
         },
--- /dev/null
+++ b/tests/stream_restart_test.cpp
@@ -0,0 +1,122 @@
+#include "stream_load_p.h"
+
+#include <csignal>
+
+/// Tests with daemons as processes whose hosts start again while callers hold streams that have
+/// broken: a stream goes on where its version is proved, and else is refused.
+namespace catkin::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int Engines = 8;
+constexpr int Streams = 24;
+constexpr auto RouteTimeout = 3s;
+constexpr auto HostPause = 2s; // for hosts to hear each other and the planner to be chosen
+
+class RestartedFleet : public ::testing::TestWithParam<int> {
+protected:
+  RestartedFleet()
+      : cluster(GetParam(), std::vector<std::set<std::string>>(Engines, {"m0"}),
+                {.dataCentres = GetParam() > 3 ? 3 : 1}),
+        caller(cluster), streams(Streams) {}
+
+  /// Starts the fleet with engines of these versions in turn.
+  void startFleet(const std::vector<std::string> &versions) {
+    cluster.changeConfig({.timeout = RouteTimeout});
+    for (int i = 0; i < Engines; ++i)
+      setVersion(i, versions[static_cast<std::size_t>(i) % versions.size()]);
+    ASSERT_TRUE(cluster.waitUntilReady());
+    std::this_thread::sleep_for(HostPause);
+  }
+
+  void setVersion(int engine, const std::string &version) {
+    cluster.run([&] {
+      auto &it = *cluster.engines[static_cast<std::size_t>(engine)];
+      it.version = version;
+      it.startAgain({"m0"});
+      cluster.store.put("servers", it.id, it.registryEntry("ready"));
+    });
+  }
+
+  /// Callers begin a stream at each host from `firstHost` on in turn and lose it.
+  void beginStreams(int firstHost) {
+    const int hosts = GetParam() - firstHost;
+    for (int i = 0; i < Streams; ++i)
+      caller.attempt(firstHost + i % hosts, "m0", at(i), ReadUntil::FirstEvent);
+    for (auto &it : streams)
+      ASSERT_GT(it.events, 0);
+  }
+
+  /// Returns how many of the streams go on when they are taken up at the first `hosts` hosts.
+  int takeUpAll(int hosts) {
+    int n = 0;
+    for (int i = 0; i < Streams; ++i)
+      n += caller.attempt(i % hosts, "m0", at(i)) ? 1 : 0;
+    return n;
+  }
+
+  int countMixed() const {
+    return static_cast<int>(std::count_if(streams.begin(), streams.end(),
+                                          [](auto &it) { return it.versions.size() > 1; }));
+  }
+
+  void killAllHosts() {
+    for (int n = 0; n < GetParam(); ++n)
+      cluster.signalHost(n, SIGKILL);
+  }
+
+  void startAllHosts() {
+    for (int n = 0; n < GetParam(); ++n)
+      cluster.startHost(n);
+    ASSERT_TRUE(cluster.waitUntilReady());
+  }
+
+  StreamProgress &at(int n) { return streams[static_cast<std::size_t>(n)]; }
+
+  PlatformCluster cluster;
+  StreamCaller caller;
+  std::vector<StreamProgress> streams;
+};
+
+// Guards against streams that are joined from two versions once no host knows the first one.
+TEST_P(RestartedFleet, AllHostsForgetAVersionThatHasLeft) {
+  startFleet({"v1"});
+  beginStreams(0);
+  for (int i = 0; i < Engines; ++i)
+    setVersion(i, "v2");
+  std::this_thread::sleep_for(1s);
+  killAllHosts();
+  startAllHosts();
+  std::this_thread::sleep_for(3 * RouteTimeout);
+  EXPECT_EQ(takeUpAll(GetParam()), 0);
+  EXPECT_EQ(countMixed(), 0);
+}
+
+// Guards against a version that leaves while no host runs.
+TEST_P(RestartedFleet, VersionLeavesWhileAllHostsAreDown) {
+  startFleet({"v1"});
+  beginStreams(0);
+  killAllHosts();
+  for (int i = 0; i < Engines; ++i)
+    setVersion(i, "v2");
+  startAllHosts();
+  std::this_thread::sleep_for(3 * RouteTimeout);
+  EXPECT_EQ(takeUpAll(GetParam()), 0);
+  EXPECT_EQ(countMixed(), 0);
+}
+
+// Guards against streams that are refused although there has been one version all along.
+TEST_P(RestartedFleet, AllHostsForgetStreamsOfTheOnlyVersion) {
+  startFleet({"v1"});
+  beginStreams(0);
+  killAllHosts();
+  startAllHosts();
+  std::this_thread::sleep_for(HostPause);
+  EXPECT_EQ(takeUpAll(GetParam()), Streams);
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts, RestartedFleet, ::testing::Values(4, 9));
+
+} // namespace
+} // namespace catkin::platform
