Pass the records of streams on to hosts that start again

Cause: the record of a stream is in the memory of the host that began it and of three others. A host that starts again has none and is sent none, so a restart of each host in turn that takes less time than a stream forgets all of them.

Change: a host that hears another one for the first time, in a new incarnation or after a silence (a freeze, a cut) sends it those of its records that the other one should keep, eight a datagram and 64 in 5 ms. A host that stops sends all records to their present keepers. A passed-on record keeps its age and doubt; it is doubted if it began after the start of its writer's successor. A host answers the heartbeat of a stopping host that it does not know.

--- a/src/config.h
+++ b/src/config.h
@@ -188,6 +188,7 @@
 constexpr auto FleetPermitTakeoverPause = FleetPermitMaxWait;
 constexpr auto FleetPermitTimeout = 100ms;      // then the issuer is asked again
 constexpr auto FleetStreamAnswerTimeout = 80ms; // then the keepers of a stream are asked again
+constexpr auto FleetMaxClockError = 2s;         // of hosts and endpoints, and of whole seconds
 constexpr auto FleetMaxStreamAge = std::chrono::minutes(30); // until a caller last takes it up
 constexpr auto FleetConfirmTimeout = 500ms; // for an endpoint to confirm its incarnation
 constexpr auto FleetStopMin = 4000ms;       // callers that keep addresses longest have then left
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -42,8 +42,6 @@
 constexpr Duration LargeFleetReportDelay = std::chrono::milliseconds(1900);
 // Within which a host that watches the registry reads that an endpoint has come back.
 constexpr Duration MaxEntryDelay = std::chrono::seconds(3);
-// Difference of the clocks of hosts and endpoints, and of whole seconds.
-constexpr Duration MaxClockError = std::chrono::seconds(2);
 
 } // namespace
 
@@ -205,7 +203,7 @@
   Instant earliestAnswer(const FleetEndpoint &entry) const {
     const Instant unread = std::min(registryCurrentAt, env.now()) - maxEntryDelay();
     const Duration age = std::chrono::seconds(env.wallSeconds() - entry.startedAtSeconds);
-    return std::max(unread, env.now() - std::max(age, Duration()) - MaxClockError);
+    return std::max(unread, env.now() - std::max(age, Duration()) - config::FleetMaxClockError);
   }
 
   /// Returns the longest time after which this host reads that an endpoint has come back.
@@ -451,6 +449,8 @@
       permits.onReply(*m);
     else if (auto *m = std::get_if<StreamBegun>(&message))
       streams.onBegun(*m);
+    else if (auto *m = std::get_if<StreamRecords>(&message))
+      streams.onRecords(*m);
     else if (auto *m = std::get_if<StreamQuestion>(&message))
       streams.onQuestion(*m, from);
     else if (auto *m = std::get_if<StreamAnswer>(&message))
@@ -466,7 +466,12 @@
   }
 
   void onHeartbeat(const FleetHeartbeat &message, const Address &from) {
-    peers.onHeartbeat(message, env.now());
+    if (const auto appeared = peers.onHeartbeat(message, env.now()))
+      streams.shareWith(*appeared);
+    // A host that stops has no registration any more, so that this host does not send it heartbeats
+    // if it has started since. The other host must hear it, to pass on its records of streams.
+    if (message.leaving && !peers.isKnown(message.host))
+      links.send({from}, makeHeartbeat(env.now()));
     configuration.onPeerVersion(message.configVersion);
     for (auto &it : message.leavingEndpoints)
       view.onLeaving(it, env.now(), true);
@@ -485,7 +490,8 @@
     for (auto &digest : message.digests) {
       if (digest.dataCentre == options.self.dataCentre)
         continue;
-      peers.onDigest(digest, now);
+      for (auto &it : peers.onDigest(digest, now))
+        streams.shareWith(it);
       configuration.onPeerVersion(digest.configVersion);
       for (auto &it : digest.leavingEndpoints)
         view.onLeaving(it, now, true);
@@ -735,6 +741,7 @@
 void FleetHost::beginStop(Instant end, std::function<void()> done) {
   impl->stopping = true;
   impl->gateway.setStop(impl->env.now() + config::FleetLongRequestRefusalDelay, end);
+  impl->streams.shareAll();
   impl->unregister([] {});
   impl->planner.stop(std::move(done));
 }
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -455,6 +455,8 @@
     message = readPermitReply(in);
   else if (type == "stream_begun")
     message = readStreamBegun(in);
+  else if (type == "stream_records")
+    message = readStreamRecords(in);
   else if (type == "stream_question")
     message = readStreamQuestion(in);
   else if (type == "stream_answer")
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -143,6 +143,21 @@
   Duration lifetime{}; ///< for which the record is needed
 };
 
+/// A record of a stream that another host has made.
+struct StreamRecord {
+  StreamKey key;
+  StreamOrigin origin;
+  Duration age{};        ///< since the first event
+  Duration lifetime{};   ///< for which it is still needed
+  bool doubtful = false; ///< it is not to be believed
+};
+
+/// Sent to a host that should keep these records and may not have them, since it has started or was
+/// unreachable.
+struct StreamRecords {
+  std::vector<StreamRecord> records;
+};
+
 /// Asks a host for the origin of a stream.
 struct StreamQuestion {
   std::uint64_t id = 0; ///< of the sender
@@ -157,9 +172,9 @@
   Duration age{};        ///< of the record
 };
 
-using FleetMessage =
-    std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices, FleetDigests,
-                 PermitRequest, PermitReply, StreamBegun, StreamQuestion, StreamAnswer>;
+using FleetMessage = std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices,
+                                  FleetDigests, PermitRequest, PermitReply, StreamBegun,
+                                  StreamRecords, StreamQuestion, StreamAnswer>;
 
 /// Encodes a message as JSON.
 std::string encodeFleetMessage(const FleetMessage &message);
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -60,12 +60,15 @@
 
 void FleetPeers::remove(const HostName &host) { peers.erase(host); }
 
-void FleetPeers::onHeartbeat(const FleetHeartbeat &heartbeat, Instant now) {
+std::optional<Address> FleetPeers::onHeartbeat(const FleetHeartbeat &heartbeat, Instant now) {
   auto it = peers.find(heartbeat.host);
   if (it == peers.end() || it->second.entry.incarnation > heartbeat.incarnation)
-    return;
+    return std::nullopt;
+  const bool wasAlive =
+      isAlive(it->second, now) && it->second.heartbeat.incarnation == heartbeat.incarnation;
   it->second.heartbeat = heartbeat;
   it->second.heardAt = now;
+  return wasAlive ? std::nullopt : std::optional(it->second.entry.peerAddress);
 }
 
 bool FleetPeers::isAlive(const Peer &peer, Instant now) const {
@@ -273,9 +276,10 @@
   return out;
 }
 
-void FleetPeers::onDigest(const DataCentreDigest &digest, Instant now) {
+std::vector<Address> FleetPeers::onDigest(const DataCentreDigest &digest, Instant now) {
+  std::vector<Address> appeared;
   if (digest.dataCentre == self.dataCentre)
-    return;
+    return appeared;
   std::map<HostName, const HostStatus *> unhealthyHosts;
   for (auto &it : digest.unhealthyHosts)
     unhealthyHosts[it.host] = &it;
@@ -287,6 +291,8 @@
         found == unhealthyHosts.end() ? HostStatus{host, true, true, false, true} : *found->second;
     if (!state.alive)
       continue; // stays silent unless its own heartbeats arrive here
+    if (!isAlive(peer, now))
+      appeared.push_back(peer.entry.peerAddress);
     peer.heardAt = now;
     peer.heartbeat.ready = state.ready;
     peer.heartbeat.leaving = state.leaving;
@@ -294,6 +300,7 @@
     peer.heartbeat.configVersion = digest.configVersion;
     peer.heartbeat.loads.clear(); // included in the totals of its data centre
   }
+  return appeared;
 }
 
 std::vector<ConfigHolder> FleetPeers::configHolders(Instant now) const {
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -36,8 +36,10 @@
   void put(const FleetHostEntry &entry);
   /// Removes a host whose registration is gone.
   void remove(const HostName &host);
-  /// Records a heartbeat. One of an unknown host or of an older incarnation is ignored.
-  void onHeartbeat(const FleetHeartbeat &heartbeat, Instant now);
+  bool isKnown(const HostName &host) const { return peers.count(host) > 0; }
+  /// Records a heartbeat. One of an unknown host or of an older incarnation is ignored. Returns the
+  /// address of the host if this incarnation was not alive before.
+  std::optional<Address> onHeartbeat(const FleetHeartbeat &heartbeat, Instant now);
   /// Returns the addresses of all other registered hosts.
   std::vector<Address> peerAddresses() const;
   /// Returns the addresses of the other hosts in this host's data centre.
@@ -55,8 +57,9 @@
   /// Returns the digest of this data centre from this host's own `state` and the heartbeats of the
   /// others.
   DataCentreDigest makeDigest(const FleetHeartbeat &state, Instant now) const;
-  /// Applies the digest of another data centre to its hosts.
-  void onDigest(const DataCentreDigest &digest, Instant now);
+  /// Applies the digest of another data centre to its hosts. Returns the addresses of those that
+  /// were not alive before.
+  std::vector<Address> onDigest(const DataCentreDigest &digest, Instant now);
   /// Returns the number of registered hosts, this one included.
   int hostCount() const { return static_cast<int>(peers.size()) + 1; }
   /// Returns the hosts that may become the planner: alive, connected to the store, not leaving, and
--- a/src/stream_keepers.cpp
+++ b/src/stream_keepers.cpp
@@ -1,6 +1,7 @@
 #include "stream_keepers_p.h"
 
 #include "config.h"
+#include "log_p.h"
 
 #include <algorithm>
 #include <set>
@@ -12,6 +13,11 @@
 
 constexpr int MaxAsks = 2; // for one stream, since a datagram may be lost
 
+// Records are passed on in small parts, so that neither this host nor the receiver is held up.
+constexpr std::size_t RecordsPerStep = 64;
+constexpr std::size_t RecordsPerMessage = 8; // about 1.5 KB
+constexpr Duration StepPause = std::chrono::milliseconds(5);
+
 } // namespace
 
 struct StreamKeepers::Impl : std::enable_shared_from_this<StreamKeepers::Impl> {
@@ -32,6 +38,14 @@
   std::map<std::uint64_t, Ask> asks;
   std::uint64_t lastId = 0;
 
+  /// Passes records on to other hosts, a part of them in each step.
+  struct Sharing {
+    std::set<Address> receivers; ///< empty for all keepers of each record
+    std::vector<StreamKey> keys; ///< not yet passed on
+  };
+  std::optional<Sharing> sharing;
+  std::set<Address> nextReceivers; ///< once `sharing` is done
+
   Impl(CoreEnv &env, const FleetView &view, StreamKeepersHooks hooks)
       : env(env), view(view), hooks(std::move(hooks)) {}
 
@@ -48,6 +62,74 @@
            state->entry.softwareVersion != origin.version;
   }
 
+  /// Returns true if the stream began after the writer's successor had started.
+  bool beganAfterReplacement(const StreamOrigin &origin, Instant began) const {
+    if (!wasReplaced(origin))
+      return false;
+    const auto &entry = view.find(origin.writer.endpoint)->entry;
+    const Duration age = std::chrono::seconds(env.wallSeconds() - entry.startedAtSeconds);
+    return began >= env.now() - age - config::FleetMaxClockError;
+  }
+
+  void onRecord(const StreamRecord &it) {
+    const auto clampAge = [](Duration d) {
+      return std::clamp<Duration>(d, Duration(), config::FleetMaxStreamAge);
+    };
+    const Instant now = env.now();
+    const Instant began = now - clampAge(it.age);
+    origins.merge(it.key, {.origin = it.origin,
+                           .since = began,
+                           .expiresAt = now + clampAge(it.lifetime),
+                           .doubtful = it.doubtful || beganAfterReplacement(it.origin, began)});
+  }
+
+  void share(std::set<Address> receivers) {
+    if (origins.size() == 0)
+      return;
+    logLine(LogLevel::Info, "records of streams passed on",
+            {{"records", origins.size()}, {"receivers", receivers.size()}});
+    const bool isRunning = sharing.has_value();
+    sharing = Sharing{.receivers = std::move(receivers), .keys = origins.keys()};
+    if (!isRunning)
+      env.after(StepPause, [self = shared_from_this()] { self->shareStep(); });
+  }
+
+  void shareStep() {
+    std::map<Address, StreamRecords> messages;
+    for (std::size_t n = 0; n < RecordsPerStep && !sharing->keys.empty(); ++n) {
+      addToMessages(sharing->keys.back(), messages);
+      sharing->keys.pop_back();
+    }
+    for (auto &[to, message] : messages)
+      hooks.send(to, message);
+    if (!sharing->keys.empty())
+      return env.after(StepPause, [self = shared_from_this()] { self->shareStep(); });
+    sharing.reset();
+    if (!nextReceivers.empty())
+      share(std::exchange(nextReceivers, {}));
+  }
+
+  /// Adds a record to the messages to those receivers that should keep it, and sends full messages.
+  void addToMessages(const StreamKey &key, std::map<Address, StreamRecords> &messages) {
+    auto *it = origins.find(key);
+    if (!it)
+      return;
+    const Instant now = env.now();
+    const StreamRecord record{.key = key,
+                              .origin = it->origin,
+                              .age = now - it->since,
+                              .lifetime = it->expiresAt - now,
+                              .doubtful = it->doubtful};
+    for (auto &to : hooks.keepers(key, Keepers)) {
+      if (!sharing->receivers.empty() && sharing->receivers.count(to) == 0)
+        continue;
+      auto &message = messages[to];
+      message.records.push_back(record);
+      if (message.records.size() >= RecordsPerMessage)
+        hooks.send(to, messages.extract(to).mapped());
+    }
+  }
+
   OriginAnswer ownAnswer(const StreamKey &key) const {
     auto *it = origins.find(key);
     if (!it)
@@ -172,6 +254,20 @@
                std::clamp<Duration>(message.lifetime, Duration(), config::FleetMaxStreamAge));
 }
 
+void StreamKeepers::shareWith(const Address &host) {
+  if (impl->sharing)
+    impl->nextReceivers.insert(host);
+  else
+    impl->share({host});
+}
+
+void StreamKeepers::shareAll() { impl->share({}); }
+
+void StreamKeepers::onRecords(const StreamRecords &message) {
+  for (auto &it : message.records)
+    impl->onRecord(it);
+}
+
 void StreamKeepers::onQuestion(const StreamQuestion &message, const Address &from) {
   const OriginAnswer own = impl->ownAnswer(message.key);
   impl->hooks.send(from, StreamAnswer{.id = message.id,
--- a/src/stream_keepers_p.h
+++ b/src/stream_keepers_p.h
@@ -38,8 +38,14 @@
   void find(const StreamKey &key, const std::vector<ServiceWeight> &services,
             const Done &done) override;
 
+  /// Sends a host that has started or was unreachable the records that it should keep.
+  void shareWith(const Address &host);
+  /// Sends all records to their present keepers, since this host stops.
+  void shareAll();
+
   /// Messages of other hosts.
   void onBegun(const StreamBegun &message);
+  void onRecords(const StreamRecords &message);
   void onQuestion(const StreamQuestion &message, const Address &from);
   void onAnswer(const StreamAnswer &message, const Address &from);
   /// An endpoint is registered with another incarnation than was known. This host may not have
--- a/src/stream_messages.cpp
+++ b/src/stream_messages.cpp
@@ -37,6 +37,17 @@
           {"lifetime_us", m.lifetime.count()}};
 }
 
+json::object toJson(const StreamRecords &m) {
+  json::array records;
+  for (auto &it : m.records)
+    records.push_back(json::object{{"key", it.key.hash},
+                                   {"origin", toJson(it.origin)},
+                                   {"age_us", it.age.count()},
+                                   {"lifetime_us", it.lifetime.count()},
+                                   {"doubtful", it.doubtful}});
+  return {{"type", "stream_records"}, {"records", records}};
+}
+
 json::object toJson(const StreamQuestion &m) {
   return {{"type", "stream_question"}, {"id", m.id}, {"key", m.key.hash}};
 }
@@ -58,6 +69,20 @@
   return out;
 }
 
+StreamRecords readStreamRecords(JsonReader &in) {
+  StreamRecords out;
+  in.objects("records", [&](JsonReader &it) {
+    const auto origin = readOrigin(it);
+    it.ok = it.ok && origin;
+    out.records.push_back({.key = {it.unsignedInt("key")},
+                           .origin = origin.value_or(StreamOrigin{}),
+                           .age = it.micros("age_us"),
+                           .lifetime = it.micros("lifetime_us"),
+                           .doubtful = it.flag("doubtful")});
+  });
+  return out;
+}
+
 StreamQuestion readStreamQuestion(JsonReader &in) {
   return {.id = in.unsignedInt("id"), .key = {in.unsignedInt("key")}};
 }
--- a/src/stream_messages_p.h
+++ b/src/stream_messages_p.h
@@ -7,10 +7,12 @@
 namespace catkin {
 
 json::object toJson(const StreamBegun &m);
+json::object toJson(const StreamRecords &m);
 json::object toJson(const StreamQuestion &m);
 json::object toJson(const StreamAnswer &m);
 /// Malformed fields clear `ok` of the reader.
 StreamBegun readStreamBegun(JsonReader &in);
+StreamRecords readStreamRecords(JsonReader &in);
 StreamQuestion readStreamQuestion(JsonReader &in);
 StreamAnswer readStreamAnswer(JsonReader &in);
 
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -12,14 +12,19 @@
 
 void StreamOrigins::record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime,
                            Instant now) {
-  auto [it, isNew] = records.try_emplace(key, Record{.origin = origin, .since = now});
+  merge(key, {.origin = origin, .since = now, .expiresAt = now + lifetime});
+}
+
+void StreamOrigins::merge(const StreamKey &key, const Record &added) {
+  auto [it, isNew] = records.try_emplace(key, added);
   auto &record = it->second;
-  const bool sameVersion =
-      record.origin.service == origin.service && record.origin.version == origin.version;
-  record.doubtful = record.doubtful || !sameVersion;
+  const bool sameVersion = record.origin.service == added.origin.service &&
+                           record.origin.version == added.origin.version;
+  record.doubtful = record.doubtful || added.doubtful || !sameVersion;
+  record.since = std::min(record.since, added.since);
   if (!isNew)
     byExpiry.erase({record.expiresAt, key});
-  record.expiresAt = std::max(record.expiresAt, now + lifetime);
+  record.expiresAt = std::max(record.expiresAt, added.expiresAt);
   byExpiry.emplace(record.expiresAt, key);
   if (records.size() > capacity)
     drop(records.find(byExpiry.begin()->second));
@@ -46,6 +51,14 @@
   return it == records.end() ? nullptr : &it->second;
 }
 
+std::vector<StreamKey> StreamOrigins::keys() const {
+  std::vector<StreamKey> out;
+  out.reserve(records.size());
+  for (auto &[key, record] : records)
+    out.push_back(key);
+  return out;
+}
+
 void StreamOrigins::expire(Instant now) {
   while (!byExpiry.empty() && byExpiry.begin()->first <= now)
     drop(records.find(byExpiry.begin()->second));
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <set>
+#include <vector>
 
 /// One host's records of the origins of streams, in bounded memory.
 namespace catkin {
@@ -26,6 +27,8 @@
   /// Records an origin or extends its record. If all records are in use, the one that expires first
   /// is dropped.
   void record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime, Instant now);
+  /// Adds a record of another host, or extends this host's record of the stream.
+  void merge(const StreamKey &key, const Record &record);
   /// The record is not to be believed.
   void doubt(const StreamKey &key);
   /// This incarnation now runs under the endpoint's name. If it is of another version, it may have
@@ -35,6 +38,7 @@
   const Record *find(const StreamKey &key) const;
   void expire(Instant now);
   std::size_t size() const { return records.size(); }
+  std::vector<StreamKey> keys() const;
 
 private:
   void drop(std::map<StreamKey, Record>::iterator it);
--- a/tests/stream_keepers_test.cpp
+++ b/tests/stream_keepers_test.cpp
@@ -26,31 +26,30 @@
     introduceHosts();
   }
 
-  void addHost(int number) {
-    hosts.push_back(std::make_unique<Host>(entryOf(number)));
-    auto *host = hosts.back().get();
-    host->streams = std::make_unique<StreamKeepers>(
-        env, host->view,
-        StreamKeepersHooks{
-            .keepers =
-                [this, host](auto &key, int count) {
-                  return host->peers.rankedHosts(key.hash, count, env.now());
-                },
-            .send = [this, host](auto &to, auto &message) { send(*host, to, message); },
-            .findOnlyVersion = [this](auto &, auto done) { done(recorded); }});
-  }
+  void addHost(int number) { hosts.push_back(makeHost(entryOf(number))); }
 
   /// All hosts hear all others that are reachable.
   void introduceHosts() {
     for (auto &it : hosts)
-      for (auto &other : hosts) {
-        if (it == other)
-          continue;
-        it->peers.put(other->entry);
-        if (other->reachable)
-          it->peers.onHeartbeat({.host = other->entry.host, .incarnation = 1, .ready = true},
-                                env.now());
-      }
+      for (auto &other : hosts)
+        if (it != other)
+          hear(*it, *other);
+  }
+
+  /// Starts a host again, with none of its records.
+  void restart(int number) {
+    auto &old = at(number);
+    FleetHostEntry entry = old.entry;
+    ++entry.incarnation;
+    auto &slot = hosts.at(static_cast<std::size_t>(number));
+    retired.push_back(std::move(slot));
+    slot = makeHost(entry);
+    for (auto &it : hosts) {
+      if (it == slot)
+        continue;
+      hear(*it, *slot);
+      hear(*slot, *it);
+    }
   }
 
   void begin(int host, const StreamKey &key, const std::string &version = "v1") {
@@ -97,6 +96,33 @@
             .dataCentre = DataCentreName("a")};
   }
 
+  std::unique_ptr<Host> makeHost(const FleetHostEntry &entry) {
+    auto out = std::make_unique<Host>(entry);
+    auto *host = out.get();
+    host->streams = std::make_unique<StreamKeepers>(
+        env, host->view,
+        StreamKeepersHooks{
+            .keepers =
+                [this, host](auto &key, int count) {
+                  return host->peers.rankedHosts(key.hash, count, env.now());
+                },
+            .send = [this, host](auto &to, auto &message) { send(*host, to, message); },
+            .findOnlyVersion = [this](auto &, auto done) { done(recorded); }});
+    return out;
+  }
+
+  /// The first host hears the second one if that is reachable.
+  void hear(Host &host, const Host &other) {
+    host.peers.put(other.entry);
+    if (!other.reachable)
+      return;
+    const auto appeared = host.peers.onHeartbeat(
+        {.host = other.entry.host, .incarnation = other.entry.incarnation, .ready = true},
+        env.now());
+    if (appeared)
+      host.streams->shareWith(*appeared);
+  }
+
   void send(Host &from, const Address &to, const FleetMessage &message) {
     ++messages;
     const bool isLost = static_cast<double>(env.random() % 1000) < messageLoss * 1000;
@@ -110,6 +136,8 @@
         return;
       if (auto *m = std::get_if<StreamBegun>(&*decoded))
         target.streams->onBegun(*m);
+      else if (auto *m = std::get_if<StreamRecords>(&*decoded))
+        target.streams->onRecords(*m);
       else if (auto *m = std::get_if<StreamQuestion>(&*decoded))
         target.streams->onQuestion(*m, from);
       else if (auto *m = std::get_if<StreamAnswer>(&*decoded))
@@ -118,6 +146,7 @@
   }
 
   std::vector<std::unique_ptr<Host>> hosts;
+  std::vector<std::unique_ptr<Host>> retired; ///< processes that have ended
 };
 
 StreamKey keyOf(int n) { return streamKey("request-" + std::to_string(n)); }
@@ -198,6 +227,70 @@
   EXPECT_EQ(unanswered, GetParam() > 4 ? unanswered : 0);
 }
 
+// Guards against records that are lost with the last host that has not started again.
+TEST_P(StreamKeepersOf, OriginsDieWithHostsThatStartAgainInTurn) {
+  constexpr int MaxRestarts = 40; // of the first hosts
+  beginAll();
+  fleet.env.run(Latency);
+  for (int n = 0; n < std::min(fleet.size(), MaxRestarts); ++n) {
+    fleet.restart(n);
+    fleet.env.run(1s);
+    fleet.introduceHosts();
+  }
+  EXPECT_EQ(countKnown(), Streams);
+  EXPECT_EQ(fleet.at(fleet.size() - 1).streams->size() > 0, true);
+}
+
+// Guards against records that a host missed while it was frozen, after the others have died.
+TEST_P(StreamKeepersOf, OriginsBeganWhileTheirKeeperWasFrozen) {
+  const int frozen = fleet.size() - 1;
+  fleet.setReachable(frozen, false);
+  fleet.env.run(10s);
+  fleet.introduceHosts();
+  beginAll();
+  fleet.env.run(1s);
+  fleet.setReachable(frozen, true);
+  fleet.introduceHosts();
+  fleet.env.run(1s);
+  const auto address = fleet.at(frozen).entry.peerAddress;
+  for (int n = 0; n < frozen; ++n)
+    fleet.setReachable(n, false);
+  for (int i = 0; i < Streams; ++i) {
+    const auto keepers =
+        fleet.at(0).peers.rankedHosts(keyOf(i).hash, StreamKeepers::Keepers, fleet.env.now());
+    if (std::count(keepers.begin(), keepers.end(), address) > 0) {
+      EXPECT_EQ(fleet.ask(frozen, keyOf(i)).source, OriginSource::OwnRecord);
+    }
+  }
+}
+
+// Guards against a stop that takes records with it which a lost message had not copied.
+TEST_P(StreamKeepersOf, StoppingHostTakesItsRecordsAlong) {
+  fleet.messageLoss = 1;
+  beginAll();
+  fleet.messageLoss = 0;
+  fleet.at(0).streams->shareAll();
+  fleet.env.run(1s);
+  fleet.setReachable(0, false);
+  EXPECT_EQ(countKnown(), Streams);
+}
+
+// Guards against a record that is believed though the writer's successor was up before it began.
+TEST_P(StreamKeepersOf, PassedOnRecordNamesTheWrongVersion) {
+  FleetEndpoint successor = makeEndpoint(2, "v2");
+  successor.startedAtSeconds = -60; // the wall clock of the fake environment is at 0
+  auto &last = fleet.at(fleet.size() - 1);
+  last.view.putEndpoint(successor, fleet.env.now());
+  const StreamOrigin origin{.service = Service, .version = SoftwareVersion("v1"), .writer = Writer};
+  last.streams->onRecords(
+      {{{.key = keyOf(0), .origin = origin, .age = 90s, .lifetime = 20s},
+        {.key = keyOf(1), .origin = origin, .age = 30s, .lifetime = 20s},
+        {.key = keyOf(2), .origin = origin, .age = 90s, .lifetime = 20s, .doubtful = true}}});
+  EXPECT_TRUE(fleet.ask(fleet.size() - 1, keyOf(0)).origin) << "before the successor's start";
+  EXPECT_EQ(fleet.ask(fleet.size() - 1, keyOf(1)).source, OriginSource::Doubtful);
+  EXPECT_EQ(fleet.ask(fleet.size() - 1, keyOf(2)).source, OriginSource::Doubtful);
+}
+
 TEST_P(StreamKeepersOf, StaleEntryNamesTheWrongVersion) {
   for (int i = 0; i < fleet.size(); ++i)
     fleet.at(i).view.putEndpoint(makeEndpoint(1, "v1"), fleet.env.now());
--- a/tests/stream_restart_test.cpp
+++ b/tests/stream_restart_test.cpp
@@ -72,6 +72,25 @@
     ASSERT_TRUE(cluster.waitUntilReady());
   }
 
+  /// Stops the hosts in turn, as for a new release of the daemon, and starts each one again.
+  void restartInTurn() {
+    constexpr auto StopGap = 1s;
+    constexpr auto StopTime = 4500ms; // of a host without requests
+    std::vector<std::thread> stops;
+    for (int n = 0; n < GetParam(); ++n) {
+      stops.emplace_back([this, n, StopTime] {
+        cluster.signalHost(n, SIGTERM);
+        std::this_thread::sleep_for(StopTime);
+        cluster.signalHost(n, SIGKILL); // has ended by now
+        cluster.startHost(n);
+      });
+      std::this_thread::sleep_for(StopGap);
+    }
+    for (auto &it : stops)
+      it.join();
+    ASSERT_TRUE(cluster.waitUntilReady());
+  }
+
   StreamProgress &at(int n) { return streams[static_cast<std::size_t>(n)]; }
 
   PlatformCluster cluster;
@@ -116,6 +135,17 @@
   EXPECT_EQ(takeUpAll(GetParam()), Streams);
 }
 
+// Guards against hosts that stop and start in turn until none has the records of streams.
+TEST_P(RestartedFleet, RestartsInTurnForgetStreamsOfTwoVersions) {
+  startFleet({"v1", "v2"});
+  cluster.changeConfig({.timeout = 20s});
+  std::this_thread::sleep_for(1s);
+  beginStreams(GetParam() - 1);
+  restartInTurn();
+  EXPECT_EQ(takeUpAll(GetParam()), Streams);
+  EXPECT_EQ(countMixed(), 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Hosts, RestartedFleet, ::testing::Values(4, 9));
 
 } // namespace
