Answer the requests that a stop ends, before the process ends

Callers saw: in a planned stop, requests at engines slower than the grace time were cut with no answer when the process ended, also those that may run only once (users' report).

Cause: a request whose deadline lies behind the end of the grace time is taken in the first 2.3 s of a stop, and nothing ended it but the process. With a grace time below 2.3 s that held for all requests, and a request whose deadline was the end itself lost its 504, which comes 60 ms later.

Evidence (test of daemons as processes, engines that need 12 s, a new request every 150 ms from 1 s before SIGTERM): 22 requests ran and got no answer, sent from 1 s before to 2.15 s after the signal; later ones were refused.

Change: 200 ms before its end the stop ends all requests in progress. Each is answered with 504, may have run, or with 503, not run, if it was not sent; a stream that has begun is cut and can be taken up elsewhere. Requests that might last longer are refused from a third of a short grace time on.

After: no request without an answer, none that was refused had run; the same with engines of 4 s beside a timeout of 5 s, and with two SIGTERM and two SIGHUP during the stop. Not tried: uploads in chunks that end late in the grace time.

--- a/src/config.h
+++ b/src/config.h
@@ -191,7 +191,10 @@
 constexpr auto FleetMaxClockError = 2s;         // of hosts and endpoints, and of whole seconds
 constexpr auto FleetMaxStreamAge = std::chrono::minutes(30); // until a caller last takes it up
 constexpr auto FleetConfirmTimeout = 500ms; // for an endpoint to confirm its incarnation
-constexpr auto FleetStopMin = 4000ms;       // callers that keep addresses longest have then left
+// Before the end of a stop, for the answers to requests that it ends. An endpoint that stops work
+// at the deadline reports this a little later than that.
+constexpr auto FleetStopAnswerTime = 200ms;
+constexpr auto FleetStopMin = 4000ms; // callers that keep addresses longest have then left
 constexpr std::size_t FleetBodyBytes = 4 * 1024 * 1024 + 4096;
 constexpr std::size_t FleetHeaderBytes = 32 * 1024;
 constexpr std::size_t FleetBufferedBytes = 64 * 1024 * 1024;
--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -20,6 +20,11 @@
   impl->stopEnd = end;
 }
 
+void FleetGateway::endRequests() {
+  for (auto *it : impl->requests)
+    it->endByStop();
+}
+
 DemandMeter &FleetGateway::demand() { return impl->demand; }
 
 const std::map<std::pair<EndpointName, ModelRef>, int> &FleetGateway::runningRequests() const {
@@ -28,6 +33,6 @@
 
 FleetMetrics &FleetGateway::metrics() { return impl->metrics; }
 
-int FleetGateway::activeRequests() const { return impl->activeRequests; }
+int FleetGateway::activeRequests() const { return static_cast<int>(impl->requests.size()); }
 
 } // namespace catkin
--- a/src/fleet_gateway_impl_p.h
+++ b/src/fleet_gateway_impl_p.h
@@ -4,11 +4,14 @@
 #include "config.h"
 #include "fleet_gateway_p.h"
 
+#include <set>
 #include <utility>
 
 /// State of the gateway that its requests share.
 namespace catkin {
 
+class RequestForwarder;
+
 struct FleetGateway::Impl {
   asio::any_io_executor executor;
   FleetView &view;
@@ -26,9 +29,9 @@
   FleetMetrics metrics;
   DemandMeter demand;
   std::map<std::pair<EndpointName, ModelRef>, int> runningRequests;
-  int activeRequests = 0;
+  std::set<RequestForwarder *> requests; ///< in progress
   Instant refuseFrom = Instant::max();
-  Instant stopEnd = Instant::max();
+  Instant stopEnd = Instant::max(); ///< when requests in progress are ended
 
   Impl(const asio::any_io_executor &executor, FleetView &view, const RequestCodec &codec,
        FleetGatewayOptions options, FleetGatewayHooks hooks)
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -121,9 +121,12 @@
 
   /// The request rates of this host.
   DemandMeter &demand();
-  /// Announces that the process stops at `end`. From `refuseFrom` on, requests that might last
-  /// longer are refused, since their callers know other hosts by then.
+  /// Announces that endRequests() will be called at `end`. From `refuseFrom` on, requests that
+  /// might last longer are refused, since their callers know other hosts by then.
   void setStop(Instant refuseFrom, Instant end);
+  /// Ends all requests in progress, since the process stops: each caller gets an error that says
+  /// whether its request may have run, or its stream is cut.
+  void endRequests();
   /// Numbers of requests in progress, by endpoint and model.
   const std::map<std::pair<EndpointName, ModelRef>, int> &runningRequests() const;
   FleetMetrics &metrics();
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -740,7 +740,13 @@
 
 void FleetHost::beginStop(Instant end, std::function<void()> done) {
   impl->stopping = true;
-  impl->gateway.setStop(impl->env.now() + config::FleetLongRequestRefusalDelay, end);
+  constexpr int RefusalShare = 3; // of the grace time, if that is short
+  const Instant now = impl->env.now();
+  const Instant requestsEnd = end - config::FleetStopAnswerTime;
+  const Duration refusalDelay =
+      std::min<Duration>(config::FleetLongRequestRefusalDelay, (requestsEnd - now) / RefusalShare);
+  impl->gateway.setStop(now + refusalDelay, requestsEnd);
+  impl->env.after(requestsEnd - now, [self = impl] { self->gateway.endRequests(); });
   impl->streams.shareAll();
   impl->unregister([] {});
   impl->planner.stop(std::move(done));
--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -51,6 +51,8 @@
 AttemptFailure RequestForwarder::failureOf(const HttpStream &stream) const {
   if (exchange.isCallerGone())
     return AttemptFailure::CallerGone;
+  if (endedByStop && stream.status() != HttpTransferStatus::NotConnected)
+    return AttemptFailure::DeadlinePassed;
   switch (stream.status()) {
   case HttpTransferStatus::NotConnected:
     return AttemptFailure::NotConnected;
--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -32,7 +32,18 @@
 
 } // namespace
 
-void RequestForwarder::onCallerGone() {
+void RequestForwarder::onCallerGone() { cancelPending(); }
+
+void RequestForwarder::endByStop() {
+  endedByStop = true;
+  logLine(
+      LogLevel::Warn, "request ended by the stop of this host",
+      {{"request", caller.id}, {"sends", sends}, {"took_ms", toMillis(g.hooks.now() - arrivedAt)}});
+  cancelPending();
+}
+
+/// Ends the wait or the attempt in progress.
+void RequestForwarder::cancelPending() {
   waitTimer.cancel();
   if (currentStream)
     currentStream->cancel();
@@ -125,7 +136,7 @@
       logRequest(0, "caller_gone");
       co_return;
     }
-    if (!chosen || permitDenials >= MaxPermitDenials || hasLostItsOrigin()) {
+    if (!chosen || permitDenials >= MaxPermitDenials || hasLostItsOrigin() || endedByStop) {
       co_await finishUnanswered();
       co_return;
     }
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -26,17 +26,19 @@
   RequestForwarder(FleetGateway::Impl &gateway, HttpExchange &exchange)
       : g(gateway), exchange(exchange), waitTimer(g.executor), bufferReservation(g.buffers),
         arrivedAt(g.hooks.now()) {
-    ++g.activeRequests;
+    g.requests.insert(this);
     exchange.onCallerGone([this] { onCallerGone(); });
   }
   ~RequestForwarder() {
-    --g.activeRequests;
+    g.requests.erase(this);
     exchange.onCallerGone({});
   }
   RequestForwarder(const RequestForwarder &) = delete;
   RequestForwarder &operator=(const RequestForwarder &) = delete;
 
   asio::awaitable<void> run();
+  /// Ends the request as at its deadline, since the process stops.
+  void endByStop();
 
 private:
   static constexpr int MaxSends = 6; ///< of one request, including refused sends
@@ -108,10 +110,13 @@
     return search->hasReachedEndpointLimit() && missingAnswers > MaxMissingAnswers;
   }
   void onCallerGone();
+  void cancelPending();
   void logRequest(unsigned status, std::string_view outcome);
   void logFailedAttempt(const FleetEndpoint &to);
   boost::json::object describeChoice(const EndpointState &chosen) const;
-  Duration remainingTime() const { return limit - (g.hooks.now() - arrivedAt); }
+  Duration remainingTime() const {
+    return endedByStop ? Duration::zero() : limit - (g.hooks.now() - arrivedAt);
+  }
   bool isDeadlinePassed() const { return remainingTime() <= Duration::zero(); }
 
   FleetGateway::Impl &g;
@@ -126,8 +131,9 @@
   ServiceName service;
   std::optional<SoftwareVersion> requiredVersion; ///< of a stream that the caller takes up
   bool versionSought = false;                     ///< the registry was read again for the version
-  Duration limit{};      ///< for the complete answer, from the request's arrival
-  Duration startLimit{}; ///< for the start of the answer; the caller disconnects after it
+  Duration limit{};         ///< for the complete answer, from the request's arrival
+  Duration startLimit{};    ///< for the start of the answer; the caller disconnects after it
+  bool endedByStop = false; ///< the process stops before the deadline
   HttpStream *currentStream = nullptr;  ///< of the attempt in progress
   std::optional<EndpointSearch> search; ///< set once the service is known
   boost::json::array choices; ///< for the log: each chosen endpoint and the inputs of the choice
--- a/src/request_outcome.cpp
+++ b/src/request_outcome.cpp
@@ -37,7 +37,9 @@
     co_return;
   }
   if (state.earlierMayHaveRun) {
-    co_await refuse(isDeadlinePassed() ? 504 : 502, "the endpoint failed");
+    co_await refuse(isDeadlinePassed() ? 504 : 502,
+                    endedByStop ? "this host stops before the endpoint has answered"
+                                : "the endpoint failed");
     co_return;
   }
   if (quarantineVerdict.kind == QuarantineVerdict::Kind::Quarantined)
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -82,7 +82,7 @@
                       {"loads_per_s", 10.0},
                       {"models", list}};
   json::array routes{makeRoute("r", "/s/", "streaming", config.timeout, Service),
-                     makeRoute("once", "/u/", "unsafe", 3s, PlainService)};
+                     makeRoute("once", "/u/", "unsafe", config.onceTimeout, PlainService)};
   if (config.extraRoute)
     routes.push_back(makeRoute("extra", "/x/", "unsafe", 3s, PlainService));
   json::object service{
@@ -486,7 +486,7 @@
   if (request["Expect-Instance"] == id) {
     limit.onCall(request);
     ++runsById[requestId];
-    co_await sleepFor(EventPause);
+    co_await sleepFor(workTime);
     response = makeResponse(200);
     response.body() = "done " + requestId;
     response.set("Server-Stamp", id);
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -187,6 +187,7 @@
   const std::string id;
   Address address;
   StandinLimit limit;
+  Duration workTime = std::chrono::milliseconds(20); ///< of one request
   std::map<std::string, int> runsById;
 };
 
@@ -199,8 +200,9 @@
 
 /// The parts of the configuration that tests change.
 struct StandinConfig {
-  Duration timeout = std::chrono::seconds(10); ///< timeout of the routes to engines
-  bool extraRoute = false;                     ///< adds a second route to the plain endpoints
+  Duration timeout = std::chrono::seconds(10);    ///< timeout of the routes to engines
+  Duration onceTimeout = std::chrono::seconds(3); ///< of the route of requests that may run once
+  bool extraRoute = false;                        ///< adds a second route to the plain endpoints
 };
 
 /// Starts the stand-ins and the hosts. Hosts are catkin-platformd processes; the destructor kills
