--- a/tests/stream_restart_test.cpp
+++ b/tests/stream_restart_test.cpp
@@ -146,6 +146,101 @@
   EXPECT_EQ(countMixed(), 0);
 }
 
+/// Callers that begin streams and take them up all the while.
+class RestartsBesideLoad : public RestartedFleet {
+protected:
+  void TearDown() override { stopCallers(); }
+
+  void startCallers() {
+    constexpr unsigned Callers = 40;
+    for (unsigned i = 1; i <= Callers; ++i)
+      callers.emplace_back([this, i] {
+        std::minstd_rand random(i);
+        const auto pickHost = [&] { return static_cast<int>(random() % hostCount()); };
+        while (!stopRequested)
+          caller.runStream(random, pickHost, "m0");
+      });
+  }
+
+  void stopCallers() {
+    stopRequested = true;
+    for (auto &it : callers)
+      it.join();
+    callers.clear();
+  }
+
+  /// Replaces the engines by those of the next version, one after the other.
+  void release() {
+    constexpr auto CrashPause = 700ms;
+    for (int i = 0; i < Engines; ++i) {
+      cluster.run([&] {
+        auto &it = *cluster.engines[static_cast<std::size_t>(i)];
+        it.nextVersions = {"v2"};
+        it.crash();
+      });
+      std::this_thread::sleep_for(CrashPause);
+    }
+  }
+
+  void slowDownEngines() {
+    cluster.run([&] {
+      for (auto &it : cluster.engines)
+        it->eventPause = 180ms; // for streams that last about a second
+    });
+  }
+
+  void checkStreams() {
+    constexpr int AllowedMixed = 2;
+    stopCallers();
+    const auto it = caller.results();
+    std::printf("%d streams, %d begun, %d mixed, %d taken up, %d of them went on\n", it.sent,
+                it.begun, it.mixed, it.takenUp, it.wentOn);
+    EXPECT_LE(it.mixed, AllowedMixed);
+    EXPECT_EQ(it.outOfOrder, 0);
+    EXPECT_GT(it.begun, 0);
+  }
+
+  unsigned hostCount() const { return static_cast<unsigned>(GetParam()); }
+
+  std::vector<std::thread> callers;
+  std::atomic<bool> stopRequested = false;
+};
+
+// Guards against streams of two versions when hosts restart while engines are replaced.
+TEST_P(RestartsBesideLoad, HostsRestartDuringARelease) {
+  slowDownEngines();
+  startFleet({"v1"});
+  startCallers();
+  std::thread releases([this] { release(); });
+  restartInTurn();
+  releases.join();
+  checkStreams();
+}
+
+// Guards against streams of two versions when all hosts are killed after a release, with the store
+// away for a while and hosts that freeze.
+TEST_P(RestartsBesideLoad, HostsAreKilledAfterARelease) {
+  constexpr auto FreezeTime = 2s;
+  slowDownEngines();
+  startFleet({"v1"});
+  startCallers();
+  release();
+  cluster.run([&] { cluster.store.down = true; });
+  cluster.signalHost(0, SIGSTOP);
+  std::this_thread::sleep_for(FreezeTime);
+  cluster.signalHost(0, SIGCONT);
+  cluster.run([&] { cluster.store.down = false; });
+  for (int n = 0; n < 2; ++n) {
+    std::this_thread::sleep_for(1s);
+    killAllHosts();
+    startAllHosts();
+    std::this_thread::sleep_for(HostPause);
+  }
+  checkStreams();
+}
+
+INSTANTIATE_TEST_SUITE_P(Hosts, RestartsBesideLoad, ::testing::Values(3));
+
 INSTANTIATE_TEST_SUITE_P(Hosts, RestartedFleet, ::testing::Values(4, 9));
 
 } // namespace
