Let callers of the play of kills come back after seconds

The play of kills after a release now begins with two versions in service and callers that come back after up to 4 s, as in the users' report.

--- a/tests/stream_load_p.h
+++ b/tests/stream_load_p.h
@@ -81,7 +81,8 @@
     const bool begun = attempt(pickHost(), model, stream);
     Results results{.sent = 1, .begun = begun ? 1 : 0};
     for (int n = 1; begun && !stream.complete && n < MaxTries; ++n) {
-      std::this_thread::sleep_for(std::chrono::milliseconds(20 + random() % 400));
+      std::this_thread::sleep_for(std::chrono::milliseconds(20) +
+                                  retryPause * (random() % 100) / 100);
       const bool counts =
           steadyNow() >= countedFrom.load() && enginesOf(*stream.versions.begin(), model) >= 2;
       const bool wentOn = attempt(pickHost(), model, stream);
@@ -95,6 +96,9 @@
     add(results);
   }
 
+  /// Sets the longest pause before a try to take a stream up.
+  void setRetryPause(Duration d) { retryPause = d; }
+
   /// Tries to take streams up do not count until countFrom().
   void stopCounting() { countedFrom = Instant::max(); }
   void countFrom(Instant from) { countedFrom = from; }
@@ -190,6 +194,7 @@
   }
 
   PlatformCluster &cluster;
+  Duration retryPause = std::chrono::milliseconds(400);
   std::atomic<Instant> countedFrom{Instant{}};
   std::mutex mutex; ///< guards the members below
   Results total;
--- a/tests/stream_restart_test.cpp
+++ b/tests/stream_restart_test.cpp
@@ -138,7 +138,7 @@
 // Guards against hosts that stop and start in turn until none has the records of streams.
 TEST_P(RestartedFleet, RestartsInTurnForgetStreamsOfTwoVersions) {
   startFleet({"v1", "v2"});
-  cluster.changeConfig({.timeout = 20s});
+  cluster.changeConfig({.timeout = 10s + GetParam() * 1s}); // records last twice as long
   std::this_thread::sleep_for(1s);
   beginStreams(GetParam() - 1);
   restartInTurn();
@@ -218,12 +218,14 @@
 }
 
 // Guards against streams of two versions when all hosts are killed after a release, with the store
-// away for a while and hosts that freeze.
+// away for a while and hosts that freeze. Callers come back after more than twice the timeout.
 TEST_P(RestartsBesideLoad, HostsAreKilledAfterARelease) {
   constexpr auto FreezeTime = 2s;
   slowDownEngines();
-  startFleet({"v1"});
+  caller.setRetryPause(4s);
+  startFleet({"v1", "v2"});
   startCallers();
+  std::this_thread::sleep_for(2s);
   release();
   cluster.run([&] { cluster.store.down = true; });
   cluster.signalHost(0, SIGSTOP);
@@ -234,7 +236,7 @@
     std::this_thread::sleep_for(1s);
     killAllHosts();
     startAllHosts();
-    std::this_thread::sleep_for(HostPause);
+    std::this_thread::sleep_for(2 * RouteTimeout + HostPause);
   }
   checkStreams();
 }
