--- a/tests/fault_soak_test.cpp
+++ b/tests/fault_soak_test.cpp
@@ -1,3 +1,4 @@
+#include "call_window_p.h"
 #include "faulty_endpoint_p.h"
 #include "real_env_p.h"
 #include "stream_load_p.h"
--- a/tests/request_limit_test.cpp
+++ b/tests/request_limit_test.cpp
@@ -1,3 +1,4 @@
+#include "call_window_p.h"
 #include "platform_standin_p.h"
 #include "process_cluster_p.h"
 #include "real_env_p.h"
