--- a/src/http_body_p.h
+++ b/src/http_body_p.h
@@ -18,11 +18,11 @@
 struct ArrivedBody {
   using value_type = std::string;
 
-  /// Receives the body from the parser (Beast's BodyReader).
-  class reader {
+  /// Receives the body from the parser.
+  class Reader {
   public:
     template <bool IsRequest, class Fields>
-    reader(boost::beast::http::header<IsRequest, Fields> &, value_type &body) : body(body) {}
+    Reader(boost::beast::http::header<IsRequest, Fields> &, value_type &body) : body(body) {}
 
     void init(const boost::optional<std::uint64_t> &, boost::beast::error_code &ec) { ec = {}; }
 
@@ -41,6 +41,7 @@
   private:
     value_type &body;
   };
+  using reader = Reader; // the name that the parser looks for
 };
 
 /// Returns a message that has been read as one that handlers and callers use.
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -45,6 +45,7 @@
     std::vector<std::thread> callers;
     const int count = static_cast<int>((Lead + Grace) / RequestPause);
     requests.resize(static_cast<std::size_t>(count));
+    callers.reserve(requests.size());
     for (int n = 0; n < count; ++n)
       callers.emplace_back([this, n, stopAt] {
         const Duration sentAfter = n * RequestPause - Lead;
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -4,7 +4,6 @@
 #include "json_p.h"
 #include "process_cluster_p.h"
 #include "real_env_p.h"
-#include "standin_p.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -28,7 +27,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using standin::sleepFor;
 
 constexpr auto HostName = "h.example";
 
