Let stopping hosts not answer each other's heartbeats

Found on reading the change: two hosts that stop and have started after each other's registrations had gone would each answer the other's answer, as fast as the network carries them, until one ends. A stopping host now answers nobody; the rule is FleetPeers::mustAnswer(), with a test.

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -468,9 +468,7 @@
   void onHeartbeat(const FleetHeartbeat &message, const Address &from) {
     if (const auto appeared = peers.onHeartbeat(message, env.now()))
       streams.shareWith(*appeared);
-    // A host that stops has no registration any more, so that this host does not send it heartbeats
-    // if it has started since. The other host must hear it, to pass on its records of streams.
-    if (message.leaving && !peers.isKnown(message.host))
+    if (peers.mustAnswer(message, stopping))
       links.send({from}, makeHeartbeat(env.now()));
     configuration.onPeerVersion(message.configVersion);
     for (auto &it : message.leavingEndpoints)
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -36,7 +36,13 @@
   void put(const FleetHostEntry &entry);
   /// Removes a host whose registration is gone.
   void remove(const HostName &host);
-  bool isKnown(const HostName &host) const { return peers.count(host) > 0; }
+  /// Returns true if this host must answer a heartbeat with its own. A host that stops has no
+  /// registration any more, so one that has started since does not send it heartbeats by itself;
+  /// the former must hear it all the same, to pass on its records of streams. A stopping host
+  /// answers nobody, or two of them would answer each other without end.
+  bool mustAnswer(const FleetHeartbeat &heartbeat, bool selfLeaving) const {
+    return heartbeat.leaving && !selfLeaving && peers.count(heartbeat.host) == 0;
+  }
   /// Records a heartbeat. One of an unknown host or of an older incarnation is ignored. Returns the
   /// address of the host if this incarnation was not alive before.
   std::optional<Address> onHeartbeat(const FleetHeartbeat &heartbeat, Instant now);
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -169,6 +169,18 @@
   peers.onHeartbeat({HostName(name), 1, ready, leaving, {}}, now);
 }
 
+// Guards against two hosts without a registration that answer each other without end.
+TEST(FleetPeersTest, StoppingHostsAnswerEachOther) {
+  FleetPeers peers(makeHostEntry("a", "z", 1));
+  peers.put(makeHostEntry("b", "z", 2));
+  const FleetHeartbeat stopping{HostName("c"), 1, false, true, {}};
+  EXPECT_TRUE(peers.mustAnswer(stopping, false));
+  EXPECT_FALSE(peers.mustAnswer(stopping, true)) << "this host stops as well";
+  EXPECT_FALSE(peers.mustAnswer({HostName("c"), 1, true, false, {}}, false))
+      << "it is about to register";
+  EXPECT_FALSE(peers.mustAnswer({HostName("b"), 1, false, true, {}}, false)) << "it is registered";
+}
+
 TEST(FleetPeersTest, EntrySurvivesTheStore) {
   auto entry = makeHostEntry("a", "dc", 1);
   auto read = parseHostEntry(formatHostEntry(entry));
