Keep the gateway while a request is destroyed

Callers could have seen a host that ends by a signal at the end of its stop.

Cause (backtrace): a request that is still in progress when the event loop is destroyed is destroyed after the gateway, and takes itself off the gateway's list. On the same place decremented a counter in freed memory, which nothing noticed.

Change: a request shares the gateway's state.

--- a/src/fleet_gateway.cpp
+++ b/src/fleet_gateway.cpp
@@ -11,7 +11,7 @@
 FleetGateway::~FleetGateway() = default;
 
 asio::awaitable<void> FleetGateway::handle(HttpExchange &exchange) {
-  RequestForwarder forwarder(*impl, exchange);
+  RequestForwarder forwarder(impl, exchange);
   co_await forwarder.run();
 }
 
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -9,9 +9,11 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 /// One request in the gateway.
 namespace catkin {
@@ -23,9 +25,9 @@
 /// (request_outcome.cpp).
 class RequestForwarder {
 public:
-  RequestForwarder(FleetGateway::Impl &gateway, HttpExchange &exchange)
-      : g(gateway), exchange(exchange), waitTimer(g.executor), bufferReservation(g.buffers),
-        arrivedAt(g.hooks.now()) {
+  RequestForwarder(std::shared_ptr<FleetGateway::Impl> gateway, HttpExchange &exchange)
+      : sharedGateway(std::move(gateway)), g(*sharedGateway), exchange(exchange),
+        waitTimer(g.executor), bufferReservation(g.buffers), arrivedAt(g.hooks.now()) {
     g.requests.insert(this);
     exchange.onCallerGone([this] { onCallerGone(); });
   }
@@ -119,6 +121,8 @@
   }
   bool isDeadlinePassed() const { return remainingTime() <= Duration::zero(); }
 
+  /// A request that is still in progress when the process ends is destroyed after the gateway.
+  std::shared_ptr<FleetGateway::Impl> sharedGateway;
   FleetGateway::Impl &g;
   HttpExchange &exchange;
   asio::steady_timer waitTimer;
