--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,7 +1,7 @@
 #include "demand_meter_p.h"
 #include "event_relay_p.h"
 #include "fleet_messages_p.h"
-#include "fleet_view_p.h"
+#include "endpoint_choice_p.h"
 #include "model_placement_p.h"
 
 #include <benchmark/benchmark.h>
--- a/src/endpoint_search_p.h
+++ b/src/endpoint_search_p.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "fleet_view_p.h"
+#include "endpoint_choice_p.h"
 
 #include <optional>
 #include <set>
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -6,6 +6,7 @@
 #include "http_p.h"
 #include "metrics_p.h"
 #include "permit_issuer_p.h"
+#include "quota_decision_p.h"
 #include "retry_budget_p.h"
 #include "stream_origin_p.h"
 
@@ -33,7 +34,9 @@
   std::string host;
   std::optional<Duration> deadline; ///< time that the caller waits for the answer
   ModelRef model;
-  std::uint64_t affinity = 0; ///< identifies prompt parts that requests share; 0 if none
+  std::uint64_t affinity = 0;        ///< identifies prompt parts that requests share; 0 if none
+  std::optional<TokenCount> tokens;  ///< empty if the request does not say
+  std::optional<std::string> apiKey; ///< empty if the request has none, or several
   /// What the request may have in common with others that crash engines: itself, and the parts of
   /// its prompt but the last, its own.
   std::vector<RequestTrait> traits;
@@ -45,7 +48,11 @@
 struct ForwardOptions {
   const FleetEndpoint *to = nullptr; ///< the endpoint to send to
   Duration timeLeft{};               ///< until the request's deadline
-  int priority = 0;                  ///< of the route
+  int priority = 0;                  ///< of the team or the route; 0 is the highest
+  /// The configuration has teams: the API key is removed, and `team` takes the place of whatever
+  /// the caller says about its team.
+  bool identifiesTeam = false;
+  TeamName team; ///< empty if the request belongs to none
   /// Id of the last event that the caller has received; empty for a new run.
   std::string lastEventId;
 };
@@ -107,6 +114,11 @@
   std::function<void(const ServiceName &, const ModelRef &, int change)> onModelNeedChanged;
   /// A request was refused with a retry time, since no endpoint holds its model.
   std::function<void(const ServiceName &, const ModelRef &)> onModelUnavailable;
+  /// Returns true if the configuration in force is known to be current enough that a key which it
+  /// holds has not been taken away. Always true if empty.
+  std::function<bool()> areKeysCurrent;
+  /// Charges a request to its team's quota. May be empty.
+  AcquireQuota acquireQuota;
 };
 
 /// The gateway of one host.
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "team_directory_p.h"
 #include "types_p.h"
 
 #include <map>
@@ -60,6 +61,7 @@
   int priority = 0;       ///< 0 is the highest
   int maxEndpoints = 1;   ///< one request is sent to at most this many endpoints
   bool resumable = false; ///< a broken stream may continue at another endpoint
+  bool keyless = false;   ///< requests need no API key
   std::vector<ServiceWeight> services;
 };
 
@@ -93,6 +95,13 @@
   std::uint64_t version = 0; ///< grows with each change
   std::vector<FleetRoute> routes;
   std::map<ServiceName, FleetService> services;
+  TeamDirectory teams; ///< empty if requests need no key
+};
+
+/// Size of a request to a model.
+struct TokenCount {
+  std::int64_t prompt = 0;
+  std::int64_t output = 0; ///< at most
 };
 
 /// A model in an engine's memory and its loaded adapters.
--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -68,7 +68,11 @@
 /// Sends the request to one endpoint and relays the answer.
 asio::awaitable<RequestForwarder::AttemptOutcome>
 RequestForwarder::sendTo(const FleetEndpoint &to) {
-  ForwardOptions options{.to = &to, .timeLeft = remainingTime(), .priority = route.priority};
+  ForwardOptions options{.to = &to,
+                         .timeLeft = remainingTime(),
+                         .priority = priority(),
+                         .identifiesTeam = identifiesTeam,
+                         .team = team ? team->name : TeamName()};
   options.lastEventId = events.lastEventId();
   HttpRequest request = g.codec.buildForwardedRequest(exchange.request(), options);
   const HttpTimeouts limits = timeouts();
--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -93,7 +93,7 @@
   route = *found;
   limit = std::min(caller.deadline.value_or(route.timeout), route.timeout);
   startLimit = route.kind == CallKind::Stream ? std::min(limit, streamCallerTimeout(route)) : limit;
-  return std::nullopt;
+  return identifyTeam();
 }
 
 std::optional<RequestForwarder::Refusal> RequestForwarder::checkService() {
@@ -115,6 +115,8 @@
   state.streaming = route.kind == CallKind::Stream;
   if (!refusal && state.streaming && caller.resumption && g.hooks.streamOrigins)
     refusal = co_await findOrigin();
+  if (!refusal)
+    refusal = co_await chargeQuota();
   if (refusal) {
     co_await refuse(refusal->status, refusal->reason, refusal->retryAfter);
     co_return;
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -18,10 +18,10 @@
 /// One request in the gateway.
 namespace catkin {
 
-/// Forwards one request and relays its answer. It is defined in four files: the way of a request
-/// from its arrival to the choice of an endpoint (request_forwarder.cpp), one attempt at an
-/// endpoint (request_attempt.cpp), the software version of a stream (request_resumption.cpp), and
-/// answers of this host itself with the log
+/// Forwards one request and relays its answer. It is defined in five files: the way of a request
+/// from its arrival to the choice of an endpoint (request_forwarder.cpp), the team of its caller
+/// (request_access.cpp), one attempt at an endpoint (request_attempt.cpp), the software version of
+/// a stream (request_resumption.cpp), and answers of this host itself with the log
 /// (request_outcome.cpp).
 class RequestForwarder {
 public:
@@ -64,6 +64,9 @@
   std::optional<Refusal> prepare();
   std::optional<Refusal> resolveRoute(const HttpRequest &request);
   std::optional<Refusal> checkService();
+  std::optional<Refusal> identifyTeam();
+  asio::awaitable<std::optional<Refusal>> chargeQuota();
+  int priority() const;
   asio::awaitable<std::optional<Refusal>> findOrigin();
   Duration originLifetime() const;
   StreamKey ownStreamKey() const;
@@ -133,6 +136,8 @@
   std::uint64_t configVersion = 0;
   FleetRoute route; ///< a copy, since the configuration may change during the request
   ServiceName service;
+  bool identifiesTeam = false; ///< the configuration of the route has teams
+  std::optional<Team> team;    ///< that holds the request's key; a copy, as of the route
   std::optional<SoftwareVersion> requiredVersion; ///< of a stream that the caller takes up
   bool versionSought = false;                     ///< the registry was read again for the version
   Duration limit{};         ///< for the complete answer, from the request's arrival
--- a/src/request_outcome.cpp
+++ b/src/request_outcome.cpp
@@ -66,7 +66,7 @@
   const bool notRun = status == 503 || status < 500;
   HttpResponse response =
       problemResponse(status, notRun ? RunOutcome::NotRun : RunOutcome::MayHaveRun, reason);
-  if (status == 503)
+  if (status == 503 || status == 429)
     response.set(http::field::retry_after, secondsText(after.value_or(retryAfter())));
   logRequest(status, reason);
   const bool delivered = co_await exchange.respond(std::move(response));
--- a/src/types_p.h
+++ b/src/types_p.h
@@ -56,6 +56,7 @@
 using PlanName = Name<struct PlanTag>;
 using ServiceName = Name<struct ServiceTag>;
 using DataCentreName = Name<struct DataCentreTag>;
+using TeamName = Name<struct TeamTag>;
 /// Version of the software of an endpoint, not of weights nor of the configuration.
 using SoftwareVersion = Name<struct SoftwareVersionTag>;
 
--- a/tests/fleet_planner_test.cpp
+++ b/tests/fleet_planner_test.cpp
@@ -1,3 +1,4 @@
+#include "endpoint_choice_p.h"
 #include "fleet_world_p.h"
 
 #include <gtest/gtest.h>
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -1,4 +1,4 @@
-#include "fleet_view_p.h"
+#include "endpoint_choice_p.h"
 
 #include <gtest/gtest.h>
 
