Track tokens and pace of engines, and report them to other hosts

Cause: hosts only count the requests in progress at each engine, so a prompt of 45,000 tokens weighs as much as one of 800, and a slow engine looks like a fast one.

Change: EngineLoadModel holds unread prompt tokens by urgency, tokens held and observations of the pace, and predicts the time to the first event. Heartbeats and digests carry these in a member "tokens" beside "loads", so hosts of an earlier version still read the numbers of requests.

Nothing uses the prediction yet.

--- a/src/digest_cache.cpp
+++ b/src/digest_cache.cpp
@@ -21,7 +21,7 @@
 
 std::optional<FleetDigests> DigestCache::digestsToForward(Instant now) const {
   FleetDigests out{.forwarded = true, .digests = {}, .loads = {}};
-  std::map<EndpointName, int> loads;
+  LoadTotals loads;
   for (auto &[dataCentre, it] : directDigests) {
     if (now - it.receivedAt >= DirectLifetime)
       continue;
@@ -34,7 +34,7 @@
   return out.digests.empty() ? std::nullopt : std::optional(out);
 }
 
-void DigestCache::addLoads(std::map<EndpointName, int> &loads, Instant now) const {
+void DigestCache::addLoads(LoadTotals &loads, Instant now) const {
   bool anyDirect = false;
   for (auto &[dataCentre, it] : directDigests) {
     if (now - it.receivedAt >= DirectLifetime)
--- a/src/digest_cache_p.h
+++ b/src/digest_cache_p.h
@@ -21,7 +21,7 @@
   /// come from another one.
   std::optional<FleetDigests> digestsToForward(Instant now) const;
   /// Adds the requests in progress of other data centres to `loads`.
-  void addLoads(std::map<EndpointName, int> &loads, Instant now) const;
+  void addLoads(LoadTotals &loads, Instant now) const;
 
 private:
   struct ReceivedDigests {
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -558,8 +558,8 @@
       m.newestArrival = view.newestArrival();
     }
     for (auto &[name, it] : view.endpoints())
-      if (it.ownInFlight > 0)
-        m.loads.push_back({name, it.ownInFlight});
+      if (const auto tokens = it.load.ownTokens(now); it.ownInFlight > 0 || !tokens.empty())
+        m.loads.push_back({name, it.ownInFlight, tokens});
     return m;
   }
 
@@ -651,8 +651,8 @@
     auto loads = peers.loads(now);
     if (peers.isLargeFleet(now))
       digests.addLoads(loads, now);
-    for (auto &[name, n] : loads) {
-      view.setPeersInFlight(name, n);
+    for (auto &[name, load] : loads) {
+      view.setPeersInFlight(name, load.inFlight, load.tokens);
       peerLoadedEndpoints.insert(name);
     }
   }
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -168,12 +168,83 @@
   return out;
 }
 
+// Tokens are sent in hundreds and sums of logarithms in hundredths, as whole numbers, which are
+// shorter than exact ones.
+constexpr double TokensPerUnit = 100;
+constexpr double PaceUnitsPerOne = 100;
+constexpr double MaxMessageNumber = 1e12; // larger values are no loads
+
+/// Encodes what engines have in progress. It is separate from the numbers of requests, so that
+/// hosts of an earlier version still read those.
+json::object tokensToJson(const std::vector<EndpointLoad> &loads) {
+  json::object out;
+  const auto inHundreds = [](double tokens) { return std::llround(tokens / TokensPerUnit); };
+  for (auto &it : loads) {
+    if (it.tokens.empty())
+      continue;
+    json::array values;
+    for (const double unread : it.tokens.unread)
+      values.emplace_back(inHundreds(unread));
+    values.emplace_back(std::llround(it.tokens.reading));
+    values.emplace_back(inHundreds(it.tokens.held));
+    values.emplace_back(std::llround(it.tokens.paceWeight * PaceUnitsPerOne));
+    values.emplace_back(std::llround(it.tokens.paceLogSum * PaceUnitsPerOne));
+    out[it.endpoint.value] = std::move(values);
+  }
+  return out;
+}
+
+/// Empty if the value is none of tokensToJson().
+std::optional<EngineTokens> readTokens(const json::value &value) {
+  constexpr std::size_t Values = UrgencyLevels + 4;
+  auto *array = value.if_array();
+  if (!array || array->size() != Values)
+    return std::nullopt;
+  std::array<double, Values> numbers{};
+  for (std::size_t i = 0; i < Values; ++i) {
+    boost::system::error_code ec;
+    numbers[i] = array->at(i).to_number<double>(ec);
+    const bool isSum = i + 1 == Values; // only this one may be negative
+    if (ec || std::abs(numbers[i]) > MaxMessageNumber || (!isSum && numbers[i] < 0))
+      return std::nullopt;
+  }
+  EngineTokens out;
+  for (std::size_t i = 0; i < UrgencyLevels; ++i)
+    out.unread[i] = numbers[i] * TokensPerUnit;
+  out.reading = numbers[UrgencyLevels];
+  out.held = numbers[UrgencyLevels + 1] * TokensPerUnit;
+  out.paceWeight = numbers[UrgencyLevels + 2] / PaceUnitsPerOne;
+  out.paceLogSum = numbers[UrgencyLevels + 3] / PaceUnitsPerOne;
+  return out;
+}
+
+/// Adds the tokens to the loads. Members that are no tokens are skipped.
+void readTokens(JsonReader &in, std::vector<EndpointLoad> &loads) {
+  auto *object = in.raw().if_contains("tokens");
+  if (!object || !object->is_object())
+    return;
+  std::map<std::string_view, EndpointLoad *> known;
+  for (auto &it : loads)
+    known.emplace(it.endpoint.value, &it);
+  std::vector<EndpointLoad> further;
+  for (auto &[endpoint, value] : object->get_object()) {
+    const auto tokens = readTokens(value);
+    auto found = known.find(std::string_view(endpoint.data(), endpoint.size()));
+    if (tokens && found != known.end())
+      found->second->tokens = *tokens;
+    else if (tokens)
+      further.push_back({EndpointName(std::string(endpoint)), 0, *tokens});
+  }
+  loads.insert(loads.end(), further.begin(), further.end());
+}
+
 // The names are keys of one object, which keeps the encoding short: loads are most of the bytes
 // that data centres exchange.
 json::object toJson(const std::vector<EndpointLoad> &loads) {
   json::object out;
   for (auto &it : loads)
-    out[it.endpoint.value] = it.inFlight;
+    if (it.inFlight != 0)
+      out[it.endpoint.value] = it.inFlight;
   return out;
 }
 
@@ -189,6 +260,7 @@
     if (!ec)
       out.push_back({EndpointName(std::string(endpoint)), n});
   }
+  readTokens(in, out);
   return out;
 }
 
@@ -249,7 +321,8 @@
   return {{"type", "digests"},
           {"passed_on", m.forwarded},
           {"digests", std::move(digests)},
-          {"loads", toJson(m.loads)}};
+          {"loads", toJson(m.loads)},
+          {"tokens", tokensToJson(m.loads)}};
 }
 
 FleetDigests readDigests(JsonReader &in) {
@@ -263,6 +336,8 @@
       {"type", "heartbeat"},       {"host", m.host.value},     {"incarnation", m.incarnation},
       {"ready", m.ready},          {"leaving", m.leaving},     {"store", m.storeConnected},
       {"config", m.configVersion}, {"planner", m.plannerTerm}, {"loads", toJson(m.loads)}};
+  if (auto tokens = tokensToJson(m.loads); !tokens.empty())
+    out["tokens"] = std::move(tokens);
   if (!m.leavingEndpoints.empty())
     out["leaving_endpoints"] = toJson(m.leavingEndpoints);
   if (!m.limits.empty())
@@ -415,16 +490,20 @@
 
 } // namespace
 
-void addLoads(const std::vector<EndpointLoad> &loads, std::map<EndpointName, int> &total) {
-  for (auto &it : loads)
-    total[it.endpoint] += it.inFlight;
+void addLoads(const std::vector<EndpointLoad> &loads, LoadTotals &total) {
+  for (auto &it : loads) {
+    auto &sum = total[it.endpoint];
+    sum.endpoint = it.endpoint;
+    sum.inFlight += it.inFlight;
+    sum.tokens += it.tokens;
+  }
 }
 
-std::vector<EndpointLoad> listLoads(const std::map<EndpointName, int> &total) {
+std::vector<EndpointLoad> listLoads(const LoadTotals &total) {
   std::vector<EndpointLoad> out;
   out.reserve(total.size());
-  for (auto &[endpoint, n] : total)
-    out.push_back({endpoint, n});
+  for (auto &[endpoint, load] : total)
+    out.push_back(load);
   return out;
 }
 
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -17,16 +17,19 @@
 /// carries a change that must arrive.
 namespace catkin {
 
-/// Number of requests in progress at one endpoint.
+/// Requests in progress at one endpoint.
 struct EndpointLoad {
   EndpointName endpoint;
   int inFlight = 0;
+  EngineTokens tokens; ///< of engines
 };
 
-/// Adds `loads` to the totals by endpoint.
-void addLoads(const std::vector<EndpointLoad> &loads, std::map<EndpointName, int> &total);
-/// Returns the totals by endpoint as a list.
-std::vector<EndpointLoad> listLoads(const std::map<EndpointName, int> &total);
+/// Requests in progress by endpoint, of several hosts together.
+using LoadTotals = std::map<EndpointName, EndpointLoad>;
+/// Adds `loads` to the totals.
+void addLoads(const std::vector<EndpointLoad> &loads, LoadTotals &total);
+/// Returns the totals as a list.
+std::vector<EndpointLoad> listLoads(const LoadTotals &total);
 
 /// State of one host, sent to all hosts of its data centre at every heartbeat interval. At every
 /// second one it is also sent to other data centres: to all of them in a small fleet, and otherwise
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -313,16 +313,16 @@
   return out;
 }
 
-std::map<EndpointName, int> FleetPeers::loads(Instant now) const {
-  std::map<EndpointName, int> total;
+LoadTotals FleetPeers::loads(Instant now) const {
+  LoadTotals total;
   for (auto &[host, peer] : peers)
     if (isAlive(peer, now))
       addLoads(peer.heartbeat.loads, total);
   return total;
 }
 
-std::map<EndpointName, int> FleetPeers::nearbyLoads(Instant now) const {
-  std::map<EndpointName, int> total;
+LoadTotals FleetPeers::nearbyLoads(Instant now) const {
+  LoadTotals total;
   for (auto &[host, peer] : peers)
     if (isNearby(peer) && isAlive(peer, now))
       addLoads(peer.heartbeat.loads, total);
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -98,9 +98,9 @@
   /// fleet, a host in another data centre is given the newest version in force anywhere in it.
   std::vector<ConfigHolder> configHolders(Instant now) const;
   /// Returns the requests in progress of other live hosts, by endpoint.
-  std::map<EndpointName, int> loads(Instant now) const;
+  LoadTotals loads(Instant now) const;
   /// Returns the requests in progress of other live hosts in this data centre, by endpoint.
-  std::map<EndpointName, int> nearbyLoads(Instant now) const;
+  LoadTotals nearbyLoads(Instant now) const;
   /// Returns the addresses for a caller in `dataCentre`: the ready hosts there if there are at
   /// least two, otherwise all ready hosts. This host counts as ready if `selfReady`. If no other
   /// host is alive, this host may be the one that is partitioned, so all registered hosts are
--- a/src/fleet_types_p.h
+++ b/src/fleet_types_p.h
@@ -79,6 +79,7 @@
 struct EngineSpec {
   double megabytes = 0;      ///< for models and adapters together
   int maxAdapters = 0;       ///< that an engine can hold, over all its models
+  double tokens = 0;         ///< of the requests that an engine can hold; 0 if not known
   double loadsPerSecond = 1; ///< limit of the weight store, over all engines
   std::map<ModelName, ModelSpec> models;
 };
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -70,6 +70,7 @@
   if (isNew) {
     // What was known about an engine no longer holds after its restart.
     state.notice.reset();
+    state.load.forgetPace();
     state.failureShare = 0;
     state.failuresInRow = 0;
     state.avoidUntil = now;
@@ -217,10 +218,12 @@
   notifyWaiters();
 }
 
-void FleetView::setPeersInFlight(const EndpointName &name, int n) {
+void FleetView::setPeersInFlight(const EndpointName &name, int n, const EngineTokens &tokens) {
   auto it = states.find(name);
-  if (it != states.end())
-    it->second.peersInFlight = n;
+  if (it == states.end())
+    return;
+  it->second.peersInFlight = n;
+  it->second.load.setPeers(tokens);
 }
 
 void FleetView::onSent(const EndpointName &name) {
@@ -229,6 +232,26 @@
     ++it->second.ownInFlight;
 }
 
+EngineRun FleetView::onSent(const EndpointName &name, const EngineRequest &request, Instant now) {
+  auto it = states.find(name);
+  if (it == states.end())
+    return {};
+  auto &state = it->second;
+  return state.load.onSent(request, state.requests(), state.entry.slots, now);
+}
+
+void FleetView::onEvents(const EndpointName &name, EngineRun &run, int n, Instant now) {
+  auto it = states.find(name);
+  if (it != states.end())
+    it->second.load.onEvents(run, n, it->second.requests(), now);
+}
+
+void FleetView::onRunEnded(const EndpointName &name, const EngineRun &run) {
+  auto it = states.find(name);
+  if (it != states.end())
+    it->second.load.onEnded(run);
+}
+
 void FleetView::onEnded(const EndpointName &name, EndpointResult result, Instant now) {
   auto it = states.find(name);
   if (it == states.end())
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -2,6 +2,7 @@
 
 #include "departure_log_p.h"
 #include "endpoint_signals_p.h"
+#include "engine_load_p.h"
 #include "fleet_types_p.h"
 #include "restore_guard_p.h"
 #include "version_history_p.h"
@@ -54,6 +55,7 @@
   std::map<ModelRef, Instant> missingUntil;
   int ownInFlight = 0;     ///< requests in progress from this host
   int peersInFlight = 0;   ///< requests in progress from all other hosts
+  EngineLoadModel load;    ///< of an engine, in tokens
   double failureShare = 0; ///< moving average over requests of this host, 0 to 1
   int failuresInRow = 0;
   Instant avoidUntil;   ///< no requests before this time, unless no other endpoint is left
@@ -68,6 +70,8 @@
   /// Returns when the endpoint may get requests for `ref`, judging by its answers; a time in the
   /// past if it may get them now.
   Instant readyTime(const ModelRef &ref) const;
+  /// Returns the number of requests in progress, of all hosts.
+  int requests() const { return ownInFlight + peersInFlight; }
   /// True unless the endpoint is leaving.
   bool acceptsRequests() const { return entry.liveness == Liveness::Live; }
   /// Returns the models that it holds, by the newer of its registration and the notice.
@@ -102,11 +106,18 @@
   /// Applies a notice of the planner, unless it is older than the known one or about another
   /// incarnation of the engine.
   void applyNotice(const HoldingsNotice &notice, Instant now);
-  /// Sets the number of requests in progress from all other hosts.
-  void setPeersInFlight(const EndpointName &name, int n);
+  /// Sets what is in progress from all other hosts.
+  void setPeersInFlight(const EndpointName &name, int n, const EngineTokens &tokens = {});
 
   /// This host has sent a request to the endpoint.
   void onSent(const EndpointName &name);
+  /// Records the size of a request that is sent to an engine; called before the other onSent(). The
+  /// result is passed to onEvents() and onRunEnded().
+  EngineRun onSent(const EndpointName &name, const EngineRequest &request, Instant now);
+  /// `n` further events of the request have arrived.
+  void onEvents(const EndpointName &name, EngineRun &run, int n, Instant now);
+  /// The request has ended; called in addition to onEnded() and before it.
+  void onRunEnded(const EndpointName &name, const EngineRun &run);
   /// A request of this host to the endpoint has ended.
   void onEnded(const EndpointName &name, EndpointResult result, Instant now);
   /// The endpoint has confirmed its known incarnation, or has not.
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -224,7 +224,7 @@
   peers.onHeartbeat(
       {.host = HostName("b"), .incarnation = 1, .ready = true, .loads = {{EndpointName("e"), 5}}},
       Start);
-  EXPECT_EQ(peers.loads(Start)[EndpointName("e")], 5);
+  EXPECT_EQ(peers.loads(Start)[EndpointName("e")].inFlight, 5);
   EXPECT_TRUE(peers.loads(Start + 1min).empty());
 }
 
@@ -400,9 +400,9 @@
   EXPECT_TRUE(received->forwarded);
   EXPECT_EQ(received->loads[0].inFlight, 9);
   cache.onDigests(*received, Start); // received again from a host of the same data centre
-  std::map<EndpointName, int> loads;
+  LoadTotals loads;
   cache.addLoads(loads, Start);
-  EXPECT_EQ(loads[EndpointName("e")], 9);
+  EXPECT_EQ(loads[EndpointName("e")].inFlight, 9);
   EXPECT_FALSE(cache.digestsToForward(Start + 1min).has_value());
   loads.clear();
   cache.addLoads(loads, Start + 1min);
@@ -410,7 +410,7 @@
   DigestCache neighbour;
   neighbour.onDigests(*received, Start);
   neighbour.addLoads(loads, Start);
-  EXPECT_EQ(loads[EndpointName("e")], 9);
+  EXPECT_EQ(loads[EndpointName("e")].inFlight, 9);
   EXPECT_FALSE(neighbour.digestsToForward(Start).has_value()); // the digests were forwarded already
 }
 
