Choose engines by the predicted time to the first event

Cause: requests in progress plus constants say little about when an engine answers. Urgent short requests went to slow engines and behind long prompts, the affinity bonus crowded single engines, and the penalty for another data centre did not depend on what crosses.

Change: a request of known size goes where its first event is predicted earliest. Hosts share engines in proportion to what these lack to a common level, which allows for work that other hosts have sent since their reports. A kept prompt counts as the time that it saves. Engines without memory for the request come last. LocalityPolicy decides when a request may leave and what that costs; metrics and the request's log line say why it left. Requests of unknown size are chosen as before.

--- a/src/endpoint_search.cpp
+++ b/src/endpoint_search.cpp
@@ -19,15 +19,24 @@
           .dataCentre = options.dataCentre,
           .affinity = options.affinity,
           .softwareVersion = requiredVersion ? &*requiredVersion : nullptr,
-          .excluded = &endpoints};
+          .excluded = &endpoints,
+          .request = options.request,
+          .bytes = options.bytes,
+          .objective = options.objective};
 }
 
 const EndpointState *EndpointSearch::choose(Instant now, std::uint64_t random,
                                             Duration maxPermitWait) const {
+  return decide(now, random, maxPermitWait).endpoint;
+}
+
+EndpointChoice EndpointSearch::decide(Instant now, std::uint64_t random,
+                                      Duration maxPermitWait) const {
   const auto out = excludedEndpoints();
   auto query = queryExcluding(out);
   query.maxPermitWait = maxPermitWait;
-  return chooseEndpoint(view, query, now, random);
+  query.locality = options.locality;
+  return decideEndpoint(view, query, now, random);
 }
 
 bool EndpointSearch::hasAlternative(const EndpointName &current, Instant now,
--- a/src/endpoint_search_p.h
+++ b/src/endpoint_search_p.h
@@ -16,6 +16,10 @@
   DataCentreName dataCentre;  ///< of this host
   std::uint64_t affinity = 0; ///< requests with the same value share parts of the prompt; 0 if none
   int maxEndpoints = 1;       ///< highest number of endpoints that may receive the request
+  EngineRequest request;      ///< size and urgency; without tokens if they are not known
+  double bytes = 0;           ///< of the prompt and the answer
+  Duration objective{};       ///< for the first event
+  LocalityPolicy *locality = nullptr; ///< of this host; may be null
 };
 
 /// Tracks which endpoints have received one request and which of them may receive it next.
@@ -28,6 +32,8 @@
   /// An endpoint with a limit of requests counts if a permit is likely within `maxPermitWait`.
   const EndpointState *choose(Instant now, std::uint64_t random,
                               Duration maxPermitWait = Duration::zero()) const;
+  /// As choose(), with the inputs of the choice.
+  EndpointChoice decide(Instant now, std::uint64_t random, Duration maxPermitWait) const;
   /// Returns true if an endpoint other than `current` can take the request now.
   bool hasAlternative(const EndpointName &current, Instant now, std::uint64_t random) const;
   /// Returns the time until the first endpoint that refuses such requests at present may take them
--- a/src/fleet_gateway_impl_p.h
+++ b/src/fleet_gateway_impl_p.h
@@ -3,6 +3,7 @@
 #include "buffer_budget_p.h"
 #include "config.h"
 #include "fleet_gateway_p.h"
+#include "locality_policy_p.h"
 
 #include <set>
 #include <utility>
@@ -28,6 +29,7 @@
       {.perAnswer = config::FleetAnswerBytes, .total = config::FleetHeldAnswersBytes}};
   FleetMetrics metrics;
   DemandMeter demand;
+  LocalityPolicy locality;
   std::map<std::pair<EndpointName, ModelRef>, int> runningRequests;
   std::set<RequestForwarder *> requests; ///< in progress
   Instant refuseFrom = Instant::max();
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -159,6 +159,16 @@
           .Name("catkin_resumptions_total")
           .Help("Streams that callers have taken up, by outcome")
           .Register(registry);
+  prometheus::Family<prometheus::Counter> &left =
+      BuildCounter()
+          .Name("catkin_left_requests_total")
+          .Help("Requests sent to other data centres, by reason")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter> &leftBytes =
+      BuildCounter()
+          .Name("catkin_left_bytes_total")
+          .Help("Bytes exchanged with endpoints of other data centres, by reason")
+          .Register(registry);
   prometheus::Family<prometheus::Histogram> &durations =
       BuildHistogram()
           .Name("catkin_request_seconds")
@@ -194,6 +204,15 @@
   impl->failures.Add({{"failure", std::string(failure)}}).Increment();
 }
 
+void FleetMetrics::onLeft(std::string_view reason, std::size_t bytes) {
+  impl->left.Add({{"reason", std::string(reason)}}).Increment();
+  onBytesFromElsewhere(reason, bytes);
+}
+
+void FleetMetrics::onBytesFromElsewhere(std::string_view reason, std::size_t bytes) {
+  impl->leftBytes.Add({{"reason", std::string(reason)}}).Increment(static_cast<double>(bytes));
+}
+
 void FleetMetrics::onResumption(std::string_view outcome) {
   impl->resumptions.Add({{"outcome", std::string(outcome)}}).Increment();
 }
--- a/src/metrics_p.h
+++ b/src/metrics_p.h
@@ -46,6 +46,11 @@
   void onFirstEvent(Duration d);
   /// Records how long a request waited for its model.
   void onModelWait(Duration d);
+  /// Counts a request that is sent to another data centre, with the bytes of its body. The reason
+  /// is one of a few, "none" for requests to plain services.
+  void onLeft(std::string_view reason, std::size_t bytes);
+  /// Counts bytes of an answer that come from another data centre.
+  void onBytesFromElsewhere(std::string_view reason, std::size_t bytes);
   void onFailedAttempt(std::string_view failure);
   /// Counts a stream that a caller has taken up, by what became of it.
   void onResumption(std::string_view outcome);
--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -85,7 +85,11 @@
   if (isProbe)
     g.crashGuard.onProbeSent(quarantineVerdict.trait);
   ++g.runningRequests[runKey];
+  engineRun = g.view.onSent(to.name, engineRequest(), sentAt);
   g.view.onSent(to.name);
+  sentElsewhere = to.dataCentre != g.options.dataCentre;
+  if (sentElsewhere)
+    g.metrics.onLeft(toString(choice.leaveReason), exchange.request().body().size());
   result = EndpointResult::Failed;
   const StreamHooks streamHooks{.started = [this](HttpStream *it) { currentStream = it; },
                                 .shouldFailOnSilence = [this, &to] { return canAbandon(to.name); },
@@ -142,6 +146,7 @@
     result = EndpointResult::Abandoned;
   if (attemptOutcome == AttemptOutcome::Failed && mayHaveRun(failure))
     search->onFailed(to.name);
+  g.view.onRunEnded(to.name, engineRun);
   g.view.onEnded(to.name, result, g.hooks.now());
   if (--g.runningRequests[runKey] <= 0)
     g.runningRequests.erase(runKey);
@@ -205,6 +210,12 @@
   co_return finish(false, "unproven");
 }
 
+/// Counts bytes of an answer that come from another data centre.
+void RequestForwarder::onBytesRelayed(std::size_t bytes) {
+  if (sentElsewhere)
+    g.metrics.onBytesFromElsewhere(toString(choice.leaveReason), bytes);
+}
+
 /// Records that the request has not crashed the endpoint.
 void RequestForwarder::onAnswerBegun() {
   if (!std::exchange(answerBegun, true))
@@ -233,6 +244,7 @@
     if (!fits)
       co_return rejectOversizedAnswer();
     body += piece;
+    onBytesRelayed(piece.size());
   }
   if (stream.status() != HttpTransferStatus::Ok) {
     failure = failureOf(stream);
@@ -309,8 +321,12 @@
     const std::string piece = co_await stream.read();
     if (piece.empty())
       break;
+    onBytesRelayed(piece.size());
+    const unsigned before = events.eventCount();
     events.feed(piece);
     const std::string whole = events.takeCompleteEvents();
+    if (const unsigned n = events.eventCount() - before; n > 0)
+      g.view.onEvents(from.name, engineRun, static_cast<int>(n), g.hooks.now());
     const bool fits = bufferReservation.resize(events.pendingBytes());
     if (!fits) {
       events.discardPartialEvent();
--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -29,6 +29,10 @@
 // attempt doubles with each attempt.
 constexpr Duration RefusalBackoff = std::chrono::milliseconds(30);
 constexpr int MaxPermitDenials = 3; // then the request is refused
+constexpr double BytesPerEvent = 80;
+// A caller that names absurd numbers must not disturb the choice for others.
+constexpr std::int64_t MinTokens = 1;
+constexpr std::int64_t MaxTokens = 1'000'000;
 
 } // namespace
 
@@ -125,11 +129,7 @@
     g.demand.onRequest(service, caller.model, arrivedAt);
   g.budget.onRequest(service, arrivedAt);
   state.idempotent = route.kind == CallKind::Idempotent || route.resumable;
-  search.emplace(g.view, EndpointSearchOptions{.service = service,
-                                               .model = caller.model,
-                                               .dataCentre = g.options.dataCentre,
-                                               .affinity = caller.affinity,
-                                               .maxEndpoints = route.maxEndpoints});
+  search.emplace(g.view, searchOptions());
   if (requiredVersion)
     search->requireVersion(*requiredVersion);
   for (;;) {
@@ -192,11 +192,39 @@
 
 /// Returns the best endpoint that can take the request now. Only if there is none, an endpoint for
 /// whose permit the request would have to wait.
-const EndpointState *RequestForwarder::choose() const {
+const EndpointState *RequestForwarder::choose() {
   const Instant now = g.hooks.now();
   const std::uint64_t random = g.hooks.random();
-  auto *chosen = search->choose(now, random, Duration::zero());
-  return chosen ? chosen : search->choose(now, random, maxPermitWait());
+  choice = search->decide(now, random, Duration::zero());
+  if (!choice.endpoint)
+    choice = search->decide(now, random, maxPermitWait());
+  return choice.endpoint;
+}
+
+/// Returns the size and urgency of a request to an engine. A request that does not say how many
+/// tokens it has counts as one for each byte of its body.
+EngineRequest RequestForwarder::engineRequest() const {
+  if (caller.model.empty())
+    return {};
+  const auto bodyBytes = static_cast<std::int64_t>(exchange.request().body().size());
+  const TokenCount tokens = caller.tokens.value_or(TokenCount{.prompt = bodyBytes});
+  return {.promptTokens = static_cast<double>(std::clamp(tokens.prompt, MinTokens, MaxTokens)),
+          .answerTokens = static_cast<double>(std::clamp(tokens.output, MinTokens, MaxTokens)),
+          .priority = priority()};
+}
+
+EndpointSearchOptions RequestForwarder::searchOptions() const {
+  const EngineRequest request = engineRequest();
+  return {.service = service,
+          .model = caller.model,
+          .dataCentre = g.options.dataCentre,
+          .affinity = caller.affinity,
+          .maxEndpoints = route.maxEndpoints,
+          .request = request,
+          .bytes = static_cast<double>(exchange.request().body().size()) +
+                   BytesPerEvent * request.answerTokens,
+          .objective = route.objective,
+          .locality = &g.locality};
 }
 
 Duration RequestForwarder::maxPermitWait() const {
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -84,7 +84,10 @@
   asio::awaitable<void> pause(Duration d);
   Duration maxModelWait() const;
   Duration retryAfter() const;
-  const EndpointState *choose() const;
+  const EndpointState *choose();
+  EngineRequest engineRequest() const;
+  EndpointSearchOptions searchOptions() const;
+  void onBytesRelayed(std::size_t bytes);
   asio::awaitable<bool> obtainPermit(const FleetEndpoint &to);
   asio::awaitable<Permit> askForPermit(const FleetEndpoint &to, Duration maxDelay);
   Duration maxPermitWait() const;
@@ -145,6 +148,8 @@
   bool endedByStop = false; ///< the process stops before the deadline
   HttpStream *currentStream = nullptr;  ///< of the attempt in progress
   std::optional<EndpointSearch> search; ///< set once the service is known
+  EndpointChoice choice;                ///< the newest one
+  EngineRun engineRun;                  ///< of the attempt in progress, at an engine
   boost::json::array choices; ///< for the log: each chosen endpoint and the inputs of the choice
   AttemptState state;
   AttemptFailure failure = AttemptFailure::NotConnected;
@@ -156,6 +161,7 @@
   bool brokeBeforeFirstEvent = false;
   bool brokenOff = false;              ///< the newest attempt's stream ended too early
   bool answerBegun = false;            ///< that of the newest attempt
+  bool sentElsewhere = false;          ///< the newest attempt is in another data centre
   QuarantineVerdict quarantineVerdict; ///< at the arrival, then before each attempt
   EventRelay events;
   /// Newest complete answer of an endpoint, used if no other endpoint gives a better one.
--- a/src/request_outcome.cpp
+++ b/src/request_outcome.cpp
@@ -99,6 +99,16 @@
                           {"own", chosen.ownInFlight},
                           {"peers", chosen.peersInFlight},
                           {"failure_share", chosen.failureShare}};
+  if (engineRequest().hasTokens()) {
+    out["predicted_ms"] = toMillis(fromSeconds(choice.seconds));
+    out["slowness"] = chosen.load.slowness(g.hooks.now());
+    out["held_tokens"] = chosen.load.heldTokens();
+  }
+  if (choice.leaveReason != LeaveReason::None) {
+    out["left_because"] = toString(choice.leaveReason);
+    out["home_ms"] = toMillis(fromSeconds(choice.homeSeconds));
+    out["away_ms"] = toMillis(fromSeconds(choice.awaySeconds));
+  }
   const RequestLimit limit = g.view.limitOf(chosen.entry);
   if (limit.perSecond)
     out["limit_per_second"] = *limit.perSecond;
