Decode teams, API keys and sizes of requests

The configuration's teams, `keyless` routes, X-Api-Key and Token-Count were ignored. They are decoded now; an invalid team makes the version invalid and is logged with its reason. With teams, the key and any Tenant header of the caller are removed from forwarded requests and Tenant names the caller's team.

Hosts give each other the stored configuration as text. It now carries digests in place of the keys, since keys must not be sent to other hosts. A team's name that cannot be sent in a header is invalid as well.

--- a/src/fleet_configuration.cpp
+++ b/src/fleet_configuration.cpp
@@ -54,7 +54,10 @@
     if (!applied)
       return;
     version = offered;
-    serializedObject = formatConfigObject(object);
+    FeedObject shared = object;
+    if (hooks.removeSecrets)
+      hooks.removeSecrets(shared.content);
+    serializedObject = formatConfigObject(shared);
     hooks.applied();
   }
 
--- a/src/fleet_configuration_p.h
+++ b/src/fleet_configuration_p.h
@@ -27,6 +27,8 @@
   struct Hooks {
     /// Parses a stored object. Returns nothing if that fails.
     std::function<std::optional<FleetConfig>(const FeedObject &)> readConfig;
+    /// Replaces secrets in the content of an object before other hosts get it. May be empty.
+    std::function<void(boost::json::value &)> removeSecrets;
     /// Applies a configuration. Returns false if the active one is at least as new.
     std::function<bool(FleetConfig)> apply;
     /// Called after a newer configuration was applied, to announce it to other hosts.
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -137,6 +137,7 @@
                        .name = options.configName,
                        .watch = {.maxWait = closeWatchWait()}},
                       {.readConfig = adapter.readConfig,
+                       .removeSecrets = adapter.removeSecrets,
                        .apply = [this](FleetConfig it) { return view.setConfig(std::move(it)); },
                        .applied = [this] { announceState(); },
                        .holders = [this] { return peers.configHolders(env.now()); },
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -42,6 +42,9 @@
   /// Parse a stored object. They return nothing if that fails; the host logs it.
   std::function<std::optional<FleetConfig>(const FeedObject &)> readConfig;
   std::function<std::optional<FleetEndpoint>(const FeedObject &)> readEndpoint;
+  /// Replaces secrets in the content of a stored configuration by what readConfig also takes,
+  /// before it is sent to other hosts. May be empty.
+  std::function<void(boost::json::value &)> removeSecrets;
 };
 
 /// Connects the modules of one host: store followers, links to other hosts, planner and gateway.
--- a/src/team_directory.cpp
+++ b/src/team_directory.cpp
@@ -1,5 +1,6 @@
 #include "team_directory_p.h"
 
+#include <charconv>
 #include <cmath>
 
 #include <openssl/sha.h>
@@ -18,6 +19,31 @@
   return out;
 }
 
+std::string toText(const ApiKeyDigest &digest) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  std::string out;
+  out.reserve(2 * digest.size());
+  for (auto it : digest) {
+    out += Digits[it >> 4U];
+    out += Digits[it & 0xfU];
+  }
+  return out;
+}
+
+std::optional<ApiKeyDigest> parseDigest(std::string_view text) {
+  constexpr int Hexadecimal = 16;
+  ApiKeyDigest out{};
+  if (text.size() != 2 * out.size())
+    return std::nullopt;
+  for (auto &it : out) {
+    auto [end, ec] = std::from_chars(text.data(), text.data() + 2, it, Hexadecimal);
+    if (ec != std::errc() || end != text.data() + 2)
+      return std::nullopt;
+    text.remove_prefix(2);
+  }
+  return out;
+}
+
 std::string TeamDirectory::add(Team team) {
   if (team.name.empty())
     return "a team has no name";
--- a/src/team_directory_p.h
+++ b/src/team_directory_p.h
@@ -15,6 +15,10 @@
 /// SHA-256 of an API key. Keys themselves are not kept.
 using ApiKeyDigest = std::array<unsigned char, 32>;
 ApiKeyDigest digestOf(std::string_view apiKey);
+/// Returns the digest as hexadecimal digits.
+std::string toText(const ApiKeyDigest &digest);
+/// Parses the format of toText(). Empty if the text is not a digest.
+std::optional<ApiKeyDigest> parseDigest(std::string_view text);
 
 enum class QuotaUnit { Requests, Tokens, Count };
 template <> struct EnumNames<QuotaUnit> {
@@ -50,6 +54,7 @@
   const Team *find(const TeamName &name) const;
   bool empty() const { return teams.empty(); }
   const std::map<TeamName, Team> &all() const { return teams; }
+  std::size_t keyCount() const { return owners.size(); } ///< of all teams
 
 private:
   std::map<TeamName, Team> teams;
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -70,6 +70,54 @@
   EXPECT_FALSE(config->services.at(ServiceName("b")).hasEngines);
 }
 
+/// Decodes a configuration with these teams.
+std::optional<FleetConfig> decodeTeams(const std::string &teams) {
+  return decodeConfig(
+      makeObject(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/",)"
+                 R"("kind":"safe","keyless":true}],"tenants":)" +
+                 teams + "}"));
+}
+
+TEST(PlatformDecode, ReadsTeams) {
+  const auto config = decodeTeams(
+      R"([{"name":"a","api_keys":["k1","k2"],"priority":1,"unit":"token_count",)"
+      R"("plain_tokens":200,"rate_per_s":483492,"burst":5},{"name":"b","api_keys":["k3"]}])");
+  ASSERT_TRUE(config.has_value());
+  EXPECT_TRUE(config->routes[0].keyless);
+  const Team *team = config->teams.findByKey("k2");
+  ASSERT_NE(team, nullptr);
+  EXPECT_EQ(team->name, TeamName("a"));
+  EXPECT_EQ(team->priority, 1);
+  EXPECT_EQ(team->quota, (TeamQuota{QuotaUnit::Tokens, 483492, 5, 200}));
+  EXPECT_EQ(config->teams.findByKey("k3")->priority, std::nullopt);
+  EXPECT_EQ(config->teams.findByKey("k3")->quota, TeamQuota{});
+  EXPECT_EQ(config->teams.findByKey("k"), nullptr);
+  EXPECT_EQ(config->teams.keyCount(), 3U);
+}
+
+// Guards against an invalid team that takes effect, alone or with the valid ones.
+TEST(PlatformDecode, InvalidTeamTakesEffect) {
+  EXPECT_TRUE(decodeTeams("[]").has_value());
+  for (const char *it : {R"([{"name":"","api_keys":["k"]}])", R"([{"api_keys":["k"]}])",
+                         R"([{"name":"a","unit":"litres"}])", R"([{"name":"a","unit":7}])",
+                         R"([{"name":"a","rate_per_s":-1}])", R"([{"name":"a","burst":"5"}])",
+                         R"([{"name":"a","api_keys":"k"}])", R"([{"name":"a","api_keys":[""]}])",
+                         R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])",
+                         R"([{"name":"a"},{"name":"a"}])", R"([{"name":"a\r\nHold: 1"}])",
+                         R"([{"name":"a","api_key_digests":["00"]}])", R"([7])", R"({})"})
+    EXPECT_FALSE(decodeTeams(it).has_value()) << it;
+}
+
+// Guards against keys that leave the host with the configuration that it shares.
+TEST(PlatformDecode, SharedConfigurationHasKeys) {
+  auto object = makeObject(R"({"version":7,"tenants":[{"name":"a","api_keys":["secret-1"]}]})");
+  replaceKeys(object.content);
+  EXPECT_EQ(json::serialize(object.content).find("secret-1"), std::string::npos);
+  const auto config = decodeConfig(object);
+  ASSERT_TRUE(config.has_value());
+  EXPECT_NE(config->teams.findByKey("secret-1"), nullptr);
+}
+
 TEST(PlatformDecode, AdaptersOnTheirWayTakePlaces) {
   json::object body;
   ASSERT_TRUE(parseObject(R"({"models":[{"name":"m","adapters":[]}],"sequence":2,"born":5,)"
@@ -193,6 +241,47 @@
   EXPECT_EQ(out["X-Kept"], "1");
 }
 
+// Guards against malformed keys and sizes that are taken for valid ones.
+TEST(RequestCodecTest, ReadsKeyAndTokens) {
+  const auto decode = [](const char *name, const std::vector<std::string> &values) {
+    HttpRequest request;
+    for (auto &it : values)
+      request.insert(name, it);
+    return HeaderCodec().decode(request);
+  };
+  EXPECT_EQ(decode("x-api-key", {"k1"}).apiKey, "k1");
+  const std::string control("k\x01");
+  for (auto &it : std::vector<std::vector<std::string>>{
+           {}, {""}, {"k1", "k1"}, {"k1,k1"}, {"k 1"}, {control}, {std::string(257, 'k')}})
+    EXPECT_FALSE(decode("X-Api-Key", it).apiKey.has_value());
+  const auto tokens = decode("Token-Count", {"1460,80"}).tokens;
+  ASSERT_TRUE(tokens.has_value());
+  EXPECT_EQ(tokens->prompt, 1460);
+  EXPECT_EQ(tokens->output, 80);
+  for (const char *it : {"", "1460", "1460,", ",80", "-1,80", "1,2,3", "1.5,2", "99999999999,1"})
+    EXPECT_FALSE(decode("Token-Count", {it}).tokens.has_value()) << it;
+}
+
+// Guards against keys that reach endpoints, and against callers that choose their team.
+TEST(RequestCodecTest, ForwardsKeyOrForgedTeam) {
+  HeaderCodec codec;
+  FleetEndpoint to{.name = EndpointName("i-9")};
+  auto call = makeCall();
+  for (const char *name : {"X-Api-Key", "x-api-key", "Tenant", "TENANT"})
+    call.insert(name, "forged");
+  const auto forward = [&](bool identifies, const char *team) {
+    return codec.buildForwardedRequest(
+        call, {.to = &to, .identifiesTeam = identifies, .team = TeamName(team)});
+  };
+  EXPECT_EQ(forward(false, "").count("X-Api-Key"), 2U);
+  EXPECT_EQ(forward(false, "").count("Tenant"), 2U);
+  const auto named = forward(true, "a");
+  EXPECT_EQ(named.count("X-Api-Key"), 0U);
+  EXPECT_EQ(named.count("Tenant"), 1U);
+  EXPECT_EQ(named["Tenant"], "a");
+  EXPECT_EQ(forward(true, "").count("Tenant"), 0U);
+}
+
 // Guards against delivering the answer to another request.
 TEST(RequestCodecTest, TellsAnswersApart) {
   HeaderCodec codec;
