Accept API keys only while the configuration is proven to be current

A host that was frozen, suspended, cut off or restarted went on with keys that had been taken away. With bounds.strict_revocation, a request with a key now needs a proof that the configuration in force was the newest within bounds.revoke_ms less 250 ms: an own call of the store, from the time at which it was sent, or another host's answer, from the time of the question less the age that it names. Hosts ask only while the setting is true and the configuration has teams. A key that a host does not know gets 503 in place of 401 while the host may lack a newer configuration. Watches of the configuration are limited to a quarter of the bound.

--- a/src/env_p.h
+++ b/src/env_p.h
@@ -213,6 +213,9 @@
 public:
   virtual ~CoreEnv() = default;
   virtual Instant now() const = 0;
+  /// Time of a clock that also advances while the machine is suspended. Its origin may differ from
+  /// that of now().
+  virtual Instant bootTime() const { return now(); }
   /// Seconds since 1970 of the wall clock, for stored timestamps and daily patterns only.
   virtual std::int64_t wallSeconds() const = 0;
   virtual std::uint64_t random() = 0;
--- a/src/fleet_configuration.cpp
+++ b/src/fleet_configuration.cpp
@@ -25,7 +25,15 @@
         follower(env, feed, {.kind = options.kind, .limits = options.watch},
                  {.changed = [this](auto &it) { onStoreObject(it); },
                   .connectionChanged = hooks.connectionChanged,
-                  .restored = hooks.restored}) {}
+                  .restored = hooks.restored,
+                  .upToDate = [this](Instant sentAt,
+                                     std::uint64_t era) { onStoreAnswer(sentAt, era); }}) {}
+
+  /// While another host has a newer version, the store may lack it since it was restored.
+  void onStoreAnswer(Instant sentAt, std::uint64_t era) {
+    if (version > 0 && !catchUp.behindSince() && hooks.upToDate)
+      hooks.upToDate(sentAt, era);
+  }
 
   void onStoreObject(const FeedObject &object) {
     if (object.name != options.name || object.removed)
@@ -43,11 +51,15 @@
                      {{"revision", object.revision.number}, {"from", from}});
     const auto offered = config->version;
     const auto routes = config->routes.size();
+    const auto teams = config->teams.all().size();
+    const auto keys = config->teams.keyCount();
     const bool applied = hooks.apply(std::move(*config));
     logLine(LogLevel::Info, applied ? "configuration applied" : "older configuration ignored",
             {{"version", offered},
              {"revision", object.revision.number},
              {"routes", routes},
+             {"teams", teams},
+             {"keys", keys},
              {"from", from},
              {"asked_ms", toMillis(asked)},
              {"behind_ms", toMillis(timeBehind())}});
--- a/src/fleet_configuration_p.h
+++ b/src/fleet_configuration_p.h
@@ -35,6 +35,10 @@
     std::function<void()> applied;
     /// Returns the other live hosts and the versions that they have.
     std::function<std::vector<ConfigHolder>()> holders;
+    /// Called after a call of the store that was sent at `sentAt`, by CoreEnv::bootTime(), has
+    /// shown no newer version than the active one, unless another host has announced one. A version
+    /// that cannot be read does not take effect and counts as none.
+    std::function<void(Instant sentAt, std::uint64_t era)> upToDate;
     /// Called when the connection to the store is lost or restored.
     std::function<void(bool connected)> connectionChanged;
     /// Called when the store has come back from an older copy.
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -117,6 +117,9 @@
   /// Returns true if the configuration in force is known to be current enough that a key which it
   /// holds has not been taken away. Always true if empty.
   std::function<bool()> areKeysCurrent;
+  /// Returns true if a key that the configuration in force does not hold is known to be invalid.
+  /// Always true if empty.
+  std::function<bool()> mayRejectKeys;
   /// Charges a request to its team's quota. May be empty.
   AcquireQuota acquireQuota;
 };
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -61,6 +61,7 @@
   FleetPlanner planner;
   FleetGateway gateway;
   ConfigExchange exchange;
+  FreshnessExchange freshness;
   FleetConfiguration configuration;
   ObjectFollower endpointFollower;
   ObjectFollower hostFollower;
@@ -129,20 +130,32 @@
              .onModelNeedChanged = [this](auto &service, auto &model,
                                           int change) { onNeedChanged(service, model, change); },
              .onModelUnavailable = [this](auto &service,
-                                          auto &model) { sendNeed(service, model, 1); }}),
+                                          auto &model) { sendNeed(service, model, 1); },
+             .areKeysCurrent = [this] { return freshness.areKeysCurrent(); },
+             .mayRejectKeys = [this] { return mayRejectKeys(); }}),
         exchange(executor, options.self.peerAddress,
                  [this]() -> const std::string & { return configuration.serializedObject(); }),
-        configuration(env, *adapter.feed, exchange,
-                      {.kind = options.configKind,
-                       .name = options.configName,
-                       .watch = {.maxWait = closeWatchWait()}},
-                      {.readConfig = adapter.readConfig,
-                       .removeSecrets = adapter.removeSecrets,
-                       .apply = [this](FleetConfig it) { return view.setConfig(std::move(it)); },
-                       .applied = [this] { announceState(); },
-                       .holders = [this] { return peers.configHolders(env.now()); },
-                       .connectionChanged = [this](bool on) { onConfigConnection(on); },
-                       .restored = [this](std::uint64_t era) { onStoreRestored(era); }}),
+        freshness(env, options.freshness,
+                  {.version = [this] { return configuration.version(); },
+                   .hasTeams = [this] { return view.config() && !view.config()->teams.empty(); },
+                   .watchesClosely = [this] { return wasSentinel; },
+                   .sources = [this] { return peers.freshnessSources(env.now(), env.random()); },
+                   .send = [this](auto &to, auto &message) { links.send({to}, message); },
+                   .readStore = [this] { configuration.reload(); }}),
+        configuration(
+            env, *adapter.feed, exchange,
+            {.kind = options.configKind,
+             .name = options.configName,
+             .watch = {.maxWait = closeWatchWait()}},
+            {.readConfig = adapter.readConfig,
+             .removeSecrets = adapter.removeSecrets,
+             .apply = [this](FleetConfig it) { return view.setConfig(std::move(it)); },
+             .applied = [this] { announceState(); },
+             .holders = [this] { return peers.configHolders(env.now()); },
+             .upToDate = [this](Instant sentAt,
+                                std::uint64_t era) { freshness.onStoreAnswer(sentAt, era); },
+             .connectionChanged = [this](bool on) { onConfigConnection(on); },
+             .restored = [this](std::uint64_t era) { onStoreRestored(era); }}),
         endpointFollower(env, *adapter.feed,
                          {.kind = options.endpointKind,
                           .limits = {.maxWait = closeWatchWait()},
@@ -303,9 +316,9 @@
     const bool watchesClosely = peers.isSentinel(storeConnected(), now);
     const bool large = peers.isLargeFleet(now);
     if (!large)
-      configuration.setWatchLimits({.maxWait = closeWatchWait()});
+      configuration.setWatchLimits({.maxWait = freshness.limitWatch(closeWatchWait())});
     else if (watchesClosely)
-      configuration.setWatchLimits({.maxWait = sentinelWatchWait()});
+      configuration.setWatchLimits({.maxWait = freshness.limitWatch(sentinelWatchWait())});
     else
       configuration.setWatchLimits({.maxWait = MaxWatchWait, .mayBeStale = true});
     hostFollower.setWatchLimits({.maxWait = MaxWatchWait, .mayBeStale = large});
@@ -456,6 +469,10 @@
       streams.onQuestion(*m, from);
     else if (auto *m = std::get_if<StreamAnswer>(&message))
       streams.onAnswer(*m, from);
+    else if (auto *m = std::get_if<FreshnessQuestion>(&message))
+      freshness.onQuestion(*m, from);
+    else if (auto *m = std::get_if<FreshnessAnswer>(&message))
+      freshness.onAnswer(*m);
   }
 
   Address permitIssuer(const EndpointName &endpoint) const {
@@ -700,7 +717,15 @@
       sendNeed(key.first, key.second, n);
   }
 
-  bool ready() const { return !stopping && view.config() && endpointFollower.isSynced(); }
+  bool ready() const {
+    return !stopping && view.config() && endpointFollower.isSynced() && freshness.isReady();
+  }
+
+  bool mayRejectKeys() const {
+    const bool hearsSentinel = peers.hasLiveSentinel(env.now());
+    return configuration.timeBehind() == Duration(0) &&
+           freshness.mayRejectKeys(configuration.isConnected(), hearsSentinel);
+  }
 };
 
 FleetHost::FleetHost(const asio::any_io_executor &executor, FleetHostOptions options,
@@ -732,6 +757,7 @@
                       self->planner.start();
                   });
   impl->heartbeat();
+  impl->freshness.start();
   impl->reportDemand();
   impl->repeatNeeds();
   return {};
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -6,6 +6,7 @@
 #include "fleet_links_p.h"
 #include "fleet_peers_p.h"
 #include "fleet_planner_p.h"
+#include "freshness_exchange_p.h"
 #include "object_follower_p.h"
 #include "request_permits_p.h"
 #include "stream_keepers_p.h"
@@ -28,9 +29,10 @@
   Duration drainBound = std::chrono::seconds(2);
   /// Time within which this host must be up to date again after a disturbance has ended.
   Duration recoveryBound = std::chrono::seconds(3);
-  std::string configKind;   ///< kind of the object that holds the configuration
-  std::string configName;   ///< its name
-  std::string endpointKind; ///< kind of the endpoints' registrations
+  FreshnessOptions freshness; ///< of the configuration, for requests with keys
+  std::string configKind;     ///< kind of the object that holds the configuration
+  std::string configName;     ///< its name
+  std::string endpointKind;   ///< kind of the endpoints' registrations
 };
 
 /// What the adapter of a deployment provides. All objects must outlive the host.
--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -342,6 +342,14 @@
           {"delay_us", m.permit.delay.count()}};
 }
 
+json::object toJson(const FreshnessQuestion &m) {
+  return {{"type", "freshness_question"}, {"id", m.id}, {"config", m.configVersion}};
+}
+
+json::object toJson(const FreshnessAnswer &m) {
+  return {{"type", "freshness"}, {"id", m.id}, {"age_us", m.age.count()}};
+}
+
 PermitRequest readPermitRequest(JsonReader &in) {
   return {
       .id = in.unsignedInt("id"), .limit = readOwnLimit(in), .maxDelay = in.micros("max_delay_us")};
@@ -461,6 +469,10 @@
     message = readStreamQuestion(in);
   else if (type == "stream_answer")
     message = readStreamAnswer(in);
+  else if (type == "freshness_question")
+    message = FreshnessQuestion{in.unsignedInt("id"), in.unsignedInt("config")};
+  else if (type == "freshness")
+    message = FreshnessAnswer{in.unsignedInt("id"), in.micros("age_us")};
   return in.ok ? message : std::nullopt;
 }
 
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -172,9 +172,23 @@
   Duration age{};        ///< of the record
 };
 
-using FleetMessage = std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices,
-                                  FleetDigests, PermitRequest, PermitReply, StreamBegun,
-                                  StreamRecords, StreamQuestion, StreamAnswer>;
+/// Asks a host with the same version of the configuration in force how old its newest proof is that
+/// no newer one exists.
+struct FreshnessQuestion {
+  std::uint64_t id = 0; ///< random
+  std::uint64_t configVersion = 0;
+};
+
+/// Answer to a FreshnessQuestion. A host with another version or without a proof sends none.
+struct FreshnessAnswer {
+  std::uint64_t id = 0; ///< of the question
+  Duration age{};       ///< of the proof, when the question was handled
+};
+
+using FleetMessage =
+    std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices, FleetDigests,
+                 PermitRequest, PermitReply, StreamBegun, StreamRecords, StreamQuestion,
+                 StreamAnswer, FreshnessQuestion, FreshnessAnswer>;
 
 /// Encodes a message as JSON.
 std::string encodeFleetMessage(const FleetMessage &message);
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -303,6 +303,23 @@
   return appeared;
 }
 
+std::vector<Address> FleetPeers::freshnessSources(Instant now, std::uint64_t random) const {
+  const auto sentinels = topRankedPeers(now)[self.dataCentre];
+  std::vector<std::pair<std::pair<bool, std::uint64_t>, const Address *>> ranked;
+  for (auto &[host, peer] : peers) {
+    if (!isAlive(peer, now))
+      continue;
+    const bool isSentinel = std::count(sentinels.begin(), sentinels.end(), &peer) > 0;
+    const auto hash = XXH64(host.value.data(), host.value.size(), random);
+    ranked.push_back({{!isSentinel, hash}, &peer.entry.peerAddress});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](auto &a, auto &b) { return a.first < b.first; });
+  std::vector<Address> out;
+  for (auto &it : ranked)
+    out.push_back(*it.second);
+  return out;
+}
+
 std::vector<ConfigHolder> FleetPeers::configHolders(Instant now) const {
   std::vector<ConfigHolder> out;
   for (auto &[host, peer] : peers)
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -94,6 +94,10 @@
   bool isSentinel(bool storeConnected, Instant now) const;
   /// Returns true if a recent heartbeat of another sentinel of this data centre has arrived.
   bool hasLiveSentinel(Instant now) const;
+  /// Returns the other live hosts in the order in which this one asks them whether its
+  /// configuration is current: sentinels of its data centre, then the others. `random` decides
+  /// among equals.
+  std::vector<Address> freshnessSources(Instant now, std::uint64_t random) const;
   /// Returns the other live hosts and the configuration versions in force on them. In a large
   /// fleet, a host in another data centre is given the newest version in force anywhere in it.
   std::vector<ConfigHolder> configHolders(Instant now) const;
--- a/src/object_follower.cpp
+++ b/src/object_follower.cpp
@@ -24,7 +24,9 @@
   bool stopped = false;
   bool isListing = false;
   Instant calledAt;
-  std::uint64_t epoch = 0; ///< answers to calls of an earlier epoch are ignored
+  Instant sentAt;           ///< the list or watch in progress, by CoreEnv::bootTime()
+  bool isStaleCall = false; ///< the watch in progress may be answered from a stale copy
+  std::uint64_t epoch = 0;  ///< answers to calls of an earlier epoch are ignored
 
   Impl(CoreEnv &env, ObjectFeed &feed, FollowerOptions options, Hooks hooks)
       : env(env), feed(feed), options(std::move(options)), hooks(std::move(hooks)) {}
@@ -67,6 +69,8 @@
 
   void requestListPage() {
     calledAt = env.now();
+    if (pageAfter.empty())
+      sentAt = env.bootTime();
     feed.list(options.kind, pageAfter,
               [self = shared_from_this(), epoch = epoch](const FeedPage &page) {
                 if (self->isCurrent(epoch))
@@ -119,6 +123,8 @@
     revision = *listRevision;
     everSynced = true;
     setConnected(true);
+    if (hooks.upToDate)
+      hooks.upToDate(sentAt, revision.era);
     startWatch();
   }
 
@@ -156,6 +162,8 @@
 
   void startWatch() {
     calledAt = env.now();
+    sentAt = env.bootTime();
+    isStaleCall = options.limits.mayBeStale;
     feed.watch(options.kind, revision, options.limits,
                [self = shared_from_this(), epoch = epoch](const FeedPage &page) {
                  if (self->isCurrent(epoch))
@@ -179,6 +187,8 @@
     for (auto &it : page.objects)
       apply(it);
     revision = std::max(revision, page.revision);
+    if (hooks.upToDate && !isStaleCall)
+      hooks.upToDate(sentAt, revision.era);
     schedule(page.objects.empty() ? Duration(0) : options.batchPause, &Impl::startWatch);
   }
 };
--- a/src/object_follower_p.h
+++ b/src/object_follower_p.h
@@ -83,6 +83,10 @@
     /// Called when the store has come back from an older copy, before the objects of the copy are
     /// reported. May be empty.
     std::function<void(std::uint64_t era)> restored;
+    /// Called after the objects of a complete list or of a watch were reported, unless that may
+    /// have been answered from a stale copy: all changes are known that the store had confirmed
+    /// before `sentAt`, by CoreEnv::bootTime(). May be empty.
+    std::function<void(Instant sentAt, std::uint64_t era)> upToDate;
   };
 
   ObjectFollower(CoreEnv &env, ObjectFeed &feed, FollowerOptions options, Hooks hooks);
--- a/src/request_access.cpp
+++ b/src/request_access.cpp
@@ -18,8 +18,11 @@
     team = *owner;
   if (route.keyless)
     return std::nullopt;
+  // Judged once, when the request has arrived: it was sent before, and the bound on revoked keys
+  // counts from then. A wait or a retry does not need a new proof.
   const bool areKeysCurrent = !g.hooks.areKeysCurrent || g.hooks.areKeysCurrent();
-  if (!areKeysCurrent)
+  const bool mayReject = owner || !g.hooks.mayRejectKeys || g.hooks.mayRejectKeys();
+  if (!areKeysCurrent || !mayReject)
     return Refusal{503, "it is not known whether the API keys are current"};
   if (!owner)
     return Refusal{401, "the API key is missing or unknown"};
--- a/src/request_outcome.cpp
+++ b/src/request_outcome.cpp
@@ -137,6 +137,7 @@
       LogLevel::Info, "request",
       {{"request", caller.id},
        {"route", route.name},
+       {"team", team ? team->name.value : std::string()},
        {"service", service.value},
        {"model", toText(caller.model)},
        {"stream_version", search && search->version() ? search->version()->value : std::string()},
--- a/standins/fleet_engine_standin.cpp
+++ b/standins/fleet_engine_standin.cpp
@@ -221,6 +221,7 @@
   if (request["Expect-Instance"] == id) {
     limit.onCall(request);
     ++runsById[requestId];
+    requestsById[requestId] = request;
     co_await sleepFor(workTime);
     response = makeResponse(200);
     response.body() = "done " + requestId;
--- a/standins/fleet_standins_p.h
+++ b/standins/fleet_standins_p.h
@@ -2,6 +2,7 @@
 
 #include "http_p.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 
@@ -188,6 +189,7 @@
   StandinLimit limit;
   Duration workTime = std::chrono::milliseconds(20); ///< of one request
   std::map<std::string, int> runsById;
+  std::map<std::string, HttpRequest> requestsById; ///< the newest of each id that has run
 };
 
 } // namespace catkin::platform
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -374,6 +374,16 @@
   EXPECT_EQ(s.host.firstOrderDelay, Duration::zero());
 }
 
+// Guards against keys that are accepted for longer than the deployment allows.
+TEST(NodeSettingsTest, BoundOfRevocationIsIgnored) {
+  EXPECT_FALSE(readNodeSettings(GoodSettings, 3).host.freshness.strict);
+  const std::string lines = "bounds.strict_revocation=true\nbounds.revoke_ms=7000\n";
+  const auto s = readNodeSettings(GoodSettings + lines, 3);
+  EXPECT_TRUE(s.faults.empty());
+  EXPECT_TRUE(s.host.freshness.strict);
+  EXPECT_EQ(s.host.freshness.revokeBound, std::chrono::seconds(7));
+}
+
 // Guards against orders too soon after those of the former planner where engines check no terms.
 TEST(NodeSettingsTest, WaitsForTheFormerPlannerWithoutFencing) {
   std::string text = GoodSettings;
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -72,7 +72,9 @@
                   done(permits[endpoint.endpoint]);
                 },
             .onModelNeedChanged = [this](auto &, auto &, int n) { needCount += n > 0 ? 1 : 0; },
-            .onModelUnavailable = [this](auto &, auto &) { ++needCount; }});
+            .onModelUnavailable = [this](auto &, auto &) { ++needCount; },
+            .areKeysCurrent = [this] { return areKeysCurrent; },
+            .mayRejectKeys = [this] { return mayRejectKeys; }});
     frontServer = std::make_unique<HttpServer>(
         io.get_executor(), HttpServerOptions{.listen = {"127.0.0.1", 0}},
         [this](HttpExchange &it) { return gateway->handle(it); });
@@ -223,6 +225,8 @@
   std::unique_ptr<HttpServer> frontServer;
   std::uint64_t randomCounter = 0;
   int needCount = 0;
+  bool areKeysCurrent = true;
+  bool mayRejectKeys = true;
   std::map<EndpointName, Permit> permits; ///< answers to requests for permits
   std::vector<Duration> permitWaits;      ///< for which these requests could wait
 };
@@ -237,6 +241,33 @@
   EXPECT_EQ(receivedCount(), 1U);
 }
 
+// Guards against keys that run or are rejected for good on a host that may lack a newer
+// configuration, and against routes without keys that fail for it.
+TEST_F(PlatformGatewayTest, KeysAreJudgedByAnOldConfiguration) {
+  for (auto &it : endpoints)
+    it.handler = makeAnswerHandler(200, "body");
+  FleetConfig config = *view.config();
+  config.version = 2;
+  config.routes.push_back(makeRoute("/open/", CallKind::Idempotent, 2, false));
+  config.routes.back().keyless = true;
+  ASSERT_EQ(config.teams.add({.name = TeamName("a"), .keys = {digestOf("k1")}}), "");
+  ASSERT_TRUE(view.setConfig(config));
+  const auto statusWith = [&](const std::string &path, const char *key) {
+    auto request = makeCall(path);
+    request.set("X-Api-Key", key);
+    return call(request).response.result_int();
+  };
+  EXPECT_EQ(statusWith("/safe/x", "k1"), 200U);
+  EXPECT_EQ(statusWith("/safe/x", "k2"), 401U);
+  mayRejectKeys = false;
+  EXPECT_EQ(statusWith("/safe/x", "k1"), 200U);
+  EXPECT_EQ(statusWith("/safe/x", "k2"), 503U);
+  areKeysCurrent = false;
+  EXPECT_EQ(statusWith("/safe/x", "k1"), 503U);
+  EXPECT_EQ(statusWith("/open/x", "k2"), 200U);
+  EXPECT_EQ(receivedCount(), 3U);
+}
+
 // Guards against a call that takes effect twice, and against reporting to its caller that it did
 // not run.
 TEST_F(PlatformGatewayTest, BrokenNonIdempotentCallIsNotRepeated) {
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -71,7 +71,11 @@
                        {"engine", engine}};
   json::object plain{
       {"name", StandinPlainService}, {"health_path", "/health"}, {"connection_cap", 100}};
-  return {{"version", version}, {"routes", routes}, {"services", json::array{service, plain}}};
+  json::object out{
+      {"version", version}, {"routes", routes}, {"services", json::array{service, plain}}};
+  if (!config.teams.empty())
+    out["tenants"] = config.teams;
+  return out;
 }
 
 } // namespace
@@ -88,7 +92,7 @@
 PlatformCluster::PlatformCluster(int hosts, const std::vector<std::set<std::string>> &held,
                                  PlatformClusterOptions options)
     : ports(hosts * PortsPerHost), dataCentres(options.dataCentres),
-      directory(makeTemporaryDirectory("catkin-platform-")) {
+      extraSettings(options.settings), directory(makeTemporaryDirectory("catkin-platform-")) {
   auto serve = [this](HttpHandler handler) {
     servers.push_back(std::make_unique<HttpServer>(
         io.get_executor(), HttpServerOptions{.listen = {"127.0.0.1", 0}}, std::move(handler)));
@@ -174,7 +178,8 @@
                                  << "\nlisten_addresses.directory=" << at(2)
                                  << "\ninternal_ports=" << port(n * PortsPerHost + 3) << ",65000"
                                  << "\nplatform.address=" << storeAddress.toString()
-                                 << "\nbounds.require_fencing=true\nbounds.budget_slack=50\n";
+                                 << "\nbounds.require_fencing=true\nbounds.budget_slack=50\n"
+                                 << extraSettings;
   auto settings = settingsPath(n);
   auto log = logPath(directory, n);
   auto metrics = std::to_string(port(n * PortsPerHost + 4));
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -25,7 +25,8 @@
 struct PlatformClusterOptions {
   bool proxied = false; ///< connect hosts to the store and the endpoints through proxies
   int plainEndpoints = 0;
-  int dataCentres = 1; ///< the hosts are assigned to them in turn
+  int dataCentres = 1;  ///< the hosts are assigned to them in turn
+  std::string settings; ///< more lines of the hosts' settings files
 };
 
 /// The parts of the configuration that tests change.
@@ -33,6 +34,7 @@
   Duration timeout = std::chrono::seconds(10);    ///< timeout of the routes to engines
   Duration onceTimeout = std::chrono::seconds(3); ///< of the route of requests that may run once
   bool extraRoute = false;                        ///< adds a second route to the plain endpoints
+  json::array teams;                              ///< none if empty
 };
 
 /// Starts the stand-ins and the hosts. Hosts are catkin-platformd processes; the destructor kills
@@ -116,6 +118,7 @@
   std::thread thread;
   PortBlock ports;
   int dataCentres = 1;
+  std::string extraSettings;
   std::string directory;
   std::map<int, pid_t> children;
   std::mutex childrenMutex; ///< guards children
