--- a/standins/fleet_engine_standin.cpp
+++ b/standins/fleet_engine_standin.cpp
@@ -223,7 +223,7 @@
     ++runsById[requestId];
     co_await sleepFor(workTime);
     response = makeResponse(200);
-    response.body() = "done " + requestId;
+    response.body() = "done " + requestId + std::string(answerBytes, 'x');
     response.set("Server-Stamp", id);
   }
   response.set("Request-Id", requestId);
--- a/standins/fleet_standins_p.h
+++ b/standins/fleet_standins_p.h
@@ -187,6 +187,7 @@
   Address address;
   StandinLimit limit;
   Duration workTime = std::chrono::milliseconds(20); ///< of one request
+  std::size_t answerBytes = 0; ///< size of the answer to a request; 0: a short one
   std::map<std::string, int> runsById;
 };
 
--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -29,6 +29,9 @@
 using namespace std::chrono_literals;
 
 constexpr auto HostName = "h.example";
+// The stand-ins take what the hosts forward, so that only the hosts' limits apply.
+constexpr std::size_t StandinBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t StandinBufferedBytes = 512 * 1024 * 1024;
 
 json::object makeRoute(const char *name, const char *prefix, const char *kind, Duration timeout,
                        const char *service) {
@@ -88,10 +91,15 @@
 PlatformCluster::PlatformCluster(int hosts, const std::vector<std::set<std::string>> &held,
                                  PlatformClusterOptions options)
     : ports(hosts * PortsPerHost), dataCentres(options.dataCentres),
+      moreSettings(std::move(options.settings)),
       directory(makeTemporaryDirectory("catkin-platform-")) {
   auto serve = [this](HttpHandler handler) {
-    servers.push_back(std::make_unique<HttpServer>(
-        io.get_executor(), HttpServerOptions{.listen = {"127.0.0.1", 0}}, std::move(handler)));
+    servers.push_back(
+        std::make_unique<HttpServer>(io.get_executor(),
+                                     HttpServerOptions{.listen = {"127.0.0.1", 0},
+                                                       .maxBodyBytes = StandinBodyBytes,
+                                                       .maxBufferedBytes = StandinBufferedBytes},
+                                     std::move(handler)));
     servers.back()->start();
     return servers.back()->address();
   };
@@ -174,7 +182,8 @@
                                  << "\nlisten_addresses.directory=" << at(2)
                                  << "\ninternal_ports=" << port(n * PortsPerHost + 3) << ",65000"
                                  << "\nplatform.address=" << storeAddress.toString()
-                                 << "\nbounds.require_fencing=true\nbounds.budget_slack=50\n";
+                                 << "\nbounds.require_fencing=true\nbounds.budget_slack=50\n"
+                                 << moreSettings;
   auto settings = settingsPath(n);
   auto log = logPath(directory, n);
   auto metrics = std::to_string(port(n * PortsPerHost + 4));
@@ -202,6 +211,11 @@
   children.erase(n);
 }
 
+pid_t PlatformCluster::hostProcess(int n) {
+  const std::lock_guard lock(childrenMutex);
+  return children.at(n);
+}
+
 bool PlatformCluster::isHostReady(int n) const {
   Address ready{"127.0.0.1", port(n * PortsPerHost + 1)};
   return statusOf(callOnce(ready, {.target = "/api/ready"})) == 200;
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -25,7 +25,8 @@
 struct PlatformClusterOptions {
   bool proxied = false; ///< connect hosts to the store and the endpoints through proxies
   int plainEndpoints = 0;
-  int dataCentres = 1; ///< the hosts are assigned to them in turn
+  int dataCentres = 1;  ///< the hosts are assigned to them in turn
+  std::string settings; ///< more lines of each host's settings file
 };
 
 /// The parts of the configuration that tests change.
@@ -52,6 +53,7 @@
   void startHost(int n);
   /// Sends a signal to a host; after SIGKILL, waits until the process has ended.
   void signalHost(int n, int signal);
+  pid_t hostProcess(int n);
   bool isHostReady(int n) const;
   bool areAllHostsReady() const;
   /// Waits until all hosts are ready. Returns false and reports a failure of the test if one of
@@ -116,6 +118,7 @@
   std::thread thread;
   PortBlock ports;
   int dataCentres = 1;
+  std::string moreSettings;
   std::string directory;
   std::map<int, pid_t> children;
   std::mutex childrenMutex; ///< guards children
