Keep catkin-platformd within the memory and descriptors of its machine

Cause: bodies counted 64 MB whatever the machine has; heads, connections, the copies that are forwarded, the capacity of strings and unread answers were not counted. An idle connection kept the buffer of its last body, since assigning an empty string keeps the capacity. glibc keeps large freed blocks once the first one was freed. Change: ByteBudget and BufferBudget are replaced by one MemoryBudget with 0.4 of limits.memory_mb (96 MB if that is missing, the sum of both former limits). An upload that stalls for 1 s gets a 503 if others need its memory. The copy of a request is freed once it is sent. Callers' connections are limited to half of the descriptors of limits.file_descriptors less 264. Metrics and one log line a second report what is held, reclaimed and refused.

--- a/src/fleet_gateway_impl_p.h
+++ b/src/fleet_gateway_impl_p.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "buffer_budget_p.h"
 #include "config.h"
 #include "fleet_gateway_p.h"
+#include "memory_budget_p.h"
 
 #include <set>
 #include <utility>
@@ -24,8 +24,7 @@
   CrashGuard &crashGuard;
   StreamOriginGuard noStreamOrigins;
   StreamOriginGuard &streamOrigins;
-  BufferBudget buffers{
-      {.perAnswer = config::FleetAnswerBytes, .total = config::FleetHeldAnswersBytes}};
+  std::shared_ptr<MemoryBudget> memory;
   FleetMetrics metrics;
   DemandMeter demand;
   std::map<std::pair<EndpointName, ModelRef>, int> runningRequests;
@@ -38,7 +37,11 @@
       : executor(executor), view(view), codec(codec), options(std::move(options)),
         hooks(std::move(hooks)), client(executor), budget(this->options.budget),
         crashGuard(this->hooks.crashGuard ? *this->hooks.crashGuard : noCrashGuard),
-        streamOrigins(this->hooks.streamOrigins ? *this->hooks.streamOrigins : noStreamOrigins) {}
+        streamOrigins(this->hooks.streamOrigins ? *this->hooks.streamOrigins : noStreamOrigins),
+        memory(this->options.memory ? this->options.memory
+                                    : std::make_shared<MemoryBudget>(MemoryBudgetOptions{
+                                          .limit = config::FleetHeldAnswersBytes,
+                                          .perAnswer = config::FleetAnswerBytes})) {}
 };
 
 } // namespace catkin
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -94,6 +94,8 @@
 struct FleetGatewayOptions {
   DataCentreName dataCentre; ///< of this host
   RetryBudgetOptions budget;
+  /// Account of the process for answers and forwarded requests; null: one of the gateway's own.
+  std::shared_ptr<MemoryBudget> memory;
 };
 
 /// Functions that the host provides to the gateway.
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -113,8 +113,7 @@
                                          auto done) { permits.acquire(to, maxDelay, done); },
                  .termBegan = [this](bool isFirst) { versionRecorder.beginTerm(isFirst); }}),
         gateway(
-            executor, view, *adapter.codec,
-            {.dataCentre = options.self.dataCentre, .budget = options.budget},
+            executor, view, *adapter.codec, options.gatewayOptions(),
             {.now = [this] { return env.now(); },
              .random = [this] { return env.random(); },
              .hostCount = [this] { return peers.hostCount(); },
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -20,6 +20,7 @@
 struct FleetHostOptions {
   FleetHostEntry self; ///< this host's own registration
   RetryBudgetOptions budget;
+  std::shared_ptr<MemoryBudget> memory; ///< account of the process; null: one of the gateway's own
   /// Pause between the acquisition of the lease and the first order.
   Duration firstOrderDelay{};
   /// Window in which the weight store limits the number of loads.
@@ -31,6 +32,10 @@
   std::string configKind;   ///< kind of the object that holds the configuration
   std::string configName;   ///< its name
   std::string endpointKind; ///< kind of the endpoints' registrations
+
+  FleetGatewayOptions gatewayOptions() const {
+    return {.dataCentre = self.dataCentre, .budget = budget, .memory = memory};
+  }
 };
 
 /// What the adapter of a deployment provides. All objects must outlive the host.
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -221,6 +221,10 @@
     }
     complete = co_await send(request);
   }
+  // A request that has been sent is not sent again on this call.
+  std::string().swap(request.body());
+  if (hooks.requestSent)
+    hooks.requestSent();
   co_await readHead();
 }
 
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -18,6 +18,8 @@
 /// stand-ins.
 namespace catkin {
 
+class MemoryBudget;
+
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
@@ -66,9 +68,19 @@
   Duration readTimeout = std::chrono::seconds(10);  ///< for one whole request from its first byte
   Duration idleTimeout = std::chrono::seconds(60);  ///< between requests
   Duration writeTimeout = std::chrono::seconds(30); ///< for sending one response or chunk
-  /// Limit of the memory for all request bodies together. A request that would exceed it is
-  /// rejected with 503.
+  /// Limit of the memory for all request bodies together, if `memory` is null. A request that would
+  /// exceed it is rejected with 503.
   std::size_t maxBufferedBytes = 32 * 1024 * 1024;
+  /// Account of the process, in which connections, heads, bodies and unread answers are counted.
+  /// If null, the server has one of its own, for bodies only.
+  std::shared_ptr<MemoryBudget> memory;
+};
+
+/// The connections of a server.
+struct HttpConnectionCounts {
+  std::size_t open = 0;
+  std::uint64_t refused = 0; ///< with 503, since the server was at its limit
+  std::uint64_t evicted = 0; ///< idle ones that were closed for new ones
 };
 
 /// Returns an application/problem+json response. A `retryAfter` above zero adds a Retry-After
@@ -81,7 +93,8 @@
 /// HTTP/1.1 server that runs a handler for every request.
 ///
 /// Malformed, oversized or slow requests are rejected with 400, 413, 431 or 408 as problem+json
-/// with outcome not_run, and the connection is closed. A connection over the limit is rejected with
+/// with outcome not_run, and the connection is closed. At the limit of connections, the one that
+/// has been idle longest is closed for a new one; if there is none, the new one is rejected with
 /// 503. Each connection runs on its own strand, and a handler must use its exchange only on that
 /// strand. If a handler throws or returns without a response, the server sends 500 with outcome
 /// may_have_run. The server must be destroyed before the execution context, and the handler's
@@ -101,6 +114,7 @@
   void stopAccepting();
   /// Number of open connections.
   std::size_t connectionCount() const;
+  HttpConnectionCounts connectionCounts() const;
 
 private:
   struct Impl;
@@ -178,6 +192,8 @@
   /// Keeps the connection for the stream after the end of the response, until the stream is
   /// destroyed.
   bool mayReadFurther = false;
+  /// Called when the request has been sent and its body takes no memory any more.
+  std::function<void()> requestSent;
 };
 
 /// HTTP/1.1 client that keeps idle connections per address.
--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -16,6 +16,9 @@
 constexpr Duration MinResumeSilence = std::chrono::milliseconds(1500);
 // An endpoint that stops work at the deadline reports this a little later.
 constexpr Duration AnswerGrace = std::chrono::milliseconds(60);
+// Copies of other requests are sent within a few milliseconds, so that a wait often helps.
+constexpr Duration CopyCheckInterval = std::chrono::milliseconds(20);
+constexpr int MaxCopyChecks = 20;
 
 } // namespace
 
@@ -65,6 +68,19 @@
   }
 }
 
+/// Reserves memory for the copy of the request that is sent to an endpoint. Returns false if there
+/// is none within a short time.
+asio::awaitable<bool> RequestForwarder::reserveCopy() {
+  const std::size_t bytes = exchange.request().body().size();
+  for (int i = 0; i < MaxCopyChecks && !exchange.isCallerGone() && !isDeadlinePassed(); ++i) {
+    if (copyMemory.resize(bytes, g.hooks.now()) == MemoryBudget::Outcome::Granted)
+      co_return true;
+    co_await pause(CopyCheckInterval);
+  }
+  outOfMemory = true;
+  co_return false;
+}
+
 /// Sends the request to one endpoint and relays the answer.
 asio::awaitable<RequestForwarder::AttemptOutcome>
 RequestForwarder::sendTo(const FleetEndpoint &to) {
@@ -89,8 +105,10 @@
   result = EndpointResult::Failed;
   const StreamHooks streamHooks{.started = [this](HttpStream *it) { currentStream = it; },
                                 .shouldFailOnSilence = [this, &to] { return canAbandon(to.name); },
-                                .mayReadFurther = !state.idempotent};
+                                .mayReadFurther = !state.idempotent,
+                                .requestSent = [this] { copyMemory.charge(0, g.hooks.now()); }};
   auto stream = co_await g.client.open(to.address, std::move(request), limits, streamHooks);
+  copyMemory.charge(0, g.hooks.now());
   AttemptOutcome attemptOutcome = AttemptOutcome::Failed;
   lastHead = {};
   if (stream->status() == HttpTransferStatus::Ok)
@@ -229,9 +247,10 @@
     std::string piece = co_await stream.read();
     if (piece.empty())
       break;
-    const bool fits = bufferReservation.resize(body.size() + piece.size());
-    if (!fits)
-      co_return rejectOversizedAnswer();
+    const auto outcome =
+        growText(answerMemory, body, piece.size(), config::FleetAnswerBytes, g.hooks.now());
+    if (outcome != MemoryBudget::Outcome::Granted)
+      co_return rejectAnswerWithoutMemory();
     body += piece;
   }
   if (stream.status() != HttpTransferStatus::Ok) {
@@ -259,18 +278,19 @@
   co_return AttemptOutcome::Finished;
 }
 
-/// Fails an attempt whose answer exceeds the buffer budget. It counts as broken; its connection is
-/// closed.
-RequestForwarder::AttemptOutcome RequestForwarder::rejectOversizedAnswer() {
+/// Fails an attempt whose answer is too long or finds no memory. It counts as broken; its
+/// connection is closed.
+RequestForwarder::AttemptOutcome RequestForwarder::rejectAnswerWithoutMemory() {
   failure = AttemptFailure::Broken;
   logLine(LogLevel::Warn, "answer too long",
-          {{"request", caller.id}, {"held_bytes", g.buffers.usedBytes()}});
+          {{"request", caller.id}, {"held_bytes", g.memory->usedBytes()}});
   return AttemptOutcome::Failed;
 }
 
 /// Answers with the newest complete answer of an endpoint.
 asio::awaitable<void> RequestForwarder::respondWithFallback() {
   const unsigned status = fallback->result_int();
+  answerMemory.charge(0, g.hooks.now()); // the server counts it until the caller has read it
   const bool delivered = co_await exchange.respond(std::move(*fallback));
   logRequest(status, delivered ? "answered" : "caller_gone");
 }
@@ -311,10 +331,10 @@
       break;
     events.feed(piece);
     const std::string whole = events.takeCompleteEvents();
-    const bool fits = bufferReservation.resize(events.pendingBytes());
-    if (!fits) {
+    const auto outcome = answerMemory.resize(events.pendingBytes(), g.hooks.now());
+    if (outcome != MemoryBudget::Outcome::Granted) {
       events.discardPartialEvent();
-      co_return rejectOversizedAnswer();
+      co_return rejectAnswerWithoutMemory();
     }
     if (whole.empty())
       continue;
--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -157,6 +157,11 @@
       co_await finishUnanswered();
       co_return;
     }
+    const bool hasMemory = co_await reserveCopy();
+    if (!hasMemory) {
+      co_await finishUnanswered();
+      co_return;
+    }
     const AttemptOutcome attemptOutcome = co_await sendTo(to);
     if (attemptOutcome == AttemptOutcome::Finished)
       co_return;
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -27,7 +27,8 @@
 public:
   RequestForwarder(std::shared_ptr<FleetGateway::Impl> gateway, HttpExchange &exchange)
       : sharedGateway(std::move(gateway)), g(*sharedGateway), exchange(exchange),
-        waitTimer(g.executor), bufferReservation(g.buffers), arrivedAt(g.hooks.now()) {
+        waitTimer(g.executor), answerMemory(*g.memory, MemoryKind::Answer),
+        copyMemory(*g.memory, MemoryKind::ForwardedCopy), arrivedAt(g.hooks.now()) {
     g.requests.insert(this);
     exchange.onCallerGone([this] { onCallerGone(); });
   }
@@ -88,6 +89,7 @@
   asio::awaitable<bool> obtainPermit(const FleetEndpoint &to);
   asio::awaitable<Permit> askForPermit(const FleetEndpoint &to, Duration maxDelay);
   Duration maxPermitWait() const;
+  asio::awaitable<bool> reserveCopy();
   asio::awaitable<AttemptOutcome> sendTo(const FleetEndpoint &to);
   void onAnswerBegun();
   asio::awaitable<void> readAnswerHead(HttpStream &stream, const FleetEndpoint &from);
@@ -97,7 +99,7 @@
   asio::awaitable<AttemptOutcome> relayCompleteAnswer(HttpStream &stream, const AnswerHead &head);
   asio::awaitable<AttemptOutcome> relayEvents(HttpStream &stream, const FleetEndpoint &from);
   bool endsTooEarly(const http::response_header<> &head) const;
-  AttemptOutcome rejectOversizedAnswer();
+  AttemptOutcome rejectAnswerWithoutMemory();
   asio::awaitable<bool> forwardEvents(const std::string &events, const http::response_header<> &,
                                       const FleetEndpoint &from);
   AttemptFailure failureOf(const HttpStream &stream) const;
@@ -129,7 +131,8 @@
   FleetGateway::Impl &g;
   HttpExchange &exchange;
   asio::steady_timer waitTimer;
-  BufferBudget::Reservation bufferReservation; ///< for the incomplete answer or event
+  MemoryBudget::Holder answerMemory; ///< of the incomplete answer or event
+  MemoryBudget::Holder copyMemory;   ///< of the request that is being sent
   Instant arrivedAt;
   CallerRequest caller;
   const FleetConfig *config = nullptr;
@@ -154,6 +157,7 @@
   /// The connection of the newest attempt broke before its answer began, as in a crash of the
   /// endpoint that this request or another one at the endpoint has caused.
   bool brokeBeforeFirstEvent = false;
+  bool outOfMemory = false;            ///< the request could not be sent for lack of memory
   bool brokenOff = false;              ///< the newest attempt's stream ended too early
   bool answerBegun = false;            ///< that of the newest attempt
   QuarantineVerdict quarantineVerdict; ///< at the arrival, then before each attempt
--- a/src/request_outcome.cpp
+++ b/src/request_outcome.cpp
@@ -50,6 +50,8 @@
 }
 
 std::string_view RequestForwarder::notRunReason() const {
+  if (outOfMemory)
+    return "this host has no memory for the request";
   if (search->version())
     return "no endpoint of the stream's version takes it in time";
   if (sends > 0)
--- /dev/null
+++ b/tests/machine_limits_test.cpp
@@ -0,0 +1,40 @@
+#include "machine_limits_p.h"
+
+#include <gtest/gtest.h>
+
+namespace catkin::platform {
+namespace {
+
+constexpr std::size_t Megabyte = 1024 * 1024;
+constexpr std::size_t LargestRequest = 4 * Megabyte + 4096;
+const Instant Start{std::chrono::hours(1)};
+
+// Guards against a single request within the limits that is refused on the smallest machine.
+TEST(MachineLimitsTest, OneLargestRequestFitsTheSmallestMachine) {
+  MemoryBudget budget({.limit = heldMemoryLimit(90 * Megabyte)});
+  MemoryBudget::Holder chunked(budget, MemoryKind::Upload);
+  EXPECT_EQ(chunked.resize(2 * LargestRequest, Start), MemoryBudget::Outcome::Granted);
+  MemoryBudget::Holder copy(budget, MemoryKind::ForwardedCopy);
+  EXPECT_EQ(copy.resize(LargestRequest, Start), MemoryBudget::Outcome::Granted);
+  MemoryBudget::Holder answer(budget, MemoryKind::Answer);
+  EXPECT_EQ(answer.resize(LargestRequest, Start), MemoryBudget::Outcome::Granted);
+}
+
+// Guards against callers that take the descriptors of endpoints, hosts and the store.
+TEST(MachineLimitsTest, CallersLeaveDescriptors) {
+  for (std::size_t descriptors : {400, 3075, 10250}) {
+    const auto limits = connectionLimits(descriptors);
+    // Connections that are being closed or refused take an eighth of the limit each.
+    EXPECT_LT(limits.callers * 5 / 4 + limits.directory * 5 / 4 + 64 + 200, descriptors);
+    EXPECT_GT(limits.callers, (descriptors - 264) * 2 / 5);
+  }
+}
+
+// Guards against other limits than before on machines that do not say what they have.
+TEST(MachineLimitsTest, MissingSettingsKeepTheConstants) {
+  EXPECT_EQ(heldMemoryLimit(0), 96 * Megabyte);
+  EXPECT_EQ(connectionLimits(0).callers, 4096U);
+}
+
+} // namespace
+} // namespace catkin::platform
