Bound what catkind holds for callers in one account

Hosts and operators keep accounts of their own. /metrics has the account and the connections. Result: builds; catkind has no test of its own for crowds of callers yet.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -4,6 +4,7 @@
 #include "gateway_p.h"
 #include "json_p.h"
 #include "log_p.h"
+#include "memory_report_p.h"
 #include "operator_api_p.h"
 #include "real_env_p.h"
 
@@ -32,6 +33,8 @@
 constexpr auto StatsInterval = std::chrono::milliseconds(200);
 constexpr auto ExpireInterval = std::chrono::minutes(1);
 constexpr std::size_t MaxOperatorConnections = 64;
+// Of what is held on behalf of callers. Request bodies over 64 KB may take half of it.
+constexpr std::size_t MaxCallerBytes = 64 * 1024 * 1024;
 constexpr std::size_t MaxPeerBodyBytes = 8 * 1024 * 1024; // holds a whole routing table
 
 Member makeSelf(const Settings &s, std::uint64_t incarnation) {
@@ -69,12 +72,13 @@
           .maxConnections = static_cast<std::size_t>(s.maxConnections)};
 }
 
-HttpServerOptions callerServerOptions(const Settings &s) {
+HttpServerOptions callerServerOptions(const Settings &s, std::shared_ptr<MemoryBudget> memory) {
   return {.listen = s.listen,
           .maxHeaderBytes = config::MaxHeaderBytes,
           .maxBodyBytes = static_cast<std::size_t>(s.maxBodyBytes),
           .maxConnections = static_cast<std::size_t>(s.maxConnections),
-          .readTimeout = config::RequestReadTimeout};
+          .readTimeout = config::RequestReadTimeout,
+          .memory = std::move(memory)};
 }
 
 /// The parts of a running host.
@@ -91,7 +95,8 @@
                [this](const HostName &host, std::uint64_t other) {
                  return !control.membership().hasEnded(host, other, env.now());
                }),
-        callerServer(io.get_executor(), callerServerOptions(settings), gateway.handler()),
+        callerServer(io.get_executor(), callerServerOptions(settings, callerMemory),
+                     gateway.handler()),
         peerServer(io.get_executor(),
                    {.listen = settings.peerListen, .maxBodyBytes = MaxPeerBodyBytes},
                    makePeerHandler(strand,
@@ -132,6 +137,9 @@
   Gateway gateway;
   Control control;
   Ledger ledger;
+  /// Hosts and operators have accounts of their own, so that callers cannot use them up.
+  const std::shared_ptr<MemoryBudget> callerMemory = std::make_shared<MemoryBudget>(
+      MemoryBudgetOptions{.limit = MaxCallerBytes, .onDecision = logMemoryDecision});
   HttpServer callerServer;
   HttpServer peerServer;
   HttpServer operatorServer;
@@ -155,6 +163,8 @@
            },
        .ledger = &ledger});
   gateway.setConnectionCount([this] { return callerServer.connectionCount(); });
+  gateway.setLimitMetrics(
+      [this] { return limitMetricsText(*callerMemory, callerServer.connectionCounts()); });
 }
 
 std::string Daemon::run(const DaemonOptions &options) {
@@ -275,6 +285,7 @@
 std::string runDaemon(const Settings &settings, const DaemonOptions &options) {
   // A write to a connection that the caller has closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  returnFreedMemory();
   Daemon daemon(settings);
   // Shared with the controls, which may be called after the daemon has ended.
   struct Access {
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -96,6 +96,8 @@
   HttpResponse response{http::status::ok, 11};
   response.set(http::field::content_type, "text/plain; version=0.0.4");
   response.body() = core->metrics.text(gauges);
+  if (core->limitMetrics)
+    response.body() += core->limitMetrics();
   co_await exchange.respond(std::move(response));
 }
 
@@ -254,6 +256,10 @@
   return [core = impl->core](HttpExchange &exchange) { return handleRequest(core, exchange); };
 }
 
+void Gateway::setLimitMetrics(std::function<std::string()> text) {
+  impl->core->limitMetrics = std::move(text);
+}
+
 void Gateway::setConnectionCount(std::function<std::size_t()> count) {
   impl->core->connectionCount = std::move(count);
 }
--- a/src/gateway_core_p.h
+++ b/src/gateway_core_p.h
@@ -44,6 +44,7 @@
   Dispatcher dispatcher;
   Metrics metrics;
   std::function<std::size_t()> connectionCount;
+  std::function<std::string()> limitMetrics;
   std::atomic<bool> stopping = false;
   std::atomic<std::size_t> activeRequests = 0;
 
--- a/src/gateway_p.h
+++ b/src/gateway_p.h
@@ -54,6 +54,8 @@
   HttpHandler handler();
   /// Sets the function that returns the number of open connections, for reports and metrics.
   void setConnectionCount(std::function<std::size_t()> count);
+  /// `text` returns metrics of the callers' server that are appended to those of the gateway.
+  void setLimitMetrics(std::function<std::string()> text);
 
   /// Starts the shutdown: new requests are refused as not run, /readyz reports 503, and the host is
   /// removed from /v1/addresses.
