--- a/src/fleet_gateway_impl_p.h
+++ b/src/fleet_gateway_impl_p.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "buffer_budget_p.h"
 #include "config.h"
 #include "fleet_gateway_p.h"
 #include "locality_policy_p.h"
+#include "memory_budget_p.h"
 
 #include <set>
 #include <utility>
@@ -25,8 +25,7 @@
   CrashGuard &crashGuard;
   StreamOriginGuard noStreamOrigins;
   StreamOriginGuard &streamOrigins;
-  BufferBudget buffers{
-      {.perAnswer = config::FleetAnswerBytes, .total = config::FleetHeldAnswersBytes}};
+  std::shared_ptr<MemoryBudget> memory;
   FleetMetrics metrics;
   DemandMeter demand;
   LocalityPolicy locality;
@@ -40,7 +39,11 @@
       : executor(executor), view(view), codec(codec), options(std::move(options)),
         hooks(std::move(hooks)), client(executor), budget(this->options.budget),
         crashGuard(this->hooks.crashGuard ? *this->hooks.crashGuard : noCrashGuard),
-        streamOrigins(this->hooks.streamOrigins ? *this->hooks.streamOrigins : noStreamOrigins) {}
+        streamOrigins(this->hooks.streamOrigins ? *this->hooks.streamOrigins : noStreamOrigins),
+        memory(this->options.memory ? this->options.memory
+                                    : std::make_shared<MemoryBudget>(MemoryBudgetOptions{
+                                          .limit = config::FleetHeldAnswersBytes,
+                                          .perAnswer = config::FleetAnswerBytes})) {}
 };
 
 } // namespace catkin
