Test the other addresses of a host, small bodies and all crowds together

Cause: the first tests only cover one kind of crowd at a time, at the callers' address. Change: crowds at the directory and readiness addresses, a 64 KB body while 60 large ones stall, four crowds together, and a single body of almost 4 MB on an idle host.

--- a/tests/platform_standin_helper.cpp
+++ b/tests/platform_standin_helper.cpp
@@ -217,8 +217,7 @@
 }
 
 bool PlatformCluster::isHostReady(int n) const {
-  Address ready{"127.0.0.1", port(n * PortsPerHost + 1)};
-  return statusOf(callOnce(ready, {.target = "/api/ready"})) == 200;
+  return statusOf(callOnce(readinessAddress(n), {.target = "/api/ready"})) == 200;
 }
 
 bool PlatformCluster::waitUntilReady() {
@@ -346,8 +345,7 @@
 }
 
 std::vector<std::string> PlatformCluster::directoryAddresses(int host) const {
-  Address directoryAddress{"127.0.0.1", port(host * PortsPerHost + 2)};
-  auto result = callOnce(directoryAddress, {.target = "/api/resolve?name=h.example&zone=z"});
+  auto result = callOnce(directoryAddress(host), {.target = "/api/resolve?name=h.example&zone=z"});
   json::object body;
   std::vector<std::string> out;
   if (!parseObject(result.response.body(), body) || !body.contains("addresses"))
--- a/tests/platform_standin_p.h
+++ b/tests/platform_standin_p.h
@@ -81,6 +81,8 @@
   void clearFaults();
   /// Returns the address at which a host takes requests.
   Address hostAddress(int n) const { return {"127.0.0.1", port(n * PortsPerHost)}; }
+  Address readinessAddress(int n) const { return {"127.0.0.1", port(n * PortsPerHost + 1)}; }
+  Address directoryAddress(int n) const { return {"127.0.0.1", port(n * PortsPerHost + 2)}; }
   /// Returns an id that hostOfRequest() can read.
   std::string newRequestId(int host) const;
   /// Returns the directory of the hosts' logs, which are kept after the test.
--- a/tests/untrusted_callers_test.cpp
+++ b/tests/untrusted_callers_test.cpp
@@ -133,6 +133,9 @@
     const auto result = cluster.requestStream(0, "m0");
     return statusOf(result) == 200 && result.response.body() == wholeStream("v1");
   }
+  unsigned statusOfBody(std::size_t bytes) {
+    return statusOf(cluster.requestStreamAt(0, "m0", "/s/x", std::string(bytes, 'x')));
+  }
   /// Checks that the host is alive, has stayed within its machine and serves a request.
   void expectServes(const Crowd &crowd) {
     EXPECT_TRUE(crowd.waitUntilSent());
@@ -185,5 +188,38 @@
 // Guards against idle connections that take the descriptors for endpoints, hosts and the store.
 TEST_F(UntrustedCallers, IdleConnectionsLeaveDescriptors) { runCrowd(IdleCallers, {}); }
 
+// Guards against idle connections to the other addresses of a host, which share its descriptors.
+TEST_F(UntrustedCallers, DirectoryAndReadinessKeepAnswering) {
+  const Crowd directory(cluster.directoryAddress(0), IdleCallers, "GET /", true);
+  const Crowd readiness(cluster.readinessAddress(0), IdleCallers, {}, true);
+  EXPECT_TRUE(readiness.waitUntilSent());
+  EXPECT_TRUE(pollUntil([&] { return cluster.isHostReady(0); }));
+  EXPECT_TRUE(pollUntil([&] { return cluster.directoryAddresses(0).size() == 1; }));
+  expectServes(directory);
+}
+
+// Guards against small requests that are refused for as long as large ones stall.
+TEST_F(UntrustedCallers, SmallBodiesPassStalledLargeOnes) {
+  const Crowd stalled(cluster.hostAddress(0), LargeCallers, requestWithBody(10), true);
+  EXPECT_TRUE(pollUntil([&] { return statusOfBody(64 * 1024) == 200; }));
+  expectServes(stalled);
+}
+
+// Guards against all kinds of crowds together, each of which fits the machine alone.
+TEST_F(UntrustedCallers, CrowdsTogetherFitTheMachine) {
+  cluster.run([&] { cluster.plainEndpoints[0]->answerBytes = BodyBytes; });
+  const Address to = cluster.hostAddress(0);
+  const Crowd idle(to, IdleCallers / 4, {}, true);
+  const Crowd whole(to, LargeCallers / 2, requestWithBody(0), true);
+  const Crowd unfinished(to, LargeCallers / 2, requestWithBody(10), true);
+  const Crowd unread(to, LargeCallers / 2, requestHead("/u/x", "Content-Length: 0\r\n"), false);
+  EXPECT_TRUE(unread.waitUntilSent());
+  EXPECT_TRUE(whole.waitUntilSent());
+  expectServes(unfinished);
+}
+
+// Guards against limits that refuse the largest allowed request although nothing else is running.
+TEST_F(UntrustedCallers, SingleLargestBodyIsServed) { EXPECT_EQ(statusOfBody(BodyBytes), 200U); }
+
 } // namespace
 } // namespace catkin::platform
