--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -33,8 +33,7 @@
 constexpr auto StatsInterval = std::chrono::milliseconds(200);
 constexpr auto ExpireInterval = std::chrono::minutes(1);
 constexpr std::size_t MaxOperatorConnections = 64;
-// Of what is held on behalf of callers. Request bodies over 64 KB may take half of it.
-constexpr std::size_t MaxCallerBytes = 64 * 1024 * 1024;
+constexpr std::size_t Megabyte = 1024 * 1024;
 constexpr std::size_t MaxPeerBodyBytes = 8 * 1024 * 1024; // holds a whole routing table
 
 Member makeSelf(const Settings &s, std::uint64_t incarnation) {
@@ -139,7 +138,8 @@
   Ledger ledger;
   /// Hosts and operators have accounts of their own, so that callers cannot use them up.
   const std::shared_ptr<MemoryBudget> callerMemory = std::make_shared<MemoryBudget>(
-      MemoryBudgetOptions{.limit = MaxCallerBytes, .onDecision = logMemoryDecision});
+      MemoryBudgetOptions{.limit = static_cast<std::size_t>(settings.maxHeldMegabytes) * Megabyte,
+                          .onDecision = logMemoryDecision});
   HttpServer callerServer;
   HttpServer peerServer;
   HttpServer operatorServer;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -78,6 +78,8 @@
       {"max-connections", "limit of open connections from callers", &Settings::maxConnections,
        false, 1, 100000},
       {"max-body-bytes", "longest request body", &Settings::maxBodyBytes, false, 1024, 1 << 28},
+      {"max-held-mb", "limit of the memory held on behalf of callers", &Settings::maxHeldMegabytes,
+       false, 8, 100000},
   };
   return Table;
 }
--- a/src/settings_p.h
+++ b/src/settings_p.h
@@ -46,6 +46,7 @@
   Duration stopTimeout = config::GracefulStopTimeout;
   int maxConnections = static_cast<int>(config::MaxConnectionsPerHost);
   int maxBodyBytes = static_cast<int>(config::MaxBodyBytes);
+  int maxHeldMegabytes = 64; ///< held on behalf of callers
 };
 
 /// Result of readSettings(). If `errors` is not empty, `settings` must not be used.
--- a/tests/process_cluster_p.h
+++ b/tests/process_cluster_p.h
@@ -83,6 +83,7 @@
   /// the signal that killed it, or -1 after the watchdog time.
   int waitForHostExit(int n);
   bool isHostReady(int n) const;
+  pid_t hostProcess(int n) const { return children.at("host-" + std::to_string(n)); }
 
   /// Returns a list of plans with one plan of this concurrency.
   static std::string plansDocument(int concurrency);
--- a/tests/untrusted_callers_test.cpp
+++ b/tests/untrusted_callers_test.cpp
@@ -1,26 +1,17 @@
+#include "crowd_p.h"
 #include "platform_standin_p.h"
 #include "process_cluster_p.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <array>
-#include <atomic>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <memory>
-#include <thread>
-#include <vector>
+#include <string>
 
 namespace catkin::platform {
 namespace {
 
 using namespace std::chrono_literals;
-using asio::ip::tcp;
 
 constexpr std::size_t MemoryMegabytes = 64;
 constexpr std::size_t FileDescriptors = 400;
@@ -29,60 +20,6 @@
 constexpr int LargeCallers = 60; // 240 MB, four times the memory of the machine
 constexpr int IdleCallers = 400;
 
-/// Connections that send the same bytes at the same time and stay open until the object is
-/// destroyed.
-class Crowd {
-public:
-  Crowd(const Address &to, int count, std::string text, bool reads)
-      : bytes(std::move(text)), total(count), readsAnswers(reads) {
-    for (int i = 0; i < count; ++i) {
-      sockets.push_back(std::make_unique<tcp::socket>(io));
-      start(*sockets.back(), {asio::ip::make_address(to.ip), to.port});
-    }
-    thread = std::thread([this] { io.run(); });
-  }
-  ~Crowd() {
-    io.stop();
-    thread.join();
-  }
-  Crowd(const Crowd &) = delete;
-  Crowd &operator=(const Crowd &) = delete;
-  /// Waits until each connection has sent all bytes or was closed.
-  bool waitUntilSent() const {
-    return pollUntil([this] { return finished == total; });
-  }
-
-private:
-  void start(tcp::socket &socket, const tcp::endpoint &to) {
-    socket.async_connect(to, [this, &socket](boost::system::error_code ec) {
-      if (ec) {
-        ++finished;
-        return;
-      }
-      if (readsAnswers)
-        discardAnswer(socket);
-      asio::async_write(socket, asio::buffer(bytes),
-                        [this](boost::system::error_code, std::size_t) { ++finished; });
-    });
-  }
-  void discardAnswer(tcp::socket &socket) {
-    socket.async_read_some(asio::buffer(scratch),
-                           [this, &socket](boost::system::error_code ec, std::size_t) {
-                             if (!ec)
-                               discardAnswer(socket);
-                           });
-  }
-
-  const std::string bytes;
-  const int total;
-  const bool readsAnswers;
-  std::atomic<int> finished{0};
-  std::array<char, 16 * 1024> scratch{};
-  asio::io_context io;
-  std::vector<std::unique_ptr<tcp::socket>> sockets;
-  std::thread thread;
-};
-
 std::string requestHead(const char *target, const std::string &fields) {
   return std::string("POST ") + target +
          " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: h0-crowd\r\nDeadline-Ms: 9000\r\n"
@@ -95,26 +32,6 @@
          std::string(BodyBytes - missing, 'x');
 }
 
-/// Returns the peak of the resident memory in MB.
-std::size_t peakMegabytes(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-  std::string word;
-  std::size_t kilobytes = 0;
-  while (in >> word)
-    if (word == "VmHWM:" && in >> kilobytes)
-      break;
-  return kilobytes / 1024;
-}
-
-std::size_t openDescriptors(pid_t pid) {
-  std::error_code ec;
-  std::size_t n = 0;
-  for (std::filesystem::directory_iterator it("/proc/" + std::to_string(pid) + "/fd", ec), end;
-       !ec && it != end; it.increment(ec))
-    ++n;
-  return n;
-}
-
 class UntrustedCallers : public ::testing::Test {
 protected:
   UntrustedCallers()
