Send repeated headers in tests; run the tests of keys with 18 hosts as well

callOnce() of the tests sent only the last of several headers of the same name, so the test of a repeated key could not fail or pass for the right reason. It sends all of them now. The tests of keys run with 3 hosts and with 18, where only sentinels watch the store.

--- a/tests/process_cluster_helper.cpp
+++ b/tests/process_cluster_helper.cpp
@@ -116,7 +116,7 @@
   request.method_string(call.method);
   request.target(call.target);
   for (const auto &it : call.headers)
-    request.set(it.first, it.second);
+    request.insert(it.first, it.second); // also repeated headers
   if (!call.body.empty())
     request.set(http::field::content_type, "application/json");
   request.body() = call.body;
--- a/tests/team_keys_test.cpp
+++ b/tests/team_keys_test.cpp
@@ -16,7 +16,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr int Hosts = 3;
+constexpr int SmallFleet = 3;
+constexpr int LargeFleet = 18;  // more hosts than there are sentinels
 constexpr auto RevokeTime = 5s; // bounds.revoke_ms
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
@@ -26,10 +27,11 @@
           json::object{{"name", "birch"}, {"api_keys", json::array{"birch-key-1"}}}};
 }
 
-class TeamKeys : public ::testing::Test {
+class TeamKeys : public ::testing::TestWithParam<int> {
 protected:
   TeamKeys()
-      : cluster(Hosts, {{"m0"}},
+      : hosts(GetParam()),
+        cluster(hosts, {{"m0"}},
                 {.proxied = true,
                  .plainEndpoints = 1,
                  .settings = "bounds.strict_revocation=true\nbounds.revoke_ms=5000\n"}) {}
@@ -37,7 +39,7 @@
   void SetUp() override {
     ASSERT_TRUE(cluster.waitUntilReady());
     cluster.changeConfig({.teams = makeTeams({"alder-key-1", "alder-key-2"})});
-    for (int host = 0; host < Hosts; ++host)
+    for (int host = 0; host < hosts; ++host)
       ASSERT_TRUE(pollUntil([&] {
         return statusWith(host, {}) == 401 &&
                statusWith(host, {{"X-Api-Key", "alder-key-1"}}) == 200;
@@ -69,7 +71,7 @@
   /// Sends requests with the first key to all hosts for `d`. None of them may run.
   void expectNoRuns(Duration d) {
     for (const Instant end = steadyNow() + d; steadyNow() < end;)
-      for (int host = 0; host < Hosts; ++host) {
+      for (int host = 0; host < hosts; ++host) {
         const auto status = statusWith(host, {{"X-Api-Key", "alder-key-1"}});
         EXPECT_TRUE(status == 401 || status == 503) << status << " of host " << host;
         EXPECT_FALSE(received().has_value()) << "host " << host;
@@ -79,7 +81,7 @@
   /// Returns the hosts at which the other key of the team is not served.
   std::vector<int> hostsThatRefuse() {
     std::vector<int> out;
-    for (int host = 0; host < Hosts; ++host)
+    for (int host = 0; host < hosts; ++host)
       if (statusWith(host, {{"X-Api-Key", "alder-key-2"}}) != 200)
         out.push_back(host);
     return out;
@@ -92,12 +94,13 @@
     return out.str();
   }
 
+  const int hosts;
   PlatformCluster cluster;
   std::string lastId;
 };
 
 // Guards against callers without a valid key.
-TEST_F(TeamKeys, InvalidKeyRuns) {
+TEST_P(TeamKeys, InvalidKeyRuns) {
   const std::vector<Headers> invalid{{},
                                      {{"X-Api-Key", ""}},
                                      {{"X-Api-Key", "unknown"}},
@@ -106,7 +109,7 @@
                                      {{"X-Api-Key", "alder-key-1, birch-key-1"}},
                                      {{"Tenant", "alder"}},
                                      {{"Authorization", "Bearer alder-key-1"}}};
-  for (int host = 0; host < Hosts; ++host)
+  for (int host = 0; host < hosts; ++host)
     for (std::size_t i = 0; i < invalid.size(); ++i) {
       EXPECT_EQ(statusWith(host, invalid[i]), 401U) << "host " << host << ", case " << i;
       EXPECT_FALSE(received().has_value());
@@ -114,8 +117,8 @@
 }
 
 // Guards against keys that reach endpoints or logs, and against callers that choose their team.
-TEST_F(TeamKeys, EndpointSeesKeyOrForgedTeam) {
-  for (int host = 0; host < Hosts; ++host) {
+TEST_P(TeamKeys, EndpointSeesKeyOrForgedTeam) {
+  for (int host = 0; host < hosts; ++host) {
     EXPECT_EQ(
         statusWith(host, {{"x-api-key", "birch-key-1"}, {"tenant", "alder"}, {"TENANT", "x"}}),
         200U);
@@ -132,7 +135,7 @@
 
 // Guards against a key that outlives its removal at a host that the store turns away, and at one
 // that is paused.
-TEST_F(TeamKeys, KeyTakenAwayRuns) {
+TEST_P(TeamKeys, KeyTakenAwayRuns) {
   cluster.run([&] {
     cluster.storeProxies[1]->setFaults({.refuse = true});
     cluster.storeProxies[1]->resetAll();
@@ -148,12 +151,12 @@
 
 // Guards against a host that goes on without the store and other hosts, and against one that does
 // not come back.
-TEST_F(TeamKeys, KeysRunWithoutProofOrNeverAgain) {
+TEST_P(TeamKeys, KeysRunWithoutProofOrNeverAgain) {
   cluster.run([&] { cluster.store.down = true; });
   std::this_thread::sleep_for(1s);
   EXPECT_EQ(hostsThatRefuse(), std::vector<int>{});
   std::this_thread::sleep_for(RevokeTime);
-  for (int host = 0; host < Hosts; ++host) {
+  for (int host = 0; host < hosts; ++host) {
     const auto result = send(host, {{"X-Api-Key", "alder-key-1"}});
     EXPECT_EQ(statusOf(result), 503U);
     EXPECT_EQ(result.response["Retry-After"], "0.200");
@@ -166,7 +169,7 @@
 
 // Guards against a store that comes back with a key that was taken away, at a host that started
 // since.
-TEST_F(TeamKeys, RestoredStoreBringsAKeyBack) {
+TEST_P(TeamKeys, RestoredStoreBringsAKeyBack) {
   std::this_thread::sleep_for(4s);
   cluster.changeConfig({.teams = makeTeams({"alder-key-2"})});
   std::this_thread::sleep_for(1s);
@@ -178,5 +181,7 @@
   EXPECT_EQ(hostsThatRefuse(), std::vector<int>{});
 }
 
+INSTANTIATE_TEST_SUITE_P(Hosts, TeamKeys, ::testing::Values(SmallFleet, LargeFleet));
+
 } // namespace
 } // namespace catkin::platform
