Name no team on keyless routes without a current proof

A route without keys passed on the team's name for a key that may have been taken away. The team is now left out while the configuration is not proven to be current. A test covers that stale and late answers of the store prove no more than the time at which they were asked for.

--- a/src/request_access.cpp
+++ b/src/request_access.cpp
@@ -16,11 +16,14 @@
   auto *owner = caller.apiKey ? config->teams.findByKey(*caller.apiKey) : nullptr;
   if (owner)
     team = *owner;
-  if (route.keyless)
-    return std::nullopt;
   // Judged once, when the request has arrived: it was sent before, and the bound on revoked keys
   // counts from then. A wait or a retry does not need a new proof.
   const bool areKeysCurrent = !g.hooks.areKeysCurrent || g.hooks.areKeysCurrent();
+  if (route.keyless) {
+    if (!areKeysCurrent)
+      team.reset(); // the key may have been taken away
+    return std::nullopt;
+  }
   const bool mayReject = owner || !g.hooks.mayRejectKeys || g.hooks.mayRejectKeys();
   if (!areKeysCurrent || !mayReject)
     return Refusal{503, "it is not known whether the API keys are current"};
--- a/tests/object_follower_test.cpp
+++ b/tests/object_follower_test.cpp
@@ -66,7 +66,8 @@
                     known[it.name] = it.revision;
                 },
             .connectionChanged = [this](bool on) { connected = on; },
-            .restored = [this](std::uint64_t era) { restoredEras.push_back(era); }});
+            .restored = [this](std::uint64_t era) { restoredEras.push_back(era); },
+            .upToDate = [this](Instant sentAt, std::uint64_t) { provenTimes.push_back(sentAt); }});
   }
 
   static FeedPage makePage(std::vector<FeedObject> objects, StoreRevision revision) {
@@ -79,8 +80,23 @@
   std::map<std::string, StoreRevision> known;
   bool connected = false;
   std::vector<std::uint64_t> restoredEras;
+  std::vector<Instant> provenTimes;
 };
 
+// Guards against a proof that counts from the answer, and against one by a stale answer.
+TEST_F(ObjectFollowerTest, LateOrStaleAnswerProvesTooMuch) {
+  feed.listPage = makePage({{.name = "a", .revision = 3}}, 9);
+  const Instant start = env.now();
+  follower->start();
+  env.run(1ms);
+  EXPECT_EQ(provenTimes, std::vector<Instant>{start});
+  follower->setWatchLimits({.maxWait = 1s, .mayBeStale = true}); // for the watches after this one
+  env.run(20s);
+  EXPECT_EQ(provenTimes, (std::vector<Instant>{start, start + 1ms}));
+  env.run(5s);
+  EXPECT_EQ(provenTimes.size(), 2U);
+}
+
 // Guards against missing a change to an object on an early page while later pages are read: the
 // revision of the last page is newer than this change.
 TEST_F(ObjectFollowerTest, ReadsAllPagesThenWatchesFromTheFirstOne) {
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -12,6 +12,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace catkin::platform {
 namespace {
 
@@ -265,7 +267,13 @@
   areKeysCurrent = false;
   EXPECT_EQ(statusWith("/safe/x", "k1"), 503U);
   EXPECT_EQ(statusWith("/open/x", "k2"), 200U);
-  EXPECT_EQ(receivedCount(), 3U);
+  EXPECT_EQ(statusWith("/open/x", "k1"), 200U);
+  EXPECT_EQ(receivedCount(), 4U);
+  const auto namesTeam = [](const HttpRequest &it) { return it.count("Tenant") > 0; };
+  std::ptrdiff_t named = 0;
+  for (auto &it : endpoints)
+    named += std::count_if(it.receivedRequests.begin(), it.receivedRequests.end(), namesTeam);
+  EXPECT_EQ(named, 2); // not those to the route without keys
 }
 
 // Guards against a call that takes effect twice, and against reporting to its caller that it did
