Ask for quotas of teams across hosts

Cause: the requests of a team arrive at all hosts, but one bucket has to hold for them. FleetPeers names the first hosts in rank. The messages are QuotaRequest and QuotaReply.

--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -353,6 +353,40 @@
           .permit = {.granted = in.flag("granted"), .delay = in.micros("delay_us")}};
 }
 
+json::object toJson(const QuotaRequest &m) {
+  return {{"type", "quota_request"},   {"id", m.id},
+          {"team", m.team.value},      {"unit", toString(m.quota.unit)},
+          {"rate", m.quota.perSecond}, {"burst", m.quota.burst},
+          {"config", m.configVersion}, {"cost", m.cost}};
+}
+
+json::object toJson(const QuotaReply &m) {
+  return {{"type", "quota"},
+          {"id", m.id},
+          {"result", toString(m.decision.result)},
+          {"retry_us", m.decision.retryAfter.count()}};
+}
+
+QuotaRequest readQuotaRequest(JsonReader &in) {
+  QuotaRequest m{.id = in.unsignedInt("id"),
+                 .team = in.name<TeamName>("team"),
+                 .quota = {.unit = in.enumerator("unit", QuotaUnit::Requests),
+                           .perSecond = in.number("rate"),
+                           .burst = in.number("burst")},
+                 .configVersion = in.unsignedInt("config"),
+                 .cost = in.number("cost")};
+  in.ok = in.ok && !m.team.empty() && m.quota.perSecond >= 0 && m.quota.burst >= 0 && m.cost >= 0;
+  return m;
+}
+
+QuotaReply readQuotaReply(JsonReader &in) {
+  QuotaReply m{.id = in.unsignedInt("id"),
+               .decision = {.result = in.enumerator("result", QuotaResult::Unknown),
+                            .retryAfter = in.micros("retry_us")}};
+  in.ok = in.ok && m.decision.retryAfter >= Duration::zero();
+  return m;
+}
+
 FleetHeartbeat readHeartbeat(JsonReader &in) {
   return {.host = in.name<HostName>("host"),
           .incarnation = in.unsignedInt("incarnation"),
@@ -453,6 +487,10 @@
     message = readPermitRequest(in);
   else if (type == "permit")
     message = readPermitReply(in);
+  else if (type == "quota_request")
+    message = readQuotaRequest(in);
+  else if (type == "quota")
+    message = readQuotaReply(in);
   else if (type == "stream_begun")
     message = readStreamBegun(in);
   else if (type == "stream_records")
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -3,6 +3,7 @@
 #include "crash_quarantine_p.h"
 #include "fleet_view_p.h"
 #include "permit_issuer_p.h"
+#include "quota_decision_p.h"
 #include "stream_origin_p.h"
 
 #include <map>
@@ -136,6 +137,21 @@
   Permit permit;
 };
 
+/// Asks for a part of a team's quota.
+struct QuotaRequest {
+  std::uint64_t id = 0; ///< of the sender; the same if the request is repeated
+  TeamName team;
+  TeamQuota quota;                 ///< as the sender knows it
+  std::uint64_t configVersion = 0; ///< of `quota`
+  double cost = 0;                 ///< in the unit of the quota
+};
+
+/// Answer to a QuotaRequest.
+struct QuotaReply {
+  std::uint64_t id = 0; ///< of the request
+  QuotaDecision decision;
+};
+
 /// Sent to the keepers of a stream's record before its first event is relayed.
 struct StreamBegun {
   StreamKey key;
@@ -172,9 +188,10 @@
   Duration age{};        ///< of the record
 };
 
-using FleetMessage = std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices,
-                                  FleetDigests, PermitRequest, PermitReply, StreamBegun,
-                                  StreamRecords, StreamQuestion, StreamAnswer>;
+using FleetMessage =
+    std::variant<FleetHeartbeat, DemandReport, ModelNeed, HoldingsNotices, FleetDigests,
+                 PermitRequest, PermitReply, QuotaRequest, QuotaReply, StreamBegun, StreamRecords,
+                 StreamQuestion, StreamAnswer>;
 
 /// Encodes a message as JSON.
 std::string encodeFleetMessage(const FleetMessage &message);
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -23,6 +23,13 @@
   return {entry.capacity < MinRelayCapacity, XXH64(name.data(), name.size(), 0)};
 }
 
+/// Orders hosts for a matter, the responsible one first.
+std::pair<bool, std::uint64_t> responsibilityRank(const FleetHostEntry &entry,
+                                                  std::string_view key) {
+  const auto [isWeak, hash] = relayRank(entry);
+  return {isWeak, XXH64(key.data(), key.size(), hash)};
+}
+
 } // namespace
 
 std::string formatHostEntry(const FleetHostEntry &entry) {
@@ -123,10 +130,7 @@
 }
 
 Address FleetPeers::responsibleHost(std::string_view key, bool leaving, Instant now) const {
-  auto rank = [&](const FleetHostEntry &entry) {
-    const auto hash = XXH64(key.data(), key.size(), relayRank(entry).second);
-    return std::pair(entry.capacity < MinRelayCapacity, hash);
-  };
+  auto rank = [&](const FleetHostEntry &entry) { return responsibilityRank(entry, key); };
   const FleetHostEntry *best = leaving ? nullptr : &self;
   for (auto &[host, peer] : peers)
     if (isAlive(peer, now) && !peer.heartbeat.leaving && (!best || rank(peer.entry) < rank(*best)))
@@ -134,6 +138,24 @@
   return best && best != &self ? best->peerAddress : Address{};
 }
 
+std::vector<Address> FleetPeers::responsibleHosts(std::string_view key, int n, bool leaving,
+                                                  Instant now) const {
+  std::vector<std::pair<std::pair<bool, std::uint64_t>, const FleetHostEntry *>> ranked;
+  ranked.reserve(peers.size() + 1);
+  if (!leaving)
+    ranked.emplace_back(responsibilityRank(self, key), &self);
+  for (auto &[host, peer] : peers)
+    if (isAlive(peer, now) && !peer.heartbeat.leaving)
+      ranked.emplace_back(responsibilityRank(peer.entry, key), &peer.entry);
+  const auto count = std::min(ranked.size(), static_cast<std::size_t>(n));
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranked.end(), [](auto &a, auto &b) { return a.first < b.first; });
+  std::vector<Address> out;
+  for (std::size_t i = 0; i < count; ++i)
+    out.push_back(ranked[i].second == &self ? Address{} : ranked[i].second->peerAddress);
+  return out;
+}
+
 std::vector<Address> FleetPeers::rankedHosts(std::uint64_t key, int n, Instant now) const {
   std::vector<std::pair<std::pair<bool, std::uint64_t>, const Address *>> ranked;
   ranked.reserve(peers.size());
@@ -153,7 +175,7 @@
 
 double FleetPeers::permitShare(Instant now) const {
   constexpr double MaxSumOfShares = 1.4; // endpoints tolerate half as much again as their limit
-  return std::min(1.0, MaxSumOfShares * aliveCount(now) / hostCount());
+  return std::min(1.0, MaxSumOfShares * aliveShare(now));
 }
 
 int FleetPeers::aliveCount(Instant now) const {
--- a/src/fleet_peers_p.h
+++ b/src/fleet_peers_p.h
@@ -76,6 +76,10 @@
   /// endpoint. `key` names the matter. It is one of the live hosts that are not leaving. Empty if
   /// that is this host, which counts unless it is `leaving`.
   Address responsibleHost(std::string_view key, bool leaving, Instant now) const;
+  /// Returns the first `n` of the hosts among which responsibleHost() chooses the first, in order.
+  /// This host has an empty address.
+  std::vector<Address> responsibleHosts(std::string_view key, int n, bool leaving,
+                                        Instant now) const;
   /// Returns the first `n` other hosts for a matter, in an order that hosts with the same view
   /// share and that changes little when hosts come or go. Live hosts that are not leaving come
   /// first.
@@ -83,6 +87,10 @@
   /// Returns the part of a limit that this host may issue, at most 1. If the fleet is partitioned,
   /// the parts of the issuers on all sides add up to little more than 1.
   double permitShare(Instant now) const;
+  /// Returns the share of the registered hosts that are alive, 0 to 1.
+  double aliveShare(Instant now) const {
+    return static_cast<double>(aliveCount(now)) / hostCount();
+  }
   /// Returns the number of live hosts, this one included; at least 1.
   int aliveCount(Instant now) const;
   /// Returns true if there are too many live hosts for each to watch the store with short limits
