Connect the quotas of teams to hosts, metrics and settings

Cause: FleetGatewayHooks::acquireQuota was empty. Change: FleetHost has TeamQuotas (9 lines more in fleet_host.cpp).

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -53,6 +53,7 @@
   FleetPeers peers;
   FleetLinks links;
   RequestPermits permits;
+  TeamQuotas quotas;
   VersionRecorder versionRecorder;
   VersionReader versionReader;
   StreamKeepers streams;
@@ -91,6 +92,9 @@
                 {.issuer = [this](auto &it) { return permitIssuer(it); },
                  .share = [this] { return peers.permitShare(env.now()); },
                  .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
+        quotas(env, view, peers, options.quota,
+               {.leaving = [this] { return stopping; },
+                .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
         versionRecorder(env), versionReader(env),
         streams(env, view,
                 {.keepers = [this](auto &key,
@@ -129,7 +133,9 @@
              .onModelNeedChanged = [this](auto &service, auto &model,
                                           int change) { onNeedChanged(service, model, change); },
              .onModelUnavailable = [this](auto &service,
-                                          auto &model) { sendNeed(service, model, 1); }}),
+                                          auto &model) { sendNeed(service, model, 1); },
+             .acquireQuota = [this](auto &team, double cost,
+                                    auto done) { quotas.acquire(team, cost, std::move(done)); }}),
         exchange(executor, options.self.peerAddress,
                  [this]() -> const std::string & { return configuration.serializedObject(); }),
         configuration(env, *adapter.feed, exchange,
@@ -455,6 +461,8 @@
       streams.onQuestion(*m, from);
     else if (auto *m = std::get_if<StreamAnswer>(&message))
       streams.onAnswer(*m, from);
+    else
+      quotas.onMessage(message, from);
   }
 
   Address permitIssuer(const EndpointName &endpoint) const {
@@ -590,6 +598,7 @@
     view.expire(now);
     recordVersions(now);
     permits.expire();
+    quotas.expire();
     streams.expire();
     crashWatch.setReportDelay(peers.isLargeFleet(now) ? LargeFleetReportDelay
                                                       : SmallFleetReportDelay);
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -9,6 +9,7 @@
 #include "object_follower_p.h"
 #include "request_permits_p.h"
 #include "stream_keepers_p.h"
+#include "team_quotas_p.h"
 
 #include <functional>
 #include <memory>
@@ -28,6 +29,7 @@
   Duration drainBound = std::chrono::seconds(2);
   /// Time within which this host must be up to date again after a disturbance has ended.
   Duration recoveryBound = std::chrono::seconds(3);
+  QuotaOptions quota;       ///< how the requests of teams are counted
   std::string configKind;   ///< kind of the object that holds the configuration
   std::string configName;   ///< its name
   std::string endpointKind; ///< kind of the endpoints' registrations
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -7,6 +7,8 @@
 #include <prometheus/text_serializer.h>
 
 #include <array>
+#include <mutex>
+#include <set>
 #include <sstream>
 #include <tuple>
 #include <utility>
@@ -15,6 +17,9 @@
 
 namespace {
 
+// Each team adds a handful of time series on every host.
+constexpr std::size_t MaxTeamsInMetrics = 64;
+
 using prometheus::BuildCounter;
 using prometheus::BuildGauge;
 using prometheus::BuildHistogram;
@@ -154,6 +159,18 @@
           .Name("catkin_permits_total")
           .Help("Permits for requests to endpoints with a limit, by result")
           .Register(registry);
+  prometheus::Family<prometheus::Counter> &quotaRequests =
+      BuildCounter()
+          .Name("catkin_quota_requests_total")
+          .Help("Requests for a part of a team's quota, by team and result")
+          .Register(registry);
+  prometheus::Family<prometheus::Counter> &quotaUnits =
+      BuildCounter()
+          .Name("catkin_quota_units_total")
+          .Help("Tokens or requests charged to a team's quota")
+          .Register(registry);
+  std::set<TeamName> teams; ///< with time series of their own
+  std::mutex teamsLock;
   prometheus::Family<prometheus::Counter> &resumptions =
       BuildCounter()
           .Name("catkin_resumptions_total")
@@ -202,6 +219,19 @@
   impl->permits.Add({{"result", granted ? "granted" : "denied"}}).Increment();
 }
 
+void FleetMetrics::onQuota(const TeamName &team, std::string_view result, double charged) {
+  std::string label = "other";
+  {
+    const std::lock_guard guard(impl->teamsLock);
+    if (impl->teams.size() < MaxTeamsInMetrics)
+      impl->teams.insert(team);
+    if (impl->teams.count(team) > 0)
+      label = team.value;
+  }
+  impl->quotaRequests.Add({{"team", label}, {"result", std::string(result)}}).Increment();
+  impl->quotaUnits.Add({{"team", label}}).Increment(charged);
+}
+
 std::string FleetMetrics::text(const FleetGauges &gauges) {
   for (std::size_t i = 0; i < FleetGaugeTable.size(); ++i)
     impl->gauges[i]->Set(gauges.*FleetGaugeTable[i].second);
--- a/src/metrics_p.h
+++ b/src/metrics_p.h
@@ -51,6 +51,9 @@
   void onResumption(std::string_view outcome);
   /// Counts a permit for a request to an endpoint with a limit, or the denial of one.
   void onPermit(bool granted);
+  /// Records the answer to a request for a part of a team's quota, and its cost if it was granted.
+  /// Teams over a limited number are counted together as "other".
+  void onQuota(const TeamName &team, std::string_view result, double charged);
   /// Returns all metrics in the Prometheus text format.
   std::string text(const FleetGauges &gauges);
 
--- a/src/request_access.cpp
+++ b/src/request_access.cpp
@@ -37,6 +37,8 @@
                          : quota.plainTokens;
   const auto decision = co_await waitForCallback<QuotaDecision>(
       [&](auto done) { g.hooks.acquireQuota(*team, cost, std::move(done)); });
+  const bool isCharged = decision.result == QuotaResult::Granted;
+  g.metrics.onQuota(team->name, toString(decision.result), isCharged ? cost : 0);
   switch (decision.result) {
   case QuotaResult::Granted:
     co_return std::nullopt;
