--- a/tests/mangled_bytes_test.cpp
+++ b/tests/mangled_bytes_test.cpp
@@ -78,6 +78,8 @@
       DemandReport{.host = HostName("h"), .observed = 2s},
       ModelNeed{HostName("h"), ServiceName("s"), {ModelName("m"), "a1"}, 2},
       PermitRequest{.id = 4, .maxDelay = 30ms},
+      QuotaRequest{.id = 4, .team = TeamName("t"), .quota = {.perSecond = 9}, .cost = 2},
+      QuotaReply{.id = 4, .decision = {.retryAfter = 30ms}},
       StreamBegun{.key = {9}, .origin = origin, .lifetime = 20s},
       StreamRecords{{{.key = {9}, .origin = origin, .age = 1s, .lifetime = 20s}}},
       StreamAnswer{.id = 3, .origin = origin, .age = 2s}};
