--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -53,6 +53,7 @@
   FleetPeers peers;
   FleetLinks links;
   RequestPermits permits;
+  TeamQuotas quotas;
   VersionRecorder versionRecorder;
   VersionReader versionReader;
   StreamKeepers streams;
@@ -92,6 +93,9 @@
                 {.issuer = [this](auto &it) { return permitIssuer(it); },
                  .share = [this] { return peers.permitShare(env.now()); },
                  .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
+        quotas(env, view, peers, options.quota,
+               {.leaving = [this] { return stopping; },
+                .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
         versionRecorder(env), versionReader(env),
         streams(env, view,
                 {.keepers = [this](auto &key,
@@ -131,7 +135,9 @@
              .onModelUnavailable = [this](auto &service,
                                           auto &model) { sendNeed(service, model, 1); },
              .areKeysCurrent = [this] { return freshness.areKeysCurrent(); },
-             .mayRejectKeys = [this] { return mayRejectKeys(); }}),
+             .mayRejectKeys = [this] { return mayRejectKeys(); },
+             .acquireQuota = [this](auto &team, double cost,
+                                    auto done) { quotas.acquire(team, cost, std::move(done)); }}),
         exchange(executor, options.self.peerAddress,
                  [this]() -> const std::string & { return configuration.serializedObject(); }),
         freshness(env, options.freshness,
@@ -472,6 +478,8 @@
       freshness.onQuestion(*m, from);
     else if (auto *m = std::get_if<FreshnessAnswer>(&message))
       freshness.onAnswer(*m);
+    else
+      quotas.onMessage(message, from);
   }
 
   Address permitIssuer(const EndpointName &endpoint) const {
@@ -607,6 +615,7 @@
     view.expire(now);
     recordVersions(now);
     permits.expire();
+    quotas.expire();
     streams.expire();
     crashWatch.setReportDelay(peers.isLargeFleet(now) ? LargeFleetReportDelay
                                                       : SmallFleetReportDelay);
