Refuse messages whose end is not certain

Cause: the parser takes a transfer coding that it does not know for no framing at all, so the body counts as the next request; an answer with one lasts until its connection ends. It also accepts codings before "chunked" and "chunked" twice, codings in HTTP/1.0, lists of equal lengths, folded lines and line ends in a chunk's quoted extensions.

Change: src/http_framing.cpp has strict rules for heads and chunk headers. parseBuffered() applies them to each head that has arrived, for the server and the client alike, before the body is read: 400 and close for requests, Malformed and close for answers. What the parser already refuses is tested in the same tables.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -235,6 +235,7 @@
   parser.emplace();
   // An eager parser waits for more input before it delivers the pieces that it has parsed.
   parser->eager(false);
+  parser->on_chunk_header(checkChunkHeader);
   parser->header_limit(MaxResponseHeaderBytes);
   if (bodyLimit)
     parser->body_limit(*bodyLimit);
--- a/src/http_read_p.h
+++ b/src/http_read_p.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http_framing_p.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -16,16 +18,29 @@
 ///
 /// The parser throws on input that it cannot hold, such as a field of a trailer over 64 KB. Beast's
 /// own read operations call it in their completion handlers, from where an exception would end the
-/// process. Here an exception becomes the error of the read.
+/// process. Here an exception becomes the error of the read. A head that breaks the strict rules of
+/// http_framing_p.h fails too; each parser also needs checkChunkHeader() as its on_chunk_header().
 namespace catkin {
 
+/// Returns an error if the head at the beginning of the buffer must be refused.
+template <bool IsRequest>
+boost::beast::error_code checkBufferedHead(const boost::beast::flat_buffer &buffer) {
+  const auto bytes = buffer.cdata();
+  return checkHead({static_cast<const char *>(bytes.data()), bytes.size()},
+                   IsRequest ? MessageKind::Request : MessageKind::Response);
+}
+
 /// Parses what the buffer holds. Returns need_more if that is no whole part of the message.
 template <bool IsRequest>
 boost::beast::error_code parseBuffered(boost::beast::flat_buffer &buffer,
                                        boost::beast::http::basic_parser<IsRequest> &parser) {
   boost::beast::error_code ec;
   try {
-    buffer.consume(parser.put(buffer.data(), ec));
+    const bool hadHead = parser.is_header_done();
+    const std::size_t n = parser.put(buffer.data(), ec);
+    if (!ec && !hadHead && parser.is_header_done())
+      ec = checkBufferedHead<IsRequest>(buffer);
+    buffer.consume(n);
   } catch (const std::length_error &) {
     ec = boost::beast::http::error::header_limit;
   } catch (const std::bad_alloc &) {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -332,6 +332,7 @@
   deadlines->expireAfter(DeadlineSlot::Progress, state->options.readTimeout);
   parser.emplace();
   parser->eager(false);
+  parser->on_chunk_header(checkChunkHeader);
   parser->header_limit(static_cast<std::uint32_t>(state->options.maxHeaderBytes));
   parser->body_limit(state->options.maxBodyBytes);
   while (!parser->is_header_done()) {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -153,6 +153,49 @@
   EXPECT_EQ(handled, 0);
 }
 
+// Guards against the bytes of a body that run as a request: each body here has one inside. All of
+// it must be refused before the body is read, also if the caller waits to send it.
+TEST_F(HttpTest, RequestInsideABodyIsRun) {
+  std::atomic<int> handled{0};
+  serve([&](HttpExchange &exchange) -> asio::awaitable<void> {
+    ++handled;
+    co_await echo(exchange);
+  });
+  const std::string inner = "POST /inner HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string field :
+       {"Transfer-Encoding: gzip", "Transfer-Encoding: identity", "Transfer-Encoding: deflate",
+        "Transfer-Encoding: gzip, identity", "Transfer-Encoding: chunked, gzip",
+        "X: y\r\n Content-Length: 51", "Content-Length: 51, 51",
+        "Transfer-Encoding: gzip\r\nExpect: 100-continue"}) {
+    const std::string answer =
+        exchangeRaw("POST /outer HTTP/1.1\r\n" + field + "\r\n\r\n" + inner + inner);
+    expectProblem(answer, 400, "not_run");
+    EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
+  }
+  expectProblem(exchangeRaw("POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), 400,
+                "not_run");
+  EXPECT_EQ(handled, 0);
+}
+
+// Guards against an answer whose end is not certain and whose rest counts as the next one.
+TEST_F(HttpTest, AnswerWithoutACertainEndIsUsed) {
+  for (const std::string field : {"Transfer-Encoding: gzip", "Transfer-Encoding: chunked, identity",
+                                  "Content-Length: 2, 2", "X: y\r\n Content-Length: 2"}) {
+    std::atomic<int> connections{0};
+    const RawServer peer([&](tcp::socket &socket, int) {
+      ++connections;
+      RawServer::readHead(socket);
+      RawServer::send(socket, "HTTP/1.1 200 OK\r\n" + field + "\r\n\r\nok");
+      RawServer::readHead(socket); // the client closes the connection
+    });
+    for (int n = 1; n <= 2; ++n) {
+      const auto result = request(peer.address(), makeRequest("/"));
+      EXPECT_EQ(result.status, HttpTransferStatus::Malformed) << field;
+      EXPECT_EQ(connections, n) << field;
+    }
+  }
+}
+
 // Guards against unbounded memory for many concurrent connections or bodies.
 TEST_F(HttpTest, LimitsOnConnectionsAndBodiesAnswer503) {
   serve(echo, {.maxConnections = 2, .maxBufferedBytes = 100});
