Count an answer only with proof that it belongs to the request

Cause: the gateway looked for an id that differs, not for the right id and the stamp, so an answer without an id passed. A connection with a wrong answer without a body was used again.

Change: AnswerHead::isAuthentic says that an answer has the id of the request, once, and the stamp. A success without both is a wrong answer, also the head of a stream; a failure without an id is one on a connection that has served another request. The connection is closed; an idempotent request is tried elsewhere within the budget, another one may have run, unless its own answer follows on the connection. A connection stays with its request until the end of the request, so that a wrong answer does not return it for reuse. Some answers in platform_gateway_test had no stamp, which engines always send with a success; they have one now.

--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -62,8 +62,11 @@
   unsigned status = 0;
   bool notRun = false;        ///< the endpoint reports that it did not run the request
   bool wrongEndpoint = false; ///< the address now belongs to another endpoint
-  bool wrongRequest = false;  ///< the answer carries the id of another request
+  bool wrongRequest = false;  ///< the answer belongs to another request, or may do so
   bool hasRequestId = false;  ///< the answer carries the id of this request
+  /// The answer carries the id of this request and the mark that an endpoint puts on its answers to
+  /// requests that it has run.
+  bool isAuthentic = false;
   /// The status promises that the request has not run, whether or not the endpoint reports so.
   bool promisesNotRun = false;
   EndpointAnnouncements announced; ///< none if the answer may be another endpoint's
--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -17,6 +17,17 @@
 // An endpoint that stops work at the deadline reports this a little later.
 constexpr Duration AnswerGrace = std::chrono::milliseconds(60);
 
+/// Returns true if an answer may belong to another request, or to none: a success or a redirection
+/// without the mark of the endpoint, or a failure that does not name the request on a connection
+/// with earlier answers. Refusals have checks of their own.
+bool mayBelongToAnother(const AnswerHead &head, bool isOnReusedConnection) {
+  constexpr unsigned FirstFailure = 400;
+  if (head.wrongRequest || head.status < FirstFailure)
+    return head.wrongRequest || !head.isAuthentic;
+  const bool isRefusal = head.notRun || head.promisesNotRun;
+  return !isRefusal && !head.hasRequestId && isOnReusedConnection;
+}
+
 } // namespace
 
 /// Returns true if a silent attempt may be abandoned. That needs another endpoint that can take the
@@ -89,7 +100,8 @@
   result = EndpointResult::Failed;
   const StreamHooks streamHooks{.started = [this](HttpStream *it) { currentStream = it; },
                                 .shouldFailOnSilence = [this, &to] { return canAbandon(to.name); },
-                                .mayReadFurther = !state.idempotent};
+                                // A connection with a wrong answer must not be used again.
+                                .mayReadFurther = true};
   auto stream = co_await g.client.open(to.address, std::move(request), limits, streamHooks);
   AttemptOutcome attemptOutcome = AttemptOutcome::Failed;
   lastHead = {};
@@ -134,6 +146,8 @@
   else if (isProbe && !answerBegun)
     g.crashGuard.onProbeEnded(quarantineVerdict.trait);
   currentStream = nullptr;
+  if (attemptOutcome == AttemptOutcome::Failed && failure == AttemptFailure::WrongAnswer)
+    stream->cancel(); // more bytes that belong to no request may follow
   stream.reset();
   bool isEndpointBlameless =
       failure == AttemptFailure::CallerGone ||
@@ -148,11 +162,18 @@
   co_return attemptOutcome;
 }
 
+/// Decodes the head of the newest answer on the connection.
+AnswerHead RequestForwarder::decodeHead(const HttpStream &stream, const FleetEndpoint &from) const {
+  AnswerHead out = g.codec.readHead(stream.head(), caller, from);
+  out.wrongRequest = mayBelongToAnother(out, stream.isOnReusedConnection());
+  return out;
+}
+
 /// Reads the head of the answer. An endpoint may send an earlier answer once more where the answer
 /// to a request that may run only once is due. It is skipped if its id or the marker shows that.
 asio::awaitable<void> RequestForwarder::readAnswerHead(HttpStream &stream,
                                                        const FleetEndpoint &from) {
-  lastHead = g.codec.readHead(stream.head(), caller, from);
+  lastHead = decodeHead(stream, from);
   refusalProven = lastHead.notRun;
   if (state.idempotent)
     co_return;
@@ -161,7 +182,7 @@
     const bool hasNext = co_await stream.readNextHead();
     if (!hasNext)
       co_return;
-    lastHead = g.codec.readHead(stream.head(), caller, from);
+    lastHead = decodeHead(stream, from);
   }
   refusalProven = lastHead.notRun && provesNotRun(stream);
   if (lastHead.notRun && !lastHead.wrongRequest && !refusalProven)
@@ -197,7 +218,7 @@
       lastHead = refusal;
       co_return finish(true, "holds");
     }
-    lastHead = g.codec.readHead(stream.head(), caller, from);
+    lastHead = decodeHead(stream, from);
     if (!lastHead.wrongRequest) // a second answer, hence the first was surplus
       co_return finish(false, lastHead.promisesNotRun ? "unproven" : "answered");
   }
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -91,6 +91,7 @@
   asio::awaitable<AttemptOutcome> sendTo(const FleetEndpoint &to);
   void onAnswerBegun();
   asio::awaitable<void> readAnswerHead(HttpStream &stream, const FleetEndpoint &from);
+  AnswerHead decodeHead(const HttpStream &stream, const FleetEndpoint &from) const;
   bool provesNotRun(const HttpStream &stream) const;
   asio::awaitable<bool> confirmRefusal(HttpStream &stream, const FleetEndpoint &from);
   void recordSignals(const FleetEndpoint &from, Instant sentAt);
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -203,6 +203,12 @@
   EXPECT_TRUE(codec.readHead(answer.base(), call, from).wrongRequest);
   answer.set("Request-Id", "id1");
   EXPECT_FALSE(codec.readHead(answer.base(), call, from).wrongRequest);
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).isAuthentic);
+  answer.set("Server-Stamp", "stamp");
+  EXPECT_TRUE(codec.readHead(answer.base(), call, from).isAuthentic);
+  answer.insert("Request-Id", "id2");
+  EXPECT_FALSE(codec.readHead(answer.base(), call, from).isAuthentic);
+  answer.set("Request-Id", "id1");
   answer.result(421);
   answer.set("Instance", "i-2");
   EXPECT_TRUE(codec.readHead(answer.base(), call, from).wrongEndpoint);
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace catkin::platform {
@@ -19,7 +20,7 @@
 using standin::sleepFor;
 
 /// Head of a stream that ends with its connection.
-const std::string RawStreamHead = "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n\r\n";
+const std::string RawStreamHead = "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nServer-Stamp: s\r\n\r\n";
 
 /// Closes the connection without an answer.
 asio::awaitable<void> closeWithoutAnswer(HttpExchange &exchange) {
@@ -200,6 +201,7 @@
     return [=](HttpExchange &exchange) -> asio::awaitable<void> {
       HttpResponse head{http::status::ok, 11};
       head.set("Request-Id", exchange.request()["Request-Id"]);
+      head.set("Server-Stamp", "stamp");
       co_await exchange.startStream(std::move(head));
       co_await exchange.writeChunk(text);
       if (complete)
@@ -334,6 +336,71 @@
   EXPECT_EQ(statusOfSecondRequest(RawRefusal + RawMarkerAnswer), 200U);
 }
 
+/// Returns a handler that answers as an endpoint does, but without the header `missing`.
+HttpHandler makeHandlerWithout(const std::string &missing, unsigned status = 200) {
+  return [=](HttpExchange &exchange) -> asio::awaitable<void> {
+    HttpResponse response{static_cast<http::status>(status), 11};
+    response.set("Request-Id", exchange.request()["Request-Id"]);
+    response.set("Server-Stamp", "stamp");
+    response.erase(missing);
+    response.body() = "foreign";
+    co_await exchange.respond(std::move(response));
+  };
+}
+
+// Guards against bytes that belong to no request and reach a caller as a success: the id or the
+// stamp is missing. An idempotent request is sent elsewhere, also a stream before its first event.
+TEST_F(PlatformGatewayTest, SuccessThatNoEndpointGaveIsDelivered) {
+  for (const std::string missing : {"Request-Id", "Server-Stamp"}) {
+    endpoints[0].handler = makeHandlerWithout(missing);
+    endpoints[1].handler = makeAnswerHandler(200, "body");
+    for (int i = 0; i < 4; ++i)
+      EXPECT_EQ(call(makeCall("/safe/x", http::verb::get)).response.body(), "body") << missing;
+    endpoints[1].handler = makeStreamHandler("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true);
+    for (int i = 0; i < 4; ++i)
+      expectBothEvents();
+    endpoints[1].handler = endpoints[0].handler;
+    for (auto *it : {"/unsafe/x", "/once/x", "/safe/x"}) {
+      auto request = makeCall(it);
+      request.set("Deadline-Ms", "400");
+      const auto result = call(request);
+      // The own answer of a request that must not run twice may still come on a kept connection.
+      EXPECT_THAT(result.response.result_int(), ::testing::AnyOf(502U, 504U)) << it << missing;
+      EXPECT_EQ(result.status, HttpTransferStatus::Ok) << it << missing;
+      EXPECT_EQ(result.response.body().find("foreign"), std::string::npos) << it << missing;
+    }
+  }
+}
+
+// Guards against the success or failure of another request that comes late on a kept connection.
+TEST_F(PlatformGatewayKeptConnectionTest, LateBytesOfNoRequestAreTheAnswer) {
+  const std::string success = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nnot yours at";
+  const std::string failure = "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n";
+  const std::string own = "HTTP/1.1 500 X\r\nRequest-Id: id1\r\nContent-Length: 0\r\n\r\n";
+  EXPECT_EQ(statusOfSecondRequest(success + RawAnswer), 200U);
+  EXPECT_EQ(statusOfSecondRequest(failure + RawAnswer), 200U);
+  EXPECT_EQ(statusOfSecondRequest(success + own), 500U);
+  EXPECT_EQ(statusOfSecondRequest(success), 504U); // no answer in time
+}
+
+// Guards against a connection that is used again after an answer that belongs to no request.
+TEST_F(PlatformGatewayTest, ConnectionWithBytesOfNoRequestIsUsedAgain) {
+  view.removeEndpoint(EndpointName("e1"), steadyNow());
+  std::atomic<int> connections = 0;
+  rawServers.push_back(std::make_unique<RawServer>([&](tcp::socket &socket, int) {
+    ++connections;
+    while (!RawServer::readHead(socket).empty())
+      RawServer::send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }));
+  FleetEndpoint entry = view.find(EndpointName("e0"))->entry;
+  entry.address = rawServers.back()->address();
+  view.putEndpoint(entry, steadyNow());
+  for (int n = 1; n <= 3; ++n) {
+    EXPECT_EQ(call(makeCall("/unsafe/x")).response.result_int(), 502U);
+    EXPECT_EQ(connections, n);
+  }
+}
+
 TEST_F(PlatformGatewayTest, FailureAfterARunIsReportedAsNotRun) {
   for (unsigned status : {503U, 429U, 408U}) {
     for (auto &it : endpoints)
@@ -389,7 +456,7 @@
     answerRaw(i, RawStreamHead + "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   expectBothEvents("/once/x");
   for (std::size_t i = 0; i < endpoints.size(); ++i)
-    answerRaw(i, "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\n\r\nwhole");
+    answerRaw(i, "HTTP/1.1 200 OK\r\nRequest-Id: id1\r\nServer-Stamp: s\r\n\r\nwhole");
   auto result = call(makeCall("/unsafe/x"));
   EXPECT_EQ(result.status, HttpTransferStatus::Ok);
   EXPECT_EQ(result.response.body(), "whole");
@@ -400,6 +467,7 @@
   return [=](HttpExchange &exchange) -> asio::awaitable<void> {
     HttpResponse head{http::status::ok, 11};
     head.set("Request-Id", exchange.request()["Request-Id"]);
+    head.set("Server-Stamp", "stamp");
     co_await exchange.startStream(std::move(head));
     co_await exchange.writeChunk("id: 1\ndata: a\n\n");
     co_await sleepFor(d);
@@ -613,6 +681,7 @@
     it.handler = [](HttpExchange &exchange) -> asio::awaitable<void> {
       HttpResponse response{http::status::ok, 11};
       response.set("Request-Id", exchange.request()["Request-Id"]);
+      response.set("Server-Stamp", "stamp");
       response.set("Server-Leaving", "1");
       response.body() = "body";
       co_await exchange.respond(std::move(response));
@@ -706,6 +775,7 @@
   return [piece = std::move(piece), &bytes](HttpExchange &exchange) -> asio::awaitable<void> {
     HttpResponse head{http::status::ok, 11};
     head.set("Request-Id", exchange.request()["Request-Id"]);
+    head.set("Server-Stamp", "stamp");
     bool open = co_await exchange.startStream(std::move(head));
     while (open) {
       open = co_await exchange.writeChunk(piece);
