Keep long prompts away from some of the engines

Cause: in the queueing model, a short urgent prompt that reaches an engine shortly after a long one is read after it.

Change: long prompts prefer three quarters of the engines, the same on all hosts, up to 0.3 of their latency objective; short ones prefer the others. Memory is filled to 0.75 instead of 0.9, and requests leave the data centre at a lower gain.

--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -24,13 +24,23 @@
 constexpr double FailureSeconds = 3;
 constexpr double FullSeconds = 100; // an engine without memory is chosen before an avoided one
 // Other hosts may have sent requests since their reports, and the engines run them all the same.
-constexpr double MemoryShare = 0.9;
+constexpr double MemoryShare = 0.75;
 // A request in progress slows all steps of its batch, for as long as the new one runs.
 constexpr double SecondsPerRequest = 0.002;
 // Part of a prompt that requests with the same affinity value share.
 constexpr double KeptShare = 0.5;
 constexpr double ReportAge = 0.8; // usual age of the reports of other hosts and their delay
 constexpr double MinWait = 0.05;
+// A short prompt that arrives behind a long one is read after it, whatever is chosen with reports
+// of 0.2 to 2 s ago. All hosts therefore keep long prompts away from the same few engines, as long
+// as the others are not much busier.
+constexpr std::uint64_t ShortOnlyPercent = 25;
+constexpr std::uint64_t ShortOnlySeed = 0x5c0a7;
+constexpr double ShortPromptTokens = 2048;
+constexpr double MaxShortOnlySlowness = 1.6; // short prompts avoid a slower engine anyway
+constexpr double LongPromptShare = 0.3; // of the objective, for which a long prompt waits elsewhere
+constexpr double ShortPromptSeconds = 0.05;
+constexpr double DefaultObjectiveSeconds = 1;
 
 /// Returns true if the endpoint can serve such requests, now or once it accepts them again.
 bool canServe(const EndpointState &state, const EndpointQuery &query, Instant now) {
@@ -147,6 +157,27 @@
   return out;
 }
 
+/// Returns true if the engine is one of those that long prompts are kept away from.
+bool isForShortPrompts(const Candidate &it) {
+  return it.slowness < MaxShortOnlySlowness &&
+         rendezvousHash(*it.state, ShortOnlySeed) % 100 < ShortOnlyPercent;
+}
+
+/// Adds to the predicted times what separates long prompts from short ones. Engines of which none
+/// or all are for short prompts are not affected.
+void separateBySize(std::vector<Candidate> &candidates, const EndpointQuery &query) {
+  const auto n = std::count_if(candidates.begin(), candidates.end(), isForShortPrompts);
+  if (n == 0 || n == static_cast<std::ptrdiff_t>(candidates.size()))
+    return;
+  const bool isShort = query.request.promptTokens <= ShortPromptTokens;
+  const double objective =
+      query.objective > Duration::zero() ? toSeconds(query.objective) : DefaultObjectiveSeconds;
+  const double penalty = isShort ? ShortPromptSeconds : LongPromptShare * objective;
+  for (auto &it : candidates)
+    if (isForShortPrompts(it) != isShort)
+      it.seconds += penalty;
+}
+
 /// Returns the work that other hosts may have sent since their reports, which delays such requests
 /// at these engines, in seconds of one engine. By Little's law, the work that arrives in a time is
 /// the unread one times this time over the mean time to read it.
@@ -264,6 +295,8 @@
   LocalityDecision decision;
   if (!away.empty())
     decision = decideLocality(home, away, query, now);
+  separateBySize(home, query);
+  separateBySize(away, query);
   const double work = unreportedSeconds(home.empty() ? away : home, query);
   if (decision.mayLeave)
     for (auto &it : away) {
--- a/src/locality_policy.cpp
+++ b/src/locality_policy.cpp
@@ -8,11 +8,11 @@
 
 // Two crossings of 0.9 ms and a new connection. The rest of the base covers the error of the
 // predictions, so that equal data centres do not exchange their requests.
-constexpr double BaseSeconds = 0.03;
-// Traffic between data centres costs money: a prompt of 45,000 bytes must gain 0.2 s.
-constexpr double SecondsPerByte = 5e-6;
+constexpr double BaseSeconds = 0.015;
+// Traffic between data centres costs money: a prompt of 45,000 bytes must gain 0.1 s.
+constexpr double SecondsPerByte = 2e-6;
 // A request that meets its objective at home with this much to spare gains nothing by leaving.
-constexpr double ComfortShare = 0.4;
+constexpr double ComfortShare = 0.2;
 constexpr double DefaultObjectiveSeconds = 1;
 constexpr double ReturnShare = 0.7; // of the time at which requests begin to leave
 constexpr Duration MinLeaving = std::chrono::milliseconds(300);
