Leave for other data centres without counting kept prompts twice

Cause: the time that a kept prompt saves was part of the prediction for the engine that keeps it and of the cost of leaving, so requests stayed at full engines. The bonus of a kept prompt also drew long prompts to engines beyond their memory between two reports, and the allowance for unreported work was computed after the penalties that keep long prompts apart, which made it too small.

Change: the cost of leaving is bytes and latency only. The bonus shrinks with the memory in use.

--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -28,9 +28,15 @@
 // A request in progress slows all steps of its batch, for as long as the new one runs.
 constexpr double SecondsPerRequest = 0.002;
 // Part of a prompt that requests with the same affinity value share.
-constexpr double KeptShare = 0.5;
+constexpr double KeptShare = 0.3;
+// A kept prompt does not attract requests to an engine whose memory is used to this share. Without
+// that, those with the most frequent prompts filled it beyond its memory between two reports.
+constexpr double KeeperMemoryShare = 0.5;
 constexpr double ReportAge = 0.8; // usual age of the reports of other hosts and their delay
 constexpr double MinWait = 0.05;
+// Where nothing is reported, others may still have sent a few requests of the same size. With one
+// instead of three, idle engines were filled beyond their memory between two reports.
+constexpr double OwnSizes = 3;
 // A short prompt that arrives behind a long one is read after it, whatever is chosen with reports
 // of 0.2 to 2 s ago. All hosts therefore keep long prompts away from the same few engines, as long
 // as the others are not much busier.
@@ -130,11 +136,11 @@
   return preferredEndpoint(home.empty() ? endpoints : home, query.affinity, now);
 }
 
-/// Returns true if the engine has room for the request in its memory. `capacity` is in tokens; 0 if
-/// it is not known.
-bool hasMemory(const EndpointState &state, const EngineRequest &request, double capacity) {
+/// Returns the part of the engine's memory that is used once it holds the request. `capacity` is in
+/// tokens; if it is not known, 0 is returned.
+double memoryUse(const EndpointState &state, const EngineRequest &request, double capacity) {
   const double needed = state.load.heldTokens() + request.promptTokens + request.answerTokens;
-  return capacity <= 0 || needed <= MemoryShare * capacity;
+  return capacity > 0 ? needed / capacity : 0;
 }
 
 Candidate makeCandidate(const EndpointState &state, const EndpointQuery &query, Instant now,
@@ -144,14 +150,16 @@
                 .isHome = state.entry.dataCentre == query.dataCentre};
   double seconds = state.load.nominalSeconds(query.request, state.requests(), state.entry.slots);
   seconds += SecondsPerRequest * state.requests();
+  const double memory = memoryUse(state, query.request, capacity);
   if (isKeeper)
-    seconds -= KeptShare * readSeconds(query.request.promptTokens);
+    seconds -= KeptShare * readSeconds(query.request.promptTokens) *
+               std::max(0.0, 1 - memory / KeeperMemoryShare);
   out.seconds = seconds * out.slowness + FailureSeconds * state.failureShare;
-  const bool isFull = !hasMemory(state, query.request, capacity);
+  const bool isFull = memory > MemoryShare;
   const bool isAvoided = now < state.avoidUntil;
   out.usable = !isFull && !isAvoided;
   if (isFull)
-    out.seconds += FullSeconds * (1 + state.load.heldTokens() / capacity);
+    out.seconds += FullSeconds * (1 + memory);
   if (isAvoided)
     out.seconds += AvoidedPenalty + toSeconds(state.avoidUntil - now);
   return out;
@@ -194,7 +202,7 @@
   }
   const double meanWait = std::max(MinWait, waits / std::max(n, 1.0));
   const double own = readSeconds(query.request.promptTokens);
-  return std::min(n * ReportAge, own + unread * ReportAge / meanWait);
+  return std::min(n * ReportAge, OwnSizes * own + unread * ReportAge / meanWait);
 }
 
 /// Returns the time up to which `work` seconds fill the engines that are predicted to be earlier.
@@ -266,7 +274,6 @@
   const auto isUsable = [](const Candidate &it) { return it.usable; };
   LocalityPolicy stateless;
   auto &policy = query.locality ? *query.locality : stateless;
-  const double saved = query.affinity ? KeptShare * readSeconds(query.request.promptTokens) : 0;
   return policy.decide({.service = query.service,
                         .priority = query.request.priority,
                         .hasHome = !home.empty(),
@@ -274,7 +281,6 @@
                         .homeSeconds = earliest(home, AvoidedPenalty),
                         .awaySeconds = earliest(away, AvoidedPenalty),
                         .bytes = query.bytes,
-                        .keptSeconds = saved,
                         .objective = query.objective},
                        now);
 }
@@ -295,9 +301,9 @@
   LocalityDecision decision;
   if (!away.empty())
     decision = decideLocality(home, away, query, now);
+  const double work = unreportedSeconds(home.empty() ? away : home, query);
   separateBySize(home, query);
   separateBySize(away, query);
-  const double work = unreportedSeconds(home.empty() ? away : home, query);
   if (decision.mayLeave)
     for (auto &it : away) {
       it.seconds += decision.penaltySeconds;
--- a/src/locality_policy.cpp
+++ b/src/locality_policy.cpp
@@ -31,7 +31,7 @@
     return {.mayLeave = true, .reason = LeaveReason::HomeUnusable};
   const double objective =
       input.objective > Duration::zero() ? toSeconds(input.objective) : DefaultObjectiveSeconds;
-  LocalityDecision out{.penaltySeconds = penaltySeconds(input.bytes) + input.keptSeconds,
+  LocalityDecision out{.penaltySeconds = penaltySeconds(input.bytes),
                        .reason = LeaveReason::HomeBusy};
   auto &state = states[{input.service, std::clamp(input.priority, 0, MaxPriority)}];
   const double comfort = ComfortShare * objective * (state.leaving ? ReturnShare : 1);
--- a/src/locality_policy_p.h
+++ b/src/locality_policy_p.h
@@ -24,7 +24,9 @@
                                                          "home_unusable", "home_busy"};
 };
 
-/// Inputs of a decision. Times are predicted ones from the choice to the first event.
+/// Inputs of a decision. Times are predicted ones from the choice to the first event. That at the
+/// engine which keeps parts of the prompt is shorter by what they save, so the gain of leaving is
+/// smaller for requests with such parts.
 struct LocalityInput {
   ServiceName service;
   int priority = 0;
@@ -33,7 +35,6 @@
   double homeSeconds = 0;  ///< at the best endpoint of the own data centre
   double awaySeconds = 0;  ///< at the best endpoint elsewhere
   double bytes = 0;        ///< of the prompt and the answer
-  double keptSeconds = 0;  ///< that prompt parts kept in the own data centre save
   Duration objective{};    ///< for the first event; zero if there is none
 };
 
