Keep idle connections and small requests when large bodies find no memory

Cause: a large reservation could have closed hundreds of idle connections. A failed search on its behalf stopped the search for a small request for 20 ms. A body of 64 KB with its head counted as large; an idle connection counted as stalled since its last request had begun. Change: connections are reclaimed for small reservations only, the pause between searches applies to large ones, up to 256 KB is small, and the end of a request counts as progress of its connection.

--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -184,7 +184,10 @@
   phase = Phase::Idle;
   isHeadComplete = false;
   freeMessage();
-  state->connections.onWaiting(id, steadyNow());
+  const Instant now = steadyNow();
+  state->connections.onWaiting(id, now);
+  if (ownMemory)
+    ownMemory->recordProgress(now);
   if (state->stopping && buffer.size() == 0)
     co_return false;
   if (buffer.size() == 0) {
--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// A search for stalled holders that has not found enough is not repeated for this long, since a
-// crowd of refused requests would otherwise cause one search each.
+// A search on behalf of a large reservation that has not found enough is not repeated for this
+// long, since a crowd of refused requests would otherwise cause one search each.
 constexpr Duration SearchInterval = std::chrono::milliseconds(20);
 constexpr Duration ReportInterval = std::chrono::seconds(1);
 
@@ -130,15 +130,20 @@
                            Calls &calls) {
   if (releasing >= missing)
     return true;
-  if (now < nextSearch)
+  const bool isLarge = decision.bytes > SmallBytes;
+  if (isLarge && now < nextSearch)
     return false;
   auto stalled = stalledHolders(now);
+  // One large body is not worth the idle connections of hundreds of callers.
+  if (isLarge)
+    std::erase_if(stalled, [](const Holder *it) { return it->kind == MemoryKind::Connection; });
   std::size_t available = releasing;
   std::size_t n = 0;
   while (n < stalled.size() && available < missing)
     available += stalled[n++]->bytes;
   if (available < missing) {
-    nextSearch = now + SearchInterval;
+    if (isLarge)
+      nextSearch = now + SearchInterval;
     return false;
   }
   for (std::size_t i = 0; i < n; ++i) {
--- a/src/memory_budget_p.h
+++ b/src/memory_budget_p.h
@@ -56,8 +56,9 @@
 /// Thread-safe.
 class MemoryBudget {
 public:
-  /// Reservations of up to this size may use the whole limit, larger ones only a part of it.
-  static constexpr std::size_t SmallBytes = 64 * 1024;
+  /// Reservations of up to this size may use the whole limit, larger ones only a part of it. A body
+  /// of 64 KB takes up to 128 KB if it arrives in chunks, and its head up to 96 KB.
+  static constexpr std::size_t SmallBytes = 256 * 1024;
   /// A holder without progress for this long may lose its memory to another one. A caller that
   /// sends continuously makes progress far more often, also over a slow line.
   static constexpr Duration StallTime = std::chrono::seconds(1);
--- a/tests/memory_budget_test.cpp
+++ b/tests/memory_budget_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <vector>
 
 namespace catkin {
 namespace {
@@ -94,6 +95,23 @@
   EXPECT_EQ(small.resize(MemoryBudget::SmallBytes, Start), Outcome::Granted);
 }
 
+// Guards against idle callers that lose their connections for one large body, and against small
+// requests that are refused since a large one has just found nothing.
+TEST(MemoryBudgetTest, IdleConnectionsAreClosedForSmallRequestsOnly) {
+  MemoryBudget budget({.limit = Megabyte});
+  int closed = 0;
+  std::vector<std::unique_ptr<Holder>> idle;
+  for (int i = 0; i < 8; ++i) {
+    idle.push_back(std::make_unique<Holder>(budget, MemoryKind::Connection, [&] { ++closed; }));
+    EXPECT_EQ(idle.back()->resize(Megabyte / 8, Start), Outcome::Granted);
+  }
+  Holder large(budget, MemoryKind::Upload);
+  EXPECT_EQ(large.resize(Megabyte / 2, Start + 2s), Outcome::Refused);
+  Holder small(budget, MemoryKind::Upload);
+  EXPECT_EQ(small.resize(1024, Start + 2s), Outcome::Reclaiming);
+  EXPECT_EQ(closed, 1);
+}
+
 // Guards against a log that grows with each refused request.
 TEST(MemoryBudgetTest, DecisionsAreReportedOnceASecond) {
   std::vector<MemoryDecision> reports;
