--- a/tests/machine_limits_test.cpp
+++ b/tests/machine_limits_test.cpp
@@ -1,4 +1,5 @@
 #include "machine_limits_p.h"
+#include "memory_report_p.h"
 
 #include <gtest/gtest.h>
 
@@ -38,5 +39,20 @@
   EXPECT_EQ(connectionLimits(0).callers, 4096U);
 }
 
+// Guards against metrics that do not say what holds the memory.
+TEST(MachineLimitsTest, MetricsTellWhatHoldsTheMemory) {
+  MemoryBudget budget({.limit = 100});
+  MemoryBudget::Holder upload(budget, MemoryKind::Upload);
+  EXPECT_EQ(upload.resize(60, Start), MemoryBudget::Outcome::Granted);
+  MemoryBudget::Holder head(budget, MemoryKind::Head);
+  EXPECT_EQ(head.resize(60, Start), MemoryBudget::Outcome::Refused);
+  const auto text = limitMetricsText(budget, {.open = 7, .refused = 2, .evicted = 3});
+  for (const char *line :
+       {"catkin_held_bytes{kind=\"upload\"} 60\n",
+        "catkin_memory_refusals_total{kind=\"head\"} 1\n", "catkin_held_bytes_limit 100\n",
+        "catkin_caller_connections 7\n", "catkin_connections_refused_total 2\n"})
+    EXPECT_NE(text.find(line), std::string::npos) << line;
+}
+
 } // namespace
 } // namespace catkin::platform
