Take no proof from a store that lacks a version which another host has had

The rule held only while the other host was alive. It now holds until this host has the version, since the store has confirmed it once. Tests: an old copy of the store proves nothing, also after the other host is gone; valid keys are served while the store comes back from an older copy.

--- a/src/fleet_configuration.cpp
+++ b/src/fleet_configuration.cpp
@@ -29,9 +29,10 @@
                   .upToDate = [this](Instant sentAt,
                                      std::uint64_t era) { onStoreAnswer(sentAt, era); }}) {}
 
-  /// While another host has a newer version, the store may lack it since it was restored.
+  /// If another host has had a newer version, the store may lack it since it was restored, also
+  /// after that host is gone.
   void onStoreAnswer(Instant sentAt, std::uint64_t era) {
-    if (version > 0 && !catchUp.behindSince() && hooks.upToDate)
+    if (version > 0 && version >= catchUp.target() && hooks.upToDate)
       hooks.upToDate(sentAt, era);
   }
 
--- a/src/fleet_configuration_p.h
+++ b/src/fleet_configuration_p.h
@@ -36,7 +36,7 @@
     /// Returns the other live hosts and the versions that they have.
     std::function<std::vector<ConfigHolder>()> holders;
     /// Called after a call of the store that was sent at `sentAt`, by CoreEnv::bootTime(), has
-    /// shown no newer version than the active one, unless another host has announced one. A version
+    /// shown no newer version than the active one, unless another host has had one. A version
     /// that cannot be read does not take effect and counts as none.
     std::function<void(Instant sentAt, std::uint64_t era)> upToDate;
     /// Called when the connection to the store is lost or restored.
--- a/tests/config_freshness_test.cpp
+++ b/tests/config_freshness_test.cpp
@@ -1,4 +1,5 @@
 #include "config_freshness_p.h"
+#include "fleet_configuration_p.h"
 #include "fleet_world_p.h"
 #include "freshness_exchange_p.h"
 
@@ -190,6 +191,71 @@
   EXPECT_TRUE(asker.exchange.areKeysCurrent());
 }
 
+/// A store that has one version of the configuration, and hosts that do not answer.
+class StoreOfOneVersion : public ObjectFeed, public ConfigSource {
+public:
+  explicit StoreOfOneVersion(FakeEnv &env) : env(env) {}
+  void list(const std::string &, const std::string &, FeedDone done) override {
+    env.after(1ms, [done = std::move(done), page = page] { done(page); });
+  }
+  void watch(const std::string &, StoreRevision, const WatchLimits &limits,
+             FeedDone done) override {
+    env.after(limits.maxWait, [done = std::move(done), revision = page.revision] {
+      done(FeedPage{.status = FeedStatus::Ok, .objects = {}, .revision = revision});
+    });
+  }
+  void fetch(const Address &, Done) override {}
+
+  FeedPage page{.status = FeedStatus::Ok,
+                .objects = {{.name = "main", .revision = 3, .content = 3}},
+                .revision = 3};
+
+private:
+  FakeEnv &env;
+};
+
+// Guards against a store that has lost the newest version, which another host still has.
+TEST(FleetConfigurationTest, StoreProvesAVersionThatIsNotTheNewest) {
+  FakeEnv env;
+  StoreOfOneVersion store(env);
+  std::uint64_t heard = 3;
+  int proofs = 0;
+  FleetConfiguration it(env, store, store,
+                        {.kind = "config", .name = "main", .watch = {.maxWait = 1s}},
+                        {.readConfig =
+                             [](const FeedObject &object) {
+                               FleetConfig config;
+                               config.version = object.content.to_number<std::uint64_t>();
+                               return std::optional(std::move(config));
+                             },
+                         .removeSecrets = {},
+                         .apply = [](const FleetConfig &) { return true; },
+                         .applied = [] {},
+                         .holders =
+                             [&] {
+                               return std::vector<ConfigHolder>{
+                                   {.address = {"10.0.0.2", 1}, .version = heard, .nearby = true}};
+                             },
+                         .upToDate = [&](Instant, std::uint64_t) { ++proofs; },
+                         .connectionChanged = {},
+                         .restored = {}});
+  it.start();
+  env.run(500ms);
+  EXPECT_EQ(proofs, 1);
+  heard = 4;
+  it.onPeerVersion(heard);
+  env.run(5s);
+  EXPECT_EQ(proofs, 1);
+  heard = 3; // that host is gone
+  env.run(2s);
+  EXPECT_EQ(proofs, 1);
+  store.page.objects = {{.name = "main", .revision = 4, .content = 4}};
+  store.page.revision = 4;
+  it.reload();
+  env.run(100ms);
+  EXPECT_EQ(proofs, 2);
+}
+
 TEST(FreshnessMessages, ArriveAsTheyWereSent) {
   const auto question = decodeFleetMessage(encodeFleetMessage(FreshnessQuestion{1ULL << 52U, 9}));
   ASSERT_TRUE(question.has_value());
--- a/tests/team_keys_test.cpp
+++ b/tests/team_keys_test.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 /// Tests with daemons as processes and teams in the configuration: only valid keys run, endpoints
 /// see teams and no keys, and a key that is taken away runs nowhere.
@@ -181,6 +182,21 @@
   EXPECT_EQ(hostsThatRefuse(), std::vector<int>{});
 }
 
+// Guards against valid keys that are refused while the store comes back from an older copy.
+TEST_P(TeamKeys, RestoreRefusesValidKeys) {
+  std::this_thread::sleep_for(4s);
+  std::thread restore([&] { cluster.restoreStore(1s); });
+  int refused = 0;
+  int total = 0;
+  for (const Instant end = steadyNow() + 8s; steadyNow() < end;) {
+    const auto n = hostsThatRefuse().size();
+    refused += static_cast<int>(n);
+    total += hosts;
+  }
+  restore.join();
+  EXPECT_EQ(refused, 0) << "of " << total;
+}
+
 INSTANTIATE_TEST_SUITE_P(Hosts, TeamKeys, ::testing::Values(SmallFleet, LargeFleet));
 
 } // namespace
