--- a/src/team_quotas.cpp
+++ b/src/team_quotas.cpp
@@ -107,8 +107,9 @@
     const Duration pause = boot - std::exchange(lastBootTime, boot);
     if (pause <= MaxPause)
       return;
-    logLine(LogLevel::Warn, "this host was stopped and gives up the quotas that it issued",
-            {{"for_ms", toMillis(pause)}});
+    if (view.config() && !view.config()->teams.empty())
+      logLine(LogLevel::Warn, "this host was stopped and gives up the quotas that it issued",
+              {{"for_ms", toMillis(pause)}});
     issuer.onInterrupted();
     trustsPeersFrom = env.now() + PeersReturnTime;
   }
