--- a/src/fleet_gateway_impl_p.h
+++ b/src/fleet_gateway_impl_p.h
@@ -5,8 +5,11 @@
 #include "locality_policy_p.h"
 #include "memory_budget_p.h"
 
+#include <functional>
+#include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 /// State of the gateway that its requests share.
 namespace catkin {
@@ -31,6 +34,8 @@
   LocalityPolicy locality;
   std::map<std::pair<EndpointName, ModelRef>, int> runningRequests;
   std::set<RequestForwarder *> requests; ///< in progress
+  /// Requests that wait for an endpoint to confirm its incarnation.
+  std::map<EndpointIncarnation, std::vector<std::function<void(bool)>>> confirmations;
   Instant refuseFrom = Instant::max();
   Instant stopEnd = Instant::max(); ///< when requests in progress are ended
 
