--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "digest_cache_p.h"
+#include "host_registration_p.h"
 #include "json_p.h"
 #include "log_p.h"
 
@@ -10,7 +11,6 @@
 namespace {
 
 constexpr auto HostKind = "catkin-hosts";
-constexpr Duration RegisterRetry = std::chrono::milliseconds(300);
 // Within which hosts register again that a restored store has forgotten, other hosts' lists
 // included.
 constexpr Duration HostReregistrationTime = std::chrono::seconds(3);
@@ -52,6 +52,7 @@
   FleetView view;
   FleetPeers peers;
   FleetLinks links;
+  HostRegistration registration;
   RequestPermits permits;
   TeamQuotas quotas;
   VersionRecorder versionRecorder;
@@ -89,6 +90,7 @@
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
       : options(std::move(o)), adapter(std::move(a)), env(*adapter.env), peers(options.self),
         links(executor, [this](auto &message, auto &from) { onMessage(message, from); }),
+        registration(env, HostKind, options.self),
         permits(env, view,
                 {.issuer = [this](auto &it) { return permitIssuer(it); },
                  .share = [this] { return peers.permitShare(env.now()); },
@@ -309,7 +311,7 @@
     restoredAt = env.now();
     view.onStoreRestored(env.now());
     versionRecorder.onStoreRestored();
-    registerSelf(); // the copy may be older than the registration
+    registration.add(); // the copy may be older than the registration
     configuration.onStoreRestored(era);
     endpointFollower.restartIfBefore(era);
     hostFollower.restartIfBefore(era);
@@ -376,50 +378,6 @@
             connected ? "store connected" : "store lost", {{"objects", kind}});
   }
 
-  // ---- Own registration ------------------------------------------------------------------------
-
-  std::string hostKey() const { return std::string(HostKind) + "/" + options.self.host.value; }
-
-  void registerSelf() {
-    if (stopping)
-      return;
-    env.platform().get(hostKey(), [self = shared_from_this()](StoreStatus s, const StoreObject &o) {
-      if (s == StoreStatus::Ok && o.value == formatHostEntry(self->options.self))
-        return logLine(LogLevel::Info, "registered already");
-      if (s == StoreStatus::Ok || s == StoreStatus::NotFound)
-        self->writeRegistration(s == StoreStatus::Ok ? o.version : 0);
-      else
-        self->env.after(RegisterRetry, [self] { self->registerSelf(); });
-    });
-  }
-
-  void writeRegistration(std::uint64_t version) {
-    if (stopping)
-      return;
-    env.platform().put(hostKey(), formatHostEntry(options.self), version,
-                       [self = shared_from_this()](StoreStatus s, const StoreObject &) {
-                         if (s == StoreStatus::Ok)
-                           return logLine(LogLevel::Info, "registered");
-                         self->env.after(RegisterRetry, [self] { self->registerSelf(); });
-                       });
-  }
-
-  /// Removes the registration. Calls `done` also if that fails.
-  void unregister(const std::function<void()> &done) {
-    env.platform().get(
-        hostKey(), [self = shared_from_this(), done](StoreStatus s, const StoreObject &o) {
-          if (s != StoreStatus::Ok) {
-            logLine(LogLevel::Warn, "registration not removed", {{"status", toString(s)}});
-            return done();
-          }
-          self->env.platform().erase(
-              self->hostKey(), o.version, [done](StoreStatus s, const StoreObject &) {
-                logLine(LogLevel::Info, "registration removed", {{"status", toString(s)}});
-                done();
-              });
-        });
-  }
-
   // ---- Messages --------------------------------------------------------------------------------
 
   void broadcast(HoldingsNotices message) {
@@ -756,7 +714,7 @@
   impl->configuration.start();
   impl->endpointFollower.start();
   impl->hostFollower.start();
-  impl->registerSelf();
+  impl->registration.add();
   impl->plannerHeardAt = impl->env.now();
   // If hosts start together, those with more capacity get the chance to acquire the lease first.
   impl->env.after(fromSeconds(toSeconds(LowCapacityStartDelay) * (1 - impl->options.self.capacity)),
@@ -781,7 +739,7 @@
   impl->gateway.setStop(now + refusalDelay, requestsEnd);
   impl->env.after(requestsEnd - now, [self = impl] { self->gateway.endRequests(); });
   impl->streams.shareAll();
-  impl->unregister([] {});
+  impl->registration.remove();
   impl->planner.stop(std::move(done));
 }
 
