Test engine loads, locality and the choice under shared reports

Cause: the parts of the choice were tested only together, under load.

The tests of damaged input cover the new fields. fleet-bench measures the choice of an engine at 140 and 2,300 endpoints.

--- a/bench/fleet_bench.cpp
+++ b/bench/fleet_bench.cpp
@@ -1,7 +1,7 @@
 #include "demand_meter_p.h"
+#include "endpoint_choice_p.h"
 #include "event_relay_p.h"
 #include "fleet_messages_p.h"
-#include "endpoint_choice_p.h"
 #include "model_placement_p.h"
 
 #include <benchmark/benchmark.h>
@@ -50,6 +50,30 @@
 }
 BENCHMARK(chooseEndpointBench)->Args({15, 39})->Args({143, 288})->Args({600, 1200});
 
+/// Arguments: endpoints, prompt tokens; 0 for the choice by the number of requests.
+void chooseEngineBench(benchmark::State &state) {
+  FleetView view;
+  for (int i = 0; i < state.range(0); ++i) {
+    auto endpoint = makeEndpoint(i, ModelsHeld);
+    endpoint.dataCentre = DataCentreName(std::string(1, static_cast<char>('x' + i % 3)));
+    view.putEndpoint(endpoint, Now);
+    view.setPeersInFlight(endpoint.name, i % 9,
+                          {.unread = {900.0 * (i % 5), 0, 700.0 * (i % 11)}, .reading = 2});
+  }
+  LocalityPolicy locality;
+  std::uint64_t random = 0;
+  for (auto _ : state) {
+    EndpointQuery query{.service = Service,
+                        .model = {modelName(0), {}},
+                        .dataCentre = DataCentre,
+                        .affinity = ++random,
+                        .request = {.promptTokens = static_cast<double>(state.range(1))},
+                        .locality = &locality};
+    benchmark::DoNotOptimize(chooseEndpoint(view, query, Now, random));
+  }
+}
+BENCHMARK(chooseEngineBench)->ArgsProduct({{140, 2300}, {0, 900}})->Unit(benchmark::kMicrosecond);
+
 /// Argument: routes.
 void findRouteBench(benchmark::State &state) {
   FleetConfig config{.version = 1};
--- a/tests/mangled_bytes_test.cpp
+++ b/tests/mangled_bytes_test.cpp
@@ -72,7 +72,7 @@
   const FleetMessage messages[] = {
       FleetHeartbeat{.host = HostName("h"),
                      .incarnation = 5,
-                     .loads = {{EndpointName("e"), 3}},
+                     .loads = {{EndpointName("e"), 3, {.unread = {400, 0, 900}, .held = 5000}}},
                      .departures = {},
                      .newestArrival = {1, 2}},
       DemandReport{.host = HostName("h"), .observed = 2s},
@@ -96,7 +96,7 @@
       R"("timeout_ms":17000,"objective_ms":2500,"priority":1,"service":"a","max_attempts":2,)"
       R"("resumable":true}],"services":[{"name":"a","health_path":"/health",)"
       R"("connection_cap":370,"engine":{"slots":64,"weights_mb":200000.0,"adapter_slots":8,)"
-      R"("loads_per_s":2.1,"models":[{"name":"m","weights_mb":65500.0,"load_s":6.0,)"
+      R"("kv_capacity_tokens":232000,"loads_per_s":2.1,"models":[{"name":"m","weights_mb":65500.0,"load_s":6.0,)"
       R"("adapters":4,"adapter_mb":40.0,"warm_s":0.38,"disk_s":0.76}]}}]})";
   for (auto &content : {entry, config})
     feed(R"({"metadata":{"name":"x","revision":3},"specification":)" + content + "}",
--- a/tests/platform_decode_test.cpp
+++ b/tests/platform_decode_test.cpp
@@ -56,6 +56,7 @@
       R"({"service":"a","weight":90},{"service":"b","weight":10}],"max_attempts":2,)"
       R"("resumable":true,"gap_aim_ms":400}],"services":[{"name":"a","health_path":"/health",)"
       R"("connection_cap":370,"engine":{"slots":64,"weights_mb":200000.0,"adapter_slots":8,)"
+      R"("kv_capacity_tokens":232000,)"
       R"("loads_per_s":2.1,"models":[{"name":"m","weights_mb":65500.0,"load_s":6.0,"adapters":4,)"
       R"("adapter_mb":40.0,"warm_s":0.38,"disk_s":0.76}]}},{"name":"b"}]})"));
   ASSERT_TRUE(config.has_value());
@@ -67,6 +68,7 @@
   EXPECT_EQ(route.services.size(), 2U);
   auto &engine = config->services.at(ServiceName("a")).engine;
   EXPECT_EQ(engine.models.at(ModelName("m")).diskLoad, std::chrono::milliseconds(760));
+  EXPECT_EQ(engine.tokens, 232'000);
   EXPECT_FALSE(config->services.at(ServiceName("b")).hasEngines);
 }
 
