Count late ends as observations of the pace; leave full engines for usable ones only

Cause: an engine that stalled until its requests were given up left no observation of its pace. If callers name far more answer tokens than they get, all engines seem full, and requests would then have left their data centre without a cost and been chosen by memory only.

Change: a request that ends without a first event after the expected time counts as an observation of that time. Requests leave full engines without a cost only if others elsewhere have room, and the predicted time counts among full engines. The choice looks up only once whether an engine is kept for short prompts.

--- a/src/endpoint_choice.cpp
+++ b/src/endpoint_choice.cpp
@@ -23,6 +23,9 @@
 // The following are for requests of known size, whose costs are in seconds.
 constexpr double FailureSeconds = 3;
 constexpr double FullSeconds = 100; // an engine without memory is chosen before an avoided one
+// If callers name far more answer tokens than they get, all engines seem full. The predicted time
+// must then still count.
+constexpr double FullSecondsPerMemory = 4;
 // Other hosts may have sent requests since their reports, and the engines run them all the same.
 constexpr double MemoryShare = 0.75;
 // A request in progress slows all steps of its batch, for as long as the new one runs.
@@ -118,10 +121,11 @@
 /// An engine that can take a request of known size.
 struct Candidate {
   const EndpointState *state = nullptr;
-  double seconds = 0;  ///< predicted time to the first event, and penalties
-  double slowness = 1; ///< of the engine
-  bool isHome = false; ///< it is in this host's data centre
-  bool usable = true;  ///< it neither fails nor lacks memory
+  double seconds = 0;    ///< predicted time to the first event, and penalties
+  double slowness = 1;   ///< of the engine
+  bool isHome = false;   ///< it is in this host's data centre
+  bool usable = true;    ///< it neither fails nor lacks memory
+  bool forShort = false; ///< long prompts are kept away from it
 };
 
 /// Returns the engine that keeps the shared prompt parts of such requests, if any does. Each data
@@ -143,11 +147,18 @@
   return capacity > 0 ? needed / capacity : 0;
 }
 
+/// Returns true if the engine is one of those that long prompts are kept away from.
+bool isForShortPrompts(const EndpointState &state, double slowness) {
+  return slowness < MaxShortOnlySlowness &&
+         rendezvousHash(state, ShortOnlySeed) % 100 < ShortOnlyPercent;
+}
+
 Candidate makeCandidate(const EndpointState &state, const EndpointQuery &query, Instant now,
                         double capacity, bool isKeeper) {
   Candidate out{.state = &state,
                 .slowness = state.load.slowness(now),
                 .isHome = state.entry.dataCentre == query.dataCentre};
+  out.forShort = isForShortPrompts(state, out.slowness);
   double seconds = state.load.nominalSeconds(query.request, state.requests(), state.entry.slots);
   seconds += SecondsPerRequest * state.requests();
   const double memory = memoryUse(state, query.request, capacity);
@@ -159,22 +170,17 @@
   const bool isAvoided = now < state.avoidUntil;
   out.usable = !isFull && !isAvoided;
   if (isFull)
-    out.seconds += FullSeconds * (1 + memory);
+    out.seconds += FullSeconds + FullSecondsPerMemory * memory;
   if (isAvoided)
     out.seconds += AvoidedPenalty + toSeconds(state.avoidUntil - now);
   return out;
 }
 
-/// Returns true if the engine is one of those that long prompts are kept away from.
-bool isForShortPrompts(const Candidate &it) {
-  return it.slowness < MaxShortOnlySlowness &&
-         rendezvousHash(*it.state, ShortOnlySeed) % 100 < ShortOnlyPercent;
-}
-
 /// Adds to the predicted times what separates long prompts from short ones. Engines of which none
 /// or all are for short prompts are not affected.
 void separateBySize(std::vector<Candidate> &candidates, const EndpointQuery &query) {
-  const auto n = std::count_if(candidates.begin(), candidates.end(), isForShortPrompts);
+  const auto n =
+      std::count_if(candidates.begin(), candidates.end(), [](auto &it) { return it.forShort; });
   if (n == 0 || n == static_cast<std::ptrdiff_t>(candidates.size()))
     return;
   const bool isShort = query.request.promptTokens <= ShortPromptTokens;
@@ -182,7 +188,7 @@
       query.objective > Duration::zero() ? toSeconds(query.objective) : DefaultObjectiveSeconds;
   const double penalty = isShort ? ShortPromptSeconds : LongPromptShare * objective;
   for (auto &it : candidates)
-    if (isForShortPrompts(it) != isShort)
+    if (it.forShort != isShort)
       it.seconds += penalty;
 }
 
@@ -278,6 +284,7 @@
                         .priority = query.request.priority,
                         .hasHome = !home.empty(),
                         .homeUsable = std::any_of(home.begin(), home.end(), isUsable),
+                        .awayUsable = std::any_of(away.begin(), away.end(), isUsable),
                         .homeSeconds = earliest(home, AvoidedPenalty),
                         .awaySeconds = earliest(away, AvoidedPenalty),
                         .bytes = query.bytes,
--- a/src/engine_load.cpp
+++ b/src/engine_load.cpp
@@ -99,7 +99,7 @@
   run.gapCount = 0;
 }
 
-void EngineLoadModel::onEnded(const EngineRun &run) {
+void EngineLoadModel::onEnded(const EngineRun &run, bool wasRunning, Instant now) {
   if (!run.request.hasTokens())
     return;
   reduce(own.held, run.request.promptTokens + run.request.answerTokens);
@@ -107,6 +107,10 @@
     return;
   reduce(own.unread[levelOf(run.request.priority)], run.request.promptTokens);
   reduce(own.reading, 1);
+  // The engine would have needed at least this time. An earlier end says nothing.
+  const double seconds = toSeconds(now - run.sentAt);
+  if (wasRunning && seconds > run.expectedSeconds)
+    observe(seconds, run.expectedSeconds, FirstEventWeight, now);
 }
 
 void EngineLoadModel::forgetPace() { own.paceWeight = own.paceLogSum = 0; }
@@ -141,6 +145,8 @@
 }
 
 double EngineLoadModel::slowness(Instant now) const {
+  if (own.paceWeight + peers.paceWeight <= 0)
+    return 1;
   const double kept = own.paceWeight > 0 ? retention(now) : 0;
   const double weight = own.paceWeight * kept + peers.paceWeight;
   return std::exp((own.paceLogSum * kept + peers.paceLogSum) / (weight + PriorWeight));
--- a/src/engine_load_p.h
+++ b/src/engine_load_p.h
@@ -51,8 +51,9 @@
   EngineRun onSent(const EngineRequest &request, int requests, int slots, Instant now);
   /// Records that `n` further events of the request have arrived.
   void onEvents(EngineRun &run, int n, int requests, Instant now);
-  /// Records the end of the request.
-  void onEnded(const EngineRun &run);
+  /// Records the end of the request. `wasRunning`: it had reached the engine, so a missing first
+  /// event says something about the pace.
+  void onEnded(const EngineRun &run, bool wasRunning, Instant now);
   /// Sets what the other hosts report.
   void setPeers(const EngineTokens &tokens) { peers = tokens; }
   /// Forgets the observations of the pace, which belong to another incarnation of the engine.
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -246,10 +246,13 @@
     it->second.load.onEvents(run, n, it->second.requests(), now);
 }
 
-void FleetView::onRunEnded(const EndpointName &name, const EngineRun &run) {
+void FleetView::onRunEnded(const EndpointName &name, const EngineRun &run, EndpointResult result,
+                           Instant now) {
+  const bool wasRunning =
+      result != EndpointResult::NotConnected && result != EndpointResult::Refused;
   auto it = states.find(name);
   if (it != states.end())
-    it->second.load.onEnded(run);
+    it->second.load.onEnded(run, wasRunning, now);
 }
 
 void FleetView::onEnded(const EndpointName &name, EndpointResult result, Instant now) {
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -117,7 +117,8 @@
   /// `n` further events of the request have arrived.
   void onEvents(const EndpointName &name, EngineRun &run, int n, Instant now);
   /// The request has ended; called in addition to onEnded() and before it.
-  void onRunEnded(const EndpointName &name, const EngineRun &run);
+  void onRunEnded(const EndpointName &name, const EngineRun &run, EndpointResult result,
+                  Instant now);
   /// A request of this host to the endpoint has ended.
   void onEnded(const EndpointName &name, EndpointResult result, Instant now);
   /// The endpoint has confirmed its known incarnation, or has not.
--- a/src/locality_policy.cpp
+++ b/src/locality_policy.cpp
@@ -27,7 +27,7 @@
 LocalityDecision LocalityPolicy::decide(const LocalityInput &input, Instant now) {
   if (!input.hasHome)
     return {.mayLeave = true, .reason = LeaveReason::NoEndpointHere};
-  if (!input.homeUsable)
+  if (!input.homeUsable && input.awayUsable)
     return {.mayLeave = true, .reason = LeaveReason::HomeUnusable};
   const double objective =
       input.objective > Duration::zero() ? toSeconds(input.objective) : DefaultObjectiveSeconds;
--- a/src/locality_policy_p.h
+++ b/src/locality_policy_p.h
@@ -32,6 +32,7 @@
   int priority = 0;
   bool hasHome = false;    ///< an endpoint of the own data centre can take the request
   bool homeUsable = false; ///< one that neither fails nor lacks memory
+  bool awayUsable = false; ///< one elsewhere that neither fails nor lacks memory
   double homeSeconds = 0;  ///< at the best endpoint of the own data centre
   double awaySeconds = 0;  ///< at the best endpoint elsewhere
   double bytes = 0;        ///< of the prompt and the answer
--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -146,7 +146,7 @@
     result = EndpointResult::Abandoned;
   if (attemptOutcome == AttemptOutcome::Failed && mayHaveRun(failure))
     search->onFailed(to.name);
-  g.view.onRunEnded(to.name, engineRun);
+  g.view.onRunEnded(to.name, engineRun, result, g.hooks.now());
   g.view.onEnded(to.name, result, g.hooks.now());
   if (--g.runningRequests[runKey] <= 0)
     g.runningRequests.erase(runKey);
--- a/tests/engine_choice_load_test.cpp
+++ b/tests/engine_choice_load_test.cpp
@@ -181,7 +181,7 @@
   }
 
   void end(const Call &call, EndpointResult outcome) {
-    views[call.host].onRunEnded(nameOf(call.engine), call.run);
+    views[call.host].onRunEnded(nameOf(call.engine), call.run, outcome, at(now));
     views[call.host].onEnded(nameOf(call.engine), outcome, at(now));
   }
 
--- a/tests/engine_load_test.cpp
+++ b/tests/engine_load_test.cpp
@@ -57,8 +57,8 @@
   EXPECT_EQ(model.ownTokens(Start).unread, (std::array<double, 3>{700, 900, 0}));
   model.onEvents(ended, 1, 2, Start + 50ms);
   EXPECT_EQ(model.ownTokens(Start).unread[1], 0);
-  model.onEnded(ended);
-  model.onEnded(broken);
+  model.onEnded(ended, true, Start + 1s);
+  model.onEnded(broken, true, Start + 1s);
   EXPECT_EQ(model.heldTokens(), 0);
   EXPECT_EQ(model.ownTokens(Start).reading, 0);
 }
@@ -126,7 +126,8 @@
   auto decision = policy.decide({.service = Service, .awaySeconds = 5, .bytes = 1e6}, Start);
   EXPECT_TRUE(decision.mayLeave);
   EXPECT_EQ(decision.penaltySeconds, 0);
-  decision = policy.decide({.service = Service, .hasHome = true, .awaySeconds = 5}, Start);
+  decision = policy.decide(
+      {.service = Service, .hasHome = true, .awayUsable = true, .awaySeconds = 5}, Start);
   EXPECT_EQ(decision.reason, LeaveReason::HomeUnusable);
 }
 
