--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -26,8 +26,8 @@
 constexpr std::size_t ReadAheadBytes = 16 * 1024; // buffer space beyond the header limit
 constexpr std::size_t MaxLingerBytes = 4 * 1024 * 1024;
 constexpr auto LingerTime = std::chrono::seconds(1);
-// Memory of an open connection without a request: its state, its coroutines and its timer. 400 idle
-// connections took 3 MB.
+// Memory of an open connection without a request: its state, its coroutines and its timer. 1,000
+// idle connections took 4.3 MB; those that have served requests may take more.
 constexpr std::size_t ConnectionBytes = 8 * 1024;
 // A caller that sends less than this has made no progress. Otherwise one that sends a byte now and
 // then could keep the memory of its request.
