--- a/bench/micro_bench.cpp
+++ b/bench/micro_bench.cpp
@@ -252,6 +252,7 @@
   constexpr int Teams = 200;
   const TeamQuota quota{.unit = QuotaUnit::Tokens, .perSecond = 1e6, .burst = 1e6};
   std::vector<TeamName> names;
+  names.reserve(Teams);
   for (int i = 0; i < Teams; ++i)
     names.emplace_back("team-" + std::to_string(10000 + i));
   QuotaIssuer issuer(QuotaOptions{}, {});
--- a/src/fleet_peers.cpp
+++ b/src/fleet_peers.cpp
@@ -328,6 +328,7 @@
 std::vector<Address> FleetPeers::freshnessSources(Instant now, std::uint64_t random) const {
   const auto sentinels = topRankedPeers(now)[self.dataCentre];
   std::vector<std::pair<std::pair<bool, std::uint64_t>, const Address *>> ranked;
+  ranked.reserve(peers.size());
   for (auto &[host, peer] : peers) {
     if (!isAlive(peer, now))
       continue;
@@ -337,6 +338,7 @@
   }
   std::sort(ranked.begin(), ranked.end(), [](auto &a, auto &b) { return a.first < b.first; });
   std::vector<Address> out;
+  out.reserve(ranked.size());
   for (auto &it : ranked)
     out.push_back(*it.second);
   return out;
