--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -12,8 +12,8 @@
 
 // Weight of the newest request in the moving average of the failure share.
 constexpr double FailureWeight = 0.2;
-// An engine that has come back needs longer until it holds a model again: review/2 starts it after
-// 0.5 s, and the fastest load of the known configurations takes 0.38 s.
+// Shorter than the time in which an engine restarts and loads a model, so that it cannot take a
+// stream in another incarnation than the confirmed one.
 constexpr Duration ConfirmationLifetime = std::chrono::milliseconds(500);
 
 /// Doubles with each further failure in a row, at most four times.
