--- a/src/memory_budget.cpp
+++ b/src/memory_budget.cpp
@@ -204,7 +204,7 @@
 MemoryBudget::Outcome growText(MemoryBudget::Holder &holder, std::string &text, std::size_t n,
                                std::size_t maxBytes, Instant now) {
   const std::size_t needed = text.size() + n;
-  if (needed <= text.capacity() && text.size() > 0)
+  if (needed <= text.capacity() && !text.empty())
     return MemoryBudget::Outcome::Granted;
   const std::size_t wanted = std::max(needed, std::min(2 * text.capacity(), maxBytes));
   const auto outcome = holder.resize(wanted, now);
