Make the new tests clean for the linter, and tighten the load test of the engine choice

The load test allowed two engines more out of memory than the former rule, and urgent requests 0.03 worse than without leaving.

--- a/tests/engine_choice_load_test.cpp
+++ b/tests/engine_choice_load_test.cpp
@@ -111,8 +111,8 @@
     return DataCentreName(std::to_string(i % DataCentres));
   }
   double uniform() { return std::uniform_real_distribution<double>(0, 1)(random); }
-  void after(double d, std::function<void()> what) {
-    events.push({{now + d, ++order}, std::move(what)});
+  void after(double d, const std::function<void()> &what) {
+    events.push({{now + d, ++order}, what});
   }
   bool isCut(int a, int b) const {
     const bool crosses =
@@ -333,9 +333,9 @@
   EXPECT_GT(chosen.share(0), today.share(0) + 0.02);
   EXPECT_GT(chosen.share(1), today.share(1));
   EXPECT_GT(chosen.share(2), today.share(2));
-  EXPECT_GE(chosen.share(0), never.share(0) - 0.03);
+  EXPECT_GE(chosen.share(0), never.share(0) - 0.01);
   EXPECT_LT(chosen.crossedMegabytes, 0.5 * always.crossedMegabytes);
-  EXPECT_LE(chosen.crashes, today.crashes + 2); // single ones depend on the seed
+  EXPECT_LE(chosen.crashes, today.crashes);
 }
 INSTANTIATE_TEST_SUITE_P(Engines, EngineChoiceLoadTest, ::testing::Bool());
 
--- a/tests/http_framing_test.cpp
+++ b/tests/http_framing_test.cpp
@@ -6,16 +6,25 @@
 
 #include <algorithm>
 #include <cstring>
+#include <initializer_list>
 #include <optional>
 #include <random>
 #include <regex>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Compares the parser under the strict rules with a second reader of messages.
 namespace catkin {
 namespace {
 
+std::string joined(std::initializer_list<std::string_view> parts) {
+  std::string out;
+  for (auto it : parts)
+    out += it;
+  return out;
+}
+
 namespace http = boost::beast::http;
 
 constexpr unsigned Seeds = 20'000;
@@ -131,50 +140,47 @@
 const std::string Next = "GET /inner HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// Fields with which the end of a message is open to interpretation.
-const std::vector<std::string> RefusedFields = {"Transfer-Encoding: gzip",
-                                                "Transfer-Encoding: identity",
-                                                "Transfer-Encoding: gzip, identity",
-                                                "Transfer-Encoding: gzip, chunked",
-                                                "Transfer-Encoding: chunked, gzip",
-                                                "Transfer-Encoding: chunked, chunked",
-                                                "Transfer-Encoding: chunked;q=1",
-                                                "Transfer-Encoding: xchunked",
-                                                "Transfer-Encoding: \"chunked\"",
-                                                "Transfer-Encoding:",
-                                                "Transfer-Encoding: chunked\r\nX: y\r\n"
-                                                "Transfer-Encoding: chunked",
-                                                "Transfer-Encoding: gzip\r\n"
-                                                "Transfer-Encoding: chunked",
-                                                "Transfer-Encoding: chunked\r\n"
-                                                "Transfer-Encoding: identity",
-                                                "Transfer-Encoding: chunked\r\nContent-Length: 5",
-                                                "Content-Length: 5\r\nTransfer-Encoding: chunked",
-                                                "Content-Length: 5\r\nTransfer-Encoding: gzip",
-                                                "Transfer-Encoding:\r\n chunked",
-                                                "Transfer-Encoding : chunked",
-                                                "Transfer-Encoding\t: chunked",
-                                                "Transfer-Encoding\r\n: chunked",
-                                                "Transfer-Encoding: \x0b"
-                                                "chunked",
-                                                "Content-Length: +5",
-                                                "Content-Length: -5",
-                                                "Content-Length: 5, 5",
-                                                "Content-Length: 5,",
-                                                "Content-Length: 5 5",
-                                                "Content-Length: 0x5",
-                                                "Content-Length: 5.0",
-                                                "Content-Length:",
-                                                "Content-Length: 5\r\nContent-Length: 6",
-                                                "Content-Length: 5\r\nContent-Length: 05",
-                                                "Content-Length: 99999999999999999999",
-                                                "Content-Length : 5",
-                                                "X: y\r\n Content-Length: 5",
-                                                "X: y\r\n\tz",
-                                                "X: y\nContent-Length: 5",
-                                                "X: y\rContent-Length: 5",
-                                                " X: y",
-                                                ": y",
-                                                "X y"};
+const std::vector<std::string> RefusedFields = {
+    "Transfer-Encoding: gzip",
+    "Transfer-Encoding: identity",
+    "Transfer-Encoding: gzip, identity",
+    "Transfer-Encoding: gzip, chunked",
+    "Transfer-Encoding: chunked, gzip",
+    "Transfer-Encoding: chunked, chunked",
+    "Transfer-Encoding: chunked;q=1",
+    "Transfer-Encoding: xchunked",
+    "Transfer-Encoding: \"chunked\"",
+    "Transfer-Encoding:",
+    std::string("Transfer-Encoding: chunked\r\nX: y\r\n") + "Transfer-Encoding: chunked",
+    std::string("Transfer-Encoding: gzip\r\n") + "Transfer-Encoding: chunked",
+    std::string("Transfer-Encoding: chunked\r\n") + "Transfer-Encoding: identity",
+    "Transfer-Encoding: chunked\r\nContent-Length: 5",
+    "Content-Length: 5\r\nTransfer-Encoding: chunked",
+    "Content-Length: 5\r\nTransfer-Encoding: gzip",
+    "Transfer-Encoding:\r\n chunked",
+    "Transfer-Encoding : chunked",
+    "Transfer-Encoding\t: chunked",
+    "Transfer-Encoding\r\n: chunked",
+    std::string("Transfer-Encoding: \x0b") + "chunked",
+    "Content-Length: +5",
+    "Content-Length: -5",
+    "Content-Length: 5, 5",
+    "Content-Length: 5,",
+    "Content-Length: 5 5",
+    "Content-Length: 0x5",
+    "Content-Length: 5.0",
+    "Content-Length:",
+    "Content-Length: 5\r\nContent-Length: 6",
+    "Content-Length: 5\r\nContent-Length: 05",
+    "Content-Length: 99999999999999999999",
+    "Content-Length : 5",
+    "X: y\r\n Content-Length: 5",
+    "X: y\r\n\tz",
+    "X: y\nContent-Length: 5",
+    "X: y\rContent-Length: 5",
+    " X: y",
+    ": y",
+    "X y"};
 
 /// Chunked bodies that must be refused.
 const std::vector<std::string> RefusedChunks = {"10000000000000005\r\nabcde\r\n0\r\n\r\n",
@@ -232,16 +238,16 @@
 // bytes of a body count as a message of their own.
 TEST(HttpFraming, MessageWithoutACertainEndIsRead) {
   for (auto &it : RefusedFields) {
-    const std::string rest = "\r\n" + it + "\r\n\r\n";
+    const std::string rest = joined({"\r\n", it, "\r\n\r\n"});
     for (auto &body : {Chunks, Next, std::string("abcde")}) {
-      EXPECT_FALSE(parse<true>("POST / HTTP/1.1\r\nHost: h" + rest + body)) << it;
-      EXPECT_FALSE(parse<false>("HTTP/1.1 200 OK\r\nX: y" + rest + body)) << it;
+      EXPECT_FALSE(parse<true>(joined({"POST / HTTP/1.1\r\nHost: h", rest, body}))) << it;
+      EXPECT_FALSE(parse<false>(joined({"HTTP/1.1 200 OK\r\nX: y", rest, body}))) << it;
     }
   }
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   for (auto &it : RefusedChunks) {
-    EXPECT_FALSE(parse<true>("POST / HTTP/1.1\r\n" + chunked + it)) << it;
-    EXPECT_FALSE(parse<false>("HTTP/1.1 200 OK\r\n" + chunked + it)) << it;
+    EXPECT_FALSE(parse<true>(joined({"POST / HTTP/1.1\r\n", chunked, it}))) << it;
+    EXPECT_FALSE(parse<false>(joined({"HTTP/1.1 200 OK\r\n", chunked, it}))) << it;
   }
   EXPECT_FALSE(parse<false>("HTTP/1.0 200 OK\r\n" + chunked + Chunks));
   for (auto &it : FoundRequests)
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -167,8 +167,11 @@
         "Transfer-Encoding: gzip, identity", "Transfer-Encoding: chunked, gzip",
         "X: y\r\n Content-Length: 51", "Content-Length: 51, 51",
         "Transfer-Encoding: gzip\r\nExpect: 100-continue"}) {
-    const std::string answer =
-        exchangeRaw("POST /outer HTTP/1.1\r\n" + field + "\r\n\r\n" + inner + inner);
+    const std::string answer = exchangeRaw(std::string("POST /outer HTTP/1.1\r\n")
+                                               .append(field)
+                                               .append("\r\n\r\n")
+                                               .append(inner)
+                                               .append(inner));
     expectProblem(answer, 400, "not_run");
     EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
   }
--- a/tests/team_quotas_test.cpp
+++ b/tests/team_quotas_test.cpp
@@ -132,7 +132,7 @@
 
 private:
   struct Host {
-    explicit Host(FleetHostEntry entry)
+    explicit Host(const FleetHostEntry &entry)
         : number(entry.peerAddress.port - 1), entry(entry), peers(entry) {}
     int number;
     int side = 0;
