Use the environment's boot clock for the pauses of a quota's issuer

TeamQuotas read CLOCK_BOOTTIME by itself, without a check of the call, beside CoreEnv::bootTime(), which does the same for the proofs of the configuration. One clock serves both now; the hook that tests used for it had the default's value.

--- a/src/team_quotas.cpp
+++ b/src/team_quotas.cpp
@@ -4,7 +4,6 @@
 #include "log_p.h"
 
 #include <algorithm>
-#include <ctime>
 #include <deque>
 #include <map>
 #include <set>
@@ -31,13 +30,6 @@
 // in large fleets.
 constexpr std::size_t RoleCheckParts = 4;
 
-Duration systemBootTime() {
-  timespec t{};
-  clock_gettime(CLOCK_BOOTTIME, &t);
-  return std::chrono::seconds(t.tv_sec) +
-         std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(t.tv_nsec));
-}
-
 /// A quota with the configuration that it is from.
 struct VersionedQuota {
   TeamQuota quota;
@@ -80,7 +72,7 @@
   std::map<TeamName, Hold> holds;
   std::set<Question> granted;
   std::deque<std::pair<Instant, Question>> grantTimes; ///< of `granted`, oldest first
-  Duration lastBootTime{};
+  Instant lastBootTime;
   Instant trustsPeersFrom; ///< after a pause
   std::size_t heartbeats = 0;
 
@@ -89,11 +81,7 @@
   Impl(CoreEnv &env, FleetView &view, const FleetPeers &peers, QuotaOptions options,
        TeamQuotasHooks h)
       : env(env), view(view), peers(peers), hooks(std::move(h)), issuer(options, env.now()),
-        lastId(env.random() >> 24U) {
-    if (!hooks.bootTime)
-      hooks.bootTime = &systemBootTime;
-    lastBootTime = hooks.bootTime();
-  }
+        lastId(env.random() >> 24U), lastBootTime(env.bootTime()) {}
 
   /// Returns the hosts ranked first and second for a team's quota, as far as there are any. This
   /// host has an empty address.
@@ -103,7 +91,7 @@
 
   /// Detects that this process or machine was stopped. Another host may have issued the quotas.
   void noticePause() {
-    const Duration boot = hooks.bootTime();
+    const Instant boot = env.bootTime();
     const Duration pause = boot - std::exchange(lastBootTime, boot);
     if (pause <= MaxPause)
       return;
--- a/src/team_quotas_p.h
+++ b/src/team_quotas_p.h
@@ -17,9 +17,6 @@
 struct TeamQuotasHooks {
   std::function<bool()> leaving; ///< true if this host stops
   std::function<void(const Address &, const FleetMessage &)> send;
-  /// Returns the time since the machine has started, also while it was suspended. If empty, it is
-  /// that of the system.
-  std::function<Duration()> bootTime = {};
 };
 
 /// The quotas as one host sees them.
--- a/tests/team_quotas_test.cpp
+++ b/tests/team_quotas_test.cpp
@@ -160,9 +160,9 @@
     host.view.setConfig(config);
     host.quotas = std::make_unique<TeamQuotas>(
         env, host.view, host.peers, options.quota,
-        TeamQuotasHooks{.leaving = [] { return false; },
-                        .send = [this, &host](auto &to, auto &message) { send(host, to, message); },
-                        .bootTime = [this] { return env.now().time_since_epoch(); }});
+        TeamQuotasHooks{
+            .leaving = [] { return false; },
+            .send = [this, &host](auto &to, auto &message) { send(host, to, message); }});
   }
 
   bool reaches(const Host &from, const Host &to) {
@@ -395,13 +395,12 @@
   const Address other{"127.0.0.1", 2};
   Team team{.name = TeamName("t"), .quota = {.perSecond = 10, .burst = 10}};
   std::vector<FleetMessage> sent;
-  TeamQuotas quotas{env,
-                    view,
-                    peers,
-                    {},
-                    {.leaving = [] { return false; },
-                     .send = [this](auto &, auto &m) { sent.push_back(m); },
-                     .bootTime = [this] { return env.now().time_since_epoch(); }}};
+  TeamQuotas quotas{
+      env,
+      view,
+      peers,
+      {},
+      {.leaving = [] { return false; }, .send = [this](auto &, auto &m) { sent.push_back(m); }}};
 };
 
 // Guards against charging a repeated question twice.
