--- a/tests/faulty_endpoint_p.h
+++ b/tests/faulty_endpoint_p.h
@@ -1,20 +1,6 @@
 #pragma once
 
-#include "platform_standin_p.h"
-#include "raw_server_p.h"
-
-#include <boost/asio/read.hpp>
-
-#include <cstdlib>
-#include <list>
-#include <map>
-#include <mutex>
-#include <optional>
-#include <random>
-#include <set>
-#include <string>
-#include <thread>
-#include <vector>
+#include "raw_endpoint_p.h"
 
 /// A plain endpoint that breaks the promises of its refusals.
 namespace catkin::platform {
@@ -32,85 +18,19 @@
   bool repeatsAnywhere = false;
 };
 
-/// Serves each connection on a thread of its own and counts the runs of each request. Requests come
-/// with a length or without a body.
-class FaultyEndpoint {
+class FaultyEndpoint : public RawEndpoint {
 public:
   FaultyEndpoint(std::string id, EndpointFaults faults)
-      : id(std::move(id)), faults(faults), acceptor(context, {asio::ip::address_v4::loopback(), 0}),
-        bound(acceptor.local_endpoint().port()), thread([this] { acceptAll(); }) {}
-
-  ~FaultyEndpoint() {
-    stopping = true;
-    {
-      asio::io_context wake;
-      tcp::socket socket(wake);
-      boost::system::error_code ec;
-      socket.connect({asio::ip::address_v4::loopback(), bound}, ec);
-    }
-    thread.join();
-    {
-      const std::lock_guard lock(mutex);
-      for (auto &it : sockets) {
-        boost::system::error_code ec;
-        it.shutdown(tcp::socket::shutdown_both, ec);
-      }
-    }
-    for (auto &it : connections)
-      it.join();
-  }
-  FaultyEndpoint(const FaultyEndpoint &) = delete;
-  FaultyEndpoint &operator=(const FaultyEndpoint &) = delete;
-
-  json::object registryEntry() const {
-    return {{"service", "app"}, {"address", "127.0.0.1:" + std::to_string(bound)},
-            {"zone", "z"},      {"version", "v1"},
-            {"slots", 8},       {"state", "ready"},
-            {"sequence", 0},    {"born", 1'700'000'000'000}};
+      : RawEndpoint(std::move(id), Seed), faults(faults) {
+    start();
   }
+  ~FaultyEndpoint() override { stop(); }
 
   /// From now on, requests run and are answered truthfully.
   void endFaults() { faultsEnded = true; }
 
-  /// Returns the number of runs of each request.
-  std::map<std::string, int> runs() {
-    const std::lock_guard lock(mutex);
-    return runsById;
-  }
-
-  const std::string id;
-
 private:
-  struct Request {
-    std::string id;
-    std::string expectedEndpoint;
-    bool isComplete = false;
-  };
-
-  static std::string headerOf(const std::string &head, const std::string &name) {
-    const auto at = head.find("\r\n" + name + ": ");
-    if (at == std::string::npos)
-      return {};
-    const auto begin = at + name.size() + 4;
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-  }
-
-  /// Reads one request with its body. `rest`: bytes that have been read beyond it.
-  static Request readRequest(tcp::socket &socket, std::string &rest) {
-    boost::system::error_code ec;
-    if (rest.find("\r\n\r\n") == std::string::npos)
-      asio::read_until(socket, asio::dynamic_buffer(rest), "\r\n\r\n", ec);
-    if (ec)
-      return {};
-    const auto end = rest.find("\r\n\r\n") + 4;
-    const std::string head = rest.substr(0, end);
-    const auto length =
-        static_cast<std::size_t>(std::atoi(headerOf(head, "Content-Length").c_str()));
-    while (!ec && rest.size() < end + length)
-      asio::read(socket, asio::dynamic_buffer(rest), asio::transfer_at_least(1), ec);
-    rest.erase(0, std::min(rest.size(), end + length));
-    return {headerOf(head, "Request-Id"), headerOf(head, "Expect-Instance"), !ec};
-  }
+  static constexpr unsigned Seed = 5;
 
   static std::string refusal(const std::string &requestId) {
     const std::string idLine = requestId.empty() ? "" : "Request-Id: " + requestId + "\r\n";
@@ -125,49 +45,40 @@
            "\r\n\r\n" + body;
   }
 
-  bool happens(double share) {
-    if (faultsEnded)
-      return false;
-    const std::lock_guard lock(mutex);
-    return std::uniform_real_distribution<double>(0, 1)(random) < share;
-  }
+  bool fails(double share) { return !faultsEnded && happens(share); }
 
   /// Returns the id of an earlier refusal that may be sent once more on the connection.
   std::optional<std::string> earlierRefusal(const std::optional<std::string> &ofConnection) {
-    const std::lock_guard lock(mutex);
+    const std::lock_guard lock(refusedMutex);
     return faults.repeatsAnywhere ? lastRefused : ofConnection;
   }
 
-  void serve(tcp::socket &socket) {
+  void serve(tcp::socket &socket) override {
     constexpr auto RunTime = std::chrono::milliseconds(20);
     std::string rest;
     std::optional<std::string> refused; // on this connection
     for (int n = 0;; ++n) {
-      const Request request = readRequest(socket, rest);
-      if (!request.isComplete)
+      const auto request = readHead(socket, rest);
+      if (!request || !readBody(socket, rest, request->bodyBytes))
         return;
-      if (request.expectedEndpoint != id) {
-        RawServer::send(socket,
-                        "HTTP/1.1 421 X\r\nInstance: " + id + "\r\nContent-Length: 0\r\n\r\n");
+      if (request->expectedEndpoint != id) {
+        sendMisdirected(socket);
         continue;
       }
-      if (happens(faults.refuses)) {
-        refused = request.id;
-        const std::lock_guard lock(mutex);
-        lastRefused = request.id;
-        RawServer::send(socket, refusal(request.id));
+      if (fails(faults.refuses)) {
+        refused = request->id;
+        const std::lock_guard lock(refusedMutex);
+        lastRefused = request->id;
+        RawServer::send(socket, refusal(request->id));
         continue;
       }
       const auto earlier = earlierRefusal(refused);
-      if (n > 0 && earlier && happens(faults.repeats))
-        RawServer::send(socket, refusal(repeatedId(*earlier, request.id)));
-      {
-        const std::lock_guard lock(mutex);
-        ++runsById[request.id];
-      }
+      if (n > 0 && earlier && fails(faults.repeats))
+        RawServer::send(socket, refusal(repeatedId(*earlier, request->id)));
+      countRun(request->id);
       std::this_thread::sleep_for(RunTime);
-      const bool fails = happens(faults.failsAfterRun);
-      RawServer::send(socket, answer(fails ? faults.failureStatus : 200, request.id));
+      const bool isFailure = fails(faults.failsAfterRun);
+      RawServer::send(socket, answer(isFailure ? faults.failureStatus : 200, request->id));
     }
   }
 
@@ -183,28 +94,10 @@
     return {};
   }
 
-  void acceptAll() {
-    while (!stopping) {
-      tcp::socket socket = acceptor.accept();
-      const std::lock_guard lock(mutex);
-      sockets.push_back(std::move(socket));
-      connections.emplace_back([this, it = &sockets.back()] { serve(*it); });
-    }
-  }
-
   const EndpointFaults faults;
-  asio::io_context context;
-  tcp::acceptor acceptor;
-  std::uint16_t bound;
-  std::atomic<bool> stopping = false;
   std::atomic<bool> faultsEnded = false;
-  std::mutex mutex; ///< guards the members below
-  std::minstd_rand random{5};
+  std::mutex refusedMutex; ///< guards lastRefused
   std::optional<std::string> lastRefused;
-  std::map<std::string, int> runsById;
-  std::list<tcp::socket> sockets;
-  std::vector<std::thread> connections;
-  std::thread thread;
 };
 
 } // namespace catkin::platform
