Have a version recorded in the store before a stream begins at it

Callers got events of two software versions in one stream: streams that engines of a new version had begun through other hosts broke, were taken up at a host that was out of step, and went on at an engine of the old version.

Cause: when no host answers for a stream, the store's record of the service's versions decides, and only the planner's host wrote it, when it saw a version in the registry. With its watch silent it had not seen v2, so the record said that there had been v1 only. The log of the host has "only_version", v1, for each joined stream, and "versions recorded" with v2 only 0.9 s after the last one.

Now the host that begins a resumable stream makes sure first that the record has the version, and adds it otherwise. A host that reads the record after that cannot take another version for the only one, whatever the planner's host has seen; the reader's call begins after the question, as before. Ruled out: reading the registry again before the record is believed, which does not show engines that have gone.

--- a/src/endpoint_search.cpp
+++ b/src/endpoint_search.cpp
@@ -6,10 +6,13 @@
 
 std::set<EndpointName> EndpointSearch::excludedEndpoints() const {
   std::set<EndpointName> out = excluded;
-  if (hasReachedEndpointLimit())
-    for (auto &[name, it] : view.endpoints())
-      if (received.count(name) == 0)
-        out.insert(name);
+  const bool isAtLimit = hasReachedEndpointLimit();
+  if (!isAtLimit && excludedVersions.empty())
+    return out;
+  for (auto &[name, it] : view.endpoints())
+    if ((isAtLimit && received.count(name) == 0) ||
+        excludedVersions.count(it.entry.softwareVersion) > 0)
+      out.insert(name);
   return out;
 }
 
--- a/src/endpoint_search_p.h
+++ b/src/endpoint_search_p.h
@@ -55,6 +55,9 @@
   /// The version that the endpoint must have; empty if any will do.
   const std::optional<SoftwareVersion> &version() const { return requiredVersion; }
 
+  /// From now on, endpoints of this software version do not count.
+  void excludeVersion(const SoftwareVersion &version) { excludedVersions.insert(version); }
+
   /// The endpoint has received the request, or may have.
   void onReceived(const EndpointName &endpoint) { received.insert(endpoint); }
   /// The endpoint failed and may have run the request.
@@ -73,7 +76,7 @@
 
 private:
   /// Returns the endpoints that must not receive the request: those that failed or could not be
-  /// reached and, at the limit, those that have not received it before.
+  /// reached, those of excluded versions and, at the limit, those that have not received it before.
   std::set<EndpointName> excludedEndpoints() const;
   EndpointQuery queryExcluding(const std::set<EndpointName> &endpoints) const;
   Duration shortestLoadTime(Instant now) const;
@@ -81,6 +84,7 @@
   const FleetView &view;
   EndpointSearchOptions options;
   std::optional<SoftwareVersion> requiredVersion;
+  std::set<SoftwareVersion> excludedVersions;
   std::set<EndpointName> received;
   std::set<EndpointName> excluded;
 };
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -113,6 +113,11 @@
   /// Asks an endpoint whether it still is in the incarnation that is known. Calls `done` once,
   /// within a fraction of a second. May be empty.
   std::function<void(const FleetEndpoint &, std::function<void(bool)> done)> confirmIncarnation;
+  /// Makes sure that the store's record of the service has the version. Calls `done` once, within a
+  /// fraction of a second. May be empty.
+  std::function<void(const ServiceName &, const SoftwareVersion &,
+                     std::function<void(bool recorded)> done)>
+      ensureVersionRecorded;
   /// No known endpoint of the version of a stream can take it. May be empty.
   std::function<void()> onVersionMissing;
   /// The number of requests that wait for a model that no endpoint holds has changed by `change`.
--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -5,6 +5,7 @@
 #include "host_registration_p.h"
 #include "json_p.h"
 #include "log_p.h"
+#include "recorded_versions_p.h"
 
 namespace catkin {
 
@@ -57,6 +58,7 @@
   TeamQuotas quotas;
   VersionRecorder versionRecorder;
   VersionReader versionReader;
+  RecordedVersions recordedVersions;
   StreamKeepers streams;
   DigestCache digests; ///< digests of other data centres
   CrashWatch crashWatch;
@@ -98,7 +100,7 @@
         quotas(env, view, peers, options.quota,
                {.leaving = [this] { return stopping; },
                 .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
-        versionRecorder(env), versionReader(env),
+        versionRecorder(env), versionReader(env), recordedVersions(env),
         streams(env, view,
                 {.keepers = [this](auto &key,
                                    int n) { return peers.rankedHosts(key.hash, n, env.now()); },
@@ -130,6 +132,10 @@
              .streamOrigins = &streams,
              .confirmIncarnation = [this](auto &to,
                                           auto done) { confirmIncarnation(to, std::move(done)); },
+             .ensureVersionRecorded =
+                 [this](auto &service, auto &version, auto done) {
+                   recordedVersions.ensure(service, version, std::move(done));
+                 },
              .onVersionMissing =
                  [this] { readUnreadEntries("no endpoint of a stream's version is known"); },
              .onModelNeedChanged = [this](auto &service, auto &model,
@@ -311,6 +317,7 @@
     restoredAt = env.now();
     view.onStoreRestored(env.now());
     versionRecorder.onStoreRestored();
+    recordedVersions.onStoreRestored();
     registration.add(); // the copy may be older than the registration
     configuration.onStoreRestored(era);
     endpointFollower.restartIfBefore(era);
@@ -571,7 +578,7 @@
     env.after(config::FleetHeartbeat, [self = shared_from_this()] { self->heartbeat(); });
     auto now = env.now();
     view.expire(now);
-    recordVersions(now);
+    recordedVersions.prefetch(recordVersions(now));
     permits.expire();
     quotas.expire();
     streams.expire();
@@ -588,13 +595,15 @@
   }
 
   /// Records the versions of the endpoints: on this host, and in the store if it is the planner.
-  void recordVersions(Instant now) {
-    const auto present = view.recordVersions(now);
+  /// Returns the versions of each service, none without contact to the store.
+  std::map<ServiceName, SoftwareVersions> recordVersions(Instant now) {
+    auto present = view.recordVersions(now);
     if (!endpointFollower.isSynced() || !endpointFollower.isConnected())
-      return;
+      return {};
     registryCurrentAt = now;
     if (planner.isActive())
       versionRecorder.update(present);
+    return present;
   }
 
   /// Finds the only version of a service that can have begun a stream. The store's record lacks a
--- a/src/request_forwarder.cpp
+++ b/src/request_forwarder.cpp
@@ -145,6 +145,9 @@
     const FleetEndpoint to = chosen->entry;
     choices.push_back(describeChoice(*chosen));
     const bool mustConfirm = needsConfirmation(*chosen);
+    const bool recorded = co_await ensureVersionRecorded(to);
+    if (!recorded)
+      continue;
     const bool permitted = co_await obtainPermit(to);
     if (!permitted)
       continue;
@@ -273,7 +276,7 @@
   auto *chosen = choose();
   if (!chosen && search->version() && !std::exchange(versionSought, true))
     chosen = co_await seekVersion();
-  if (chosen || exchange.isCallerGone())
+  if (chosen || versionUnrecorded || exchange.isCallerGone())
     co_return chosen;
   if (search->shortestWait(g.hooks.now()) >= maxModelWait() - (g.hooks.now() - arrivedAt)) {
     // The caller is told to retry later, and the load begins in the meantime.
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -77,6 +77,7 @@
   bool hasLostItsOrigin() const;
   asio::awaitable<const EndpointState *> seekVersion();
   bool needsConfirmation(const EndpointState &endpoint) const;
+  asio::awaitable<bool> ensureVersionRecorded(const FleetEndpoint &to);
   void askForIncarnation(const FleetEndpoint &to, std::function<void(bool)> done) const;
   asio::awaitable<bool> confirmIncarnation(const FleetEndpoint &to);
   bool isQuarantined();
@@ -149,9 +150,10 @@
   std::optional<Team> team;    ///< that holds the request's key; a copy, as of the route
   std::optional<SoftwareVersion> requiredVersion; ///< of a stream that the caller takes up
   bool versionSought = false;                     ///< the registry was read again for the version
-  Duration limit{};         ///< for the complete answer, from the request's arrival
-  Duration startLimit{};    ///< for the start of the answer; the caller disconnects after it
-  bool endedByStop = false; ///< the process stops before the deadline
+  bool versionUnrecorded = false; ///< a stream cannot begin at an endpoint for lack of a record
+  Duration limit{};               ///< for the complete answer, from the request's arrival
+  Duration startLimit{};          ///< for the start of the answer; the caller disconnects after it
+  bool endedByStop = false;       ///< the process stops before the deadline
   HttpStream *currentStream = nullptr;  ///< of the attempt in progress
   std::optional<EndpointSearch> search; ///< set once the service is known
   EndpointChoice choice;                ///< the newest one
--- a/src/request_outcome.cpp
+++ b/src/request_outcome.cpp
@@ -54,6 +54,8 @@
     return "this host has no memory for the request";
   if (search->version())
     return "no endpoint of the stream's version takes it in time";
+  if (versionUnrecorded)
+    return "the version of the endpoints is not recorded";
   if (sends > 0)
     return "not run";
   if (search->timeUntilPermit(g.hooks.now()))
--- a/src/request_resumption.cpp
+++ b/src/request_resumption.cpp
@@ -111,6 +111,26 @@
          (search->version() || g.view.isIncarnationDoubtful(endpoint, g.hooks.now()));
 }
 
+/// Makes sure that the store's record has the version at which the stream is about to begin: a host
+/// that knows nothing of the stream relies on the record. Returns false if the endpoint must not
+/// get the request now.
+asio::awaitable<bool> RequestForwarder::ensureVersionRecorded(const FleetEndpoint &to) {
+  const bool canBeTakenUp = state.streaming && route.resumable;
+  if (!canBeTakenUp || search->version() || !g.hooks.ensureVersionRecorded)
+    co_return true;
+  const bool recorded = co_await waitForCallback<bool>([&](auto done) {
+    g.hooks.ensureVersionRecorded(service, to.softwareVersion, std::move(done));
+  });
+  if (recorded)
+    co_return !exchange.isCallerGone() && search->isStillUsable(to);
+  search->excludeVersion(to.softwareVersion);
+  versionUnrecorded = true;
+  logLine(
+      LogLevel::Info, "version of the endpoint is not recorded",
+      {{"request", caller.id}, {"endpoint", to.name.value}, {"version", to.softwareVersion.value}});
+  co_return false;
+}
+
 /// Asks the endpoint for its incarnation, once for all requests that wait for the answer.
 void RequestForwarder::askForIncarnation(const FleetEndpoint &to,
                                          std::function<void(bool)> done) const {
--- a/src/version_record.cpp
+++ b/src/version_record.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-constexpr std::string_view KeyPrefix = "catkin-versions/";
-
-std::string keyOf(const ServiceName &service) { return std::string(KeyPrefix) + service.value; }
-
 json::array toJson(const SoftwareVersions &versions) {
   json::array out;
   for (auto &it : versions)
@@ -24,6 +20,10 @@
 
 } // namespace
 
+std::string versionRecordKey(const ServiceName &service) {
+  return "catkin-versions/" + service.value;
+}
+
 std::string formatVersionRecord(const VersionRecord &record) {
   return json::serialize(json::object{
       {"versions", toJson(record.versions)}, {"complete", record.complete}, {"era", record.era}});
@@ -97,10 +97,10 @@
 
   void read(const ServiceName &name, Service &service) {
     service.isPending = true;
-    env.platform().get(
-        keyOf(name), bind(name, [this](Service &it, StoreStatus status, const StoreObject &object) {
-          onRead(it, status, object);
-        }));
+    env.platform().get(versionRecordKey(name), bind(name, [this](Service &it, StoreStatus status,
+                                                                 const StoreObject &object) {
+                         onRead(it, status, object);
+                       }));
   }
 
   void onRead(Service &service, StoreStatus status, const StoreObject &object) {
@@ -125,7 +125,7 @@
     const VersionRecord record = service.wanted;
     service.isPending = true;
     env.platform().put(
-        keyOf(name), formatVersionRecord(record), service.storedRevision,
+        versionRecordKey(name), formatVersionRecord(record), service.storedRevision,
         bind(name, [this, record](Service &it, StoreStatus status, const StoreObject &object) {
           onWritten(it, record, status, object);
         }));
@@ -207,8 +207,8 @@
     auto &service = services[name];
     service.isScheduled = false;
     service.lastCall = env.now();
-    env.platform().get(keyOf(name), [waiting = std::exchange(service.waiting, {})](
-                                        StoreStatus status, const StoreObject &object) {
+    env.platform().get(versionRecordKey(name), [waiting = std::exchange(service.waiting, {})](
+                                                   StoreStatus status, const StoreObject &object) {
       const RecordedVersion answer = evaluate(status, object);
       for (auto &it : waiting)
         it(answer);
--- a/src/version_record_p.h
+++ b/src/version_record_p.h
@@ -15,8 +15,9 @@
 ///
 /// The store has one object for each service, which names the versions that its endpoints have had.
 /// The planner's host writes it when a version appears, and removes a version long after its last
-/// endpoint has left. A host that knows nothing of a stream reads it: if the service has had one
-/// version only, the stream can have been begun by no other.
+/// endpoint has left. Other hosts add a version that it has not written before they begin streams
+/// there (RecordedVersions). A host that knows nothing of a stream reads it: if the service has had
+/// one version only, the stream can have been begun by no other.
 namespace catkin {
 
 /// The stored record of one service.
@@ -27,6 +28,8 @@
   std::uint64_t era = 0; ///< of the store when the record was written
   friend bool operator==(const VersionRecord &, const VersionRecord &) = default;
 };
+/// Returns the key of a service's record in the store.
+std::string versionRecordKey(const ServiceName &service);
 std::string formatVersionRecord(const VersionRecord &record);
 /// Returns nothing if the text is not a record.
 std::optional<VersionRecord> parseVersionRecord(std::string_view text);
--- a/tests/version_record_test.cpp
+++ b/tests/version_record_test.cpp
@@ -1,5 +1,6 @@
 #include "config.h"
 #include "fleet_world_p.h"
+#include "recorded_versions_p.h"
 #include "version_record_p.h"
 
 #include <gtest/gtest.h>
@@ -157,5 +158,85 @@
   EXPECT_LE(env.store.reads, 6);
 }
 
+/// A host that begins streams, beside a planner.
+class RecordedVersionsTest : public VersionRecords {
+protected:
+  /// Returns whether a stream may begin at the version, after as many questions at once.
+  bool ensure(const char *version, int questions = 1) {
+    int answers = 0;
+    bool out = true;
+    for (int n = 0; n < questions; ++n)
+      host.ensure(Service, SoftwareVersion(version), [&](bool recorded) {
+        ++answers;
+        out = out && recorded;
+      });
+    env.run(CallTime);
+    EXPECT_EQ(answers, questions);
+    return out;
+  }
+
+  RecordedVersions host{env};
+};
+
+// Guards against a stream at a version that the planner has missed: another host would take the
+// recorded one for the only one.
+TEST_F(RecordedVersionsTest, PlannerHasNotSeenTheVersionOfAStream) {
+  auto planner = begin(true);
+  see(*planner, {"v1"});
+  EXPECT_TRUE(ensure("v1"));
+  EXPECT_EQ(read().only, SoftwareVersion("v1"));
+  EXPECT_TRUE(ensure("v2", 3));
+  EXPECT_FALSE(read().only);
+  see(*planner, {"v1"}); // it has still not seen the other
+  see(*planner, {"v1", "v3"});
+  EXPECT_EQ(parseVersionRecord(env.store.objects.at(Key).value)->versions,
+            versionsOf({"v1", "v2", "v3"}));
+}
+
+// Guards against a record that proves nothing since another host than the planner has created it.
+TEST_F(RecordedVersionsTest, HostCreatesARecordBeforeThePlanner) {
+  EXPECT_FALSE(ensure("v1"));
+  EXPECT_EQ(env.store.objects.count(Key), 0U);
+  see(*begin(true), {"v1"});
+  EXPECT_TRUE(ensure("v1"));
+  EXPECT_EQ(read().only, SoftwareVersion("v1"));
+}
+
+TEST_F(RecordedVersionsTest, StreamBeginsUnrecordedWhileTheStoreIsAway) {
+  see(*begin(true), {"v1"});
+  EXPECT_TRUE(ensure("v1"));
+  env.store.down = true;
+  EXPECT_TRUE(ensure("v1")); // known before
+  EXPECT_FALSE(ensure("v2"));
+  env.store.down = false;
+  EXPECT_TRUE(ensure("v2"));
+}
+
+// Guards against a version that the store has forgotten by a restore, and that counts as recorded.
+TEST_F(RecordedVersionsTest, StoreForgetsAnAddedVersion) {
+  see(*begin(true), {"v1"});
+  const auto copy = env.store.objects;
+  const auto version = env.store.version();
+  EXPECT_TRUE(ensure("v2"));
+  env.store.restore(copy, version);
+  host.onStoreRestored();
+  EXPECT_FALSE(host.has(Service, SoftwareVersion("v2")));
+  EXPECT_TRUE(ensure("v2"));
+  EXPECT_EQ(parseVersionRecord(env.store.objects.at(Key).value)->versions,
+            versionsOf({"v1", "v2"}));
+}
+
+// Guards against hosts that add a version only because its endpoint is registered: the planner is
+// about to do that, and each attempt is a write.
+TEST_F(RecordedVersionsTest, HostWithoutAStreamWritesTheRecord) {
+  see(*begin(true), {"v1"});
+  const auto before = env.store.version();
+  host.prefetch({{Service, versionsOf({"v1", "v2"})}});
+  env.run(CallTime);
+  EXPECT_TRUE(host.has(Service, SoftwareVersion("v1")));
+  EXPECT_FALSE(host.has(Service, SoftwareVersion("v2")));
+  EXPECT_EQ(env.store.version(), before);
+}
+
 } // namespace
 } // namespace catkin::fleet
