Number a host's questions about streams from a random start

Not seen at callers; found by reading for the reports of hosts out of step. A host numbered its questions from 1 at each start, and an answer names the number only. An answer to a question of its earlier process, from a host that was frozen or slow, thus counted as the answer to the question with the same number of the present process, and a stream could go on at the version of another one.

The new test failed before: a host asks for a stream of v1, starts again and asks for one of v2, and got v1. Questions of quotas had a random start and those of freshness random numbers already; the three use one function now.

--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -1,5 +1,6 @@
 #include "fleet_messages_p.h"
 
+#include "env_p.h"
 #include "json_p.h"
 #include "stream_messages_p.h"
 
@@ -549,6 +550,11 @@
   return out;
 }
 
+std::uint64_t firstQuestionId(CoreEnv &env) {
+  constexpr unsigned UnusedBits = 12; // JSON numbers of all programs can hold the rest, and sums
+  return env.random() >> UnusedBits;
+}
+
 std::string encodeFleetMessage(const FleetMessage &message) {
   return std::visit([](auto &m) { return json::serialize(toJson(m)); }, message);
 }
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -18,6 +18,8 @@
 /// carries a change that must arrive.
 namespace catkin {
 
+class CoreEnv;
+
 /// Requests in progress at one endpoint.
 struct EndpointLoad {
   EndpointName endpoint;
@@ -209,6 +211,10 @@
                  PermitRequest, PermitReply, QuotaRequest, QuotaReply, StreamBegun, StreamRecords,
                  StreamQuestion, StreamAnswer, FreshnessQuestion, FreshnessAnswer>;
 
+/// Returns the first identifier of a host's questions to other hosts. It is random: answers to
+/// questions of an earlier process of the host may still be on their way. Later ones count up.
+std::uint64_t firstQuestionId(CoreEnv &env);
+
 /// Encodes a message as JSON.
 std::string encodeFleetMessage(const FleetMessage &message);
 /// Decodes a message. Empty if the text is not a valid fleet message.
--- a/src/freshness_exchange.cpp
+++ b/src/freshness_exchange.cpp
@@ -27,8 +27,6 @@
 constexpr Duration KeyChangeTime = std::chrono::seconds(3);
 // Two watches of a host that watches closely, and the time to notice that one of them failed.
 constexpr Duration MaxContactAge = std::chrono::seconds(5);
-// Identifiers that JSON numbers of all programs can hold.
-constexpr unsigned UnusedIdBits = 11;
 
 } // namespace
 
@@ -78,7 +76,7 @@
     const auto sources = hooks.sources();
     if (sources.empty())
       return;
-    const std::uint64_t id = env.random() >> UnusedIdBits;
+    const std::uint64_t id = firstQuestionId(env);
     freshness.onAsked(id, now);
     hooks.send(sources[unanswered++ % sources.size()], FreshnessQuestion{id, hooks.version()});
   }
--- a/src/stream_keepers.cpp
+++ b/src/stream_keepers.cpp
@@ -36,7 +36,7 @@
   StreamKeepersHooks hooks;
   StreamOrigins origins;
   std::map<std::uint64_t, Ask> asks;
-  std::uint64_t lastId = 0;
+  std::uint64_t lastId;
 
   /// Passes records on to other hosts, a part of them in each step.
   struct Sharing {
@@ -47,7 +47,7 @@
   std::set<Address> nextReceivers; ///< once `sharing` is done
 
   Impl(CoreEnv &env, const FleetView &view, StreamKeepersHooks hooks)
-      : env(env), view(view), hooks(std::move(hooks)) {}
+      : env(env), view(view), hooks(std::move(hooks)), lastId(firstQuestionId(env)) {}
 
   void record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime) {
     origins.record(key, origin, lifetime, env.now());
--- a/src/team_quotas.cpp
+++ b/src/team_quotas.cpp
@@ -76,12 +76,10 @@
   Instant trustsPeersFrom; ///< after a pause
   std::size_t heartbeats = 0;
 
-  // Identifiers begin at a random number, or the first ones of a restarted host would be taken for
-  // repetitions.
   Impl(CoreEnv &env, FleetView &view, const FleetPeers &peers, QuotaOptions options,
        TeamQuotasHooks h)
       : env(env), view(view), peers(peers), hooks(std::move(h)), issuer(options, env.now()),
-        lastId(env.random() >> 24U), lastBootTime(env.bootTime()) {}
+        lastId(firstQuestionId(env)), lastBootTime(env.bootTime()) {}
 
   /// Returns the hosts ranked first and second for a team's quota, as far as there are any. This
   /// host has an empty address.
--- a/tests/stream_keepers_test.cpp
+++ b/tests/stream_keepers_test.cpp
@@ -333,6 +333,22 @@
   EXPECT_FALSE(fleet.ask(fleet.size() - 1, keyOf(0)).origin);
 }
 
+// Guards against the version of another stream: an answer to a question of the host's earlier
+// process comes to its present one.
+TEST(StreamKeepersTest, AnswerToAnEarlierProcessIsTakenForThisStream) {
+  KeeperFleet fleet(3);
+  constexpr int Host = 2;
+  fleet.begin(0, keyOf(0), "v1");
+  fleet.begin(0, keyOf(1), "v2");
+  fleet.env.run(Latency);
+  fleet.restart(Host);
+  fleet.at(Host).streams->find(keyOf(0), {{.service = Service}}, [](auto &) {});
+  fleet.restart(Host);
+  const auto answer = fleet.ask(Host, keyOf(1));
+  ASSERT_TRUE(answer.origin);
+  EXPECT_EQ(answer.origin->version, SoftwareVersion("v2"));
+}
+
 INSTANTIATE_TEST_SUITE_P(Hosts, StreamKeepersOf, ::testing::Values(3, 30, 300));
 
 TEST(StreamOrigins, RecordsGrowWithoutBound) {
