Let a stream go on only with an answer of the same media type

Reported by other operators, reproduced here: a stream had begun and broke off, and the next engine answered with an error under status 200. The caller found its text in the stream, as an event, and the stream ended as complete; with an empty body the stream ended as complete, too. Errors with other statuses, with a body or without one, cut in their head or without any head, were kept out of the stream before.

Cause: any answer with status 200 counted as the rest of the stream. Now its media type must be that of the answer that began the stream, else the attempt counts as broken: another endpoint may go on, or the stream is cut.

The failure of an earlier endpoint does not show in a stream that a later one began.

--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -3,6 +3,7 @@
 #include "log_p.h"
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace catkin {
@@ -31,6 +32,16 @@
   return !isRefusal && !head.hasRequestId && isOnReusedConnection;
 }
 
+/// Returns the type of an answer's body in lower case, without its parameters.
+std::string mediaType(const http::response_header<> &head) {
+  const auto field = head[http::field::content_type];
+  std::string out(field.data(), std::min(field.find(';'), field.size()));
+  std::erase_if(out, [](char c) { return c == ' ' || c == '\t'; });
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return out;
+}
+
 } // namespace
 
 /// Returns true if a silent attempt may be abandoned. That needs another endpoint that can take the
@@ -335,6 +346,7 @@
                                                       const FleetEndpoint &from) {
   if (!state.headersSent) {
     state.headersSent = true;
+    streamType = mediaType(head);
     onStreamBegun(from);
     g.metrics.onFirstEvent(g.hooks.now() - arrivedAt);
     HttpResponse response;
@@ -357,6 +369,13 @@
 asio::awaitable<RequestForwarder::AttemptOutcome>
 RequestForwarder::relayEvents(HttpStream &stream, const FleetEndpoint &from) {
   const http::response_header<> head = stream.head();
+  // An endpoint may report an error with a success status, in a body that is not part of the
+  // stream.
+  if (state.headersSent && mediaType(head) != streamType) {
+    failure = AttemptFailure::Broken;
+    brokenOff = true;
+    co_return AttemptOutcome::Failed;
+  }
   bool delivered = true;
   while (delivered) {
     const std::string piece = co_await stream.read();
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -173,6 +173,7 @@
   bool sentElsewhere = false;          ///< the newest attempt is in another data centre
   QuarantineVerdict quarantineVerdict; ///< at the arrival, then before each attempt
   EventRelay events;
+  std::string streamType; ///< media type of the answer that has begun the stream
   /// Newest complete answer of an endpoint, used if no other endpoint gives a better one.
   std::optional<HttpResponse> fallback;
   int sends = 0;
