--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -50,7 +50,10 @@
            rawAnswer("200 OK", stamp + "Content-Type: application/json\r\n", framedText),
            rawAnswer("200 OK", stamp + "Content-Type: text/plain\r\n", ""),
            rawAnswer("200 OK", "", framedText),
-           "HTTP/1.1 500 X\r\nRequest-Id: id1\r\n" + stamp + "\r\n" + framedText,
+           std::string("HTTP/1.1 500 X\r\nRequest-Id: id1\r\n")
+               .append(stamp)
+               .append("\r\n")
+               .append(framedText),
            std::string("HTTP/1.1 500 X\r\nRequest-Id: id1\r\n"),
            std::string("engine failed\n\n"),
        }) {
--- a/tests/stream_version_test.cpp
+++ b/tests/stream_version_test.cpp
@@ -19,7 +19,7 @@
 constexpr auto RegistryTime = 2s; // until hosts have read the registry after an outage
 
 /// What happens to the hosts and the store meanwhile.
-enum class Trouble { None, HostsKilled, HostsFrozen, StoreAway };
+enum class Trouble { None, HostsKilled, HostsFrozen, StoreAway, StoreSilent };
 
 struct StreamVersionCase {
   const char *name;
@@ -39,7 +39,8 @@
 protected:
   StreamVersion()
       : cluster(GetParam().hosts, std::vector<std::set<std::string>>(Engines, {"m0"}),
-                {.dataCentres = GetParam().hosts > 3 ? 3 : 1}),
+                {.proxied = GetParam().trouble == Trouble::StoreSilent,
+                 .dataCentres = GetParam().hosts > 3 ? 3 : 1}),
         caller(cluster) {}
 
   void SetUp() override {
@@ -112,6 +113,9 @@
   void beginTrouble(int host) {
     if (GetParam().trouble == Trouble::None)
       return;
+    if (GetParam().trouble == Trouble::StoreSilent) // until the host notices that its calls hang
+      return cluster.run(
+          [&] { cluster.storeProxies[static_cast<std::size_t>(host)]->blackholeAll(); });
     if (GetParam().trouble == Trouble::StoreAway) {
       caller.stopCounting(); // only the store knows with which version an engine has come back
       return cluster.run([&] { cluster.store.down = true; });
@@ -227,6 +231,8 @@
                           .versions = 3,
                           .upgrades = true,
                           .trouble = Trouble::HostsFrozen},
+        StreamVersionCase{
+            .name = "store_silent", .hosts = 9, .upgrades = true, .trouble = Trouble::StoreSilent},
         StreamVersionCase{
             .name = "store_away", .hosts = 3, .upgrades = true, .trouble = Trouble::StoreAway},
         StreamVersionCase{.name = "large",
