Read the records of versions ahead only for engines, and seldom while they are missing

The host reads the record of a service when it first sees a version, so that streams need not wait and may begin while the store is away. It also did so for plain services, whose requests are not streams, and while the planner had not created the record it tried up to five times in each heartbeat. Now it asks once in 4 s then, and only for services with engines.

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -578,7 +578,7 @@
     env.after(config::FleetHeartbeat, [self = shared_from_this()] { self->heartbeat(); });
     auto now = env.now();
     view.expire(now);
-    recordedVersions.prefetch(recordVersions(now));
+    recordVersions(now);
     permits.expire();
     quotas.expire();
     streams.expire();
@@ -595,15 +595,15 @@
   }
 
   /// Records the versions of the endpoints: on this host, and in the store if it is the planner.
-  /// Returns the versions of each service, none without contact to the store.
-  std::map<ServiceName, SoftwareVersions> recordVersions(Instant now) {
+  void recordVersions(Instant now) {
     auto present = view.recordVersions(now);
     if (!endpointFollower.isSynced() || !endpointFollower.isConnected())
-      return {};
+      return;
     registryCurrentAt = now;
     if (planner.isActive())
       versionRecorder.update(present);
-    return present;
+    std::erase_if(present, [&](auto &it) { return !view.hasEngines(it.first); });
+    recordedVersions.prefetch(present);
   }
 
   /// Finds the only version of a service that can have begun a stream. The store's record lacks a
--- a/src/recorded_versions.cpp
+++ b/src/recorded_versions.cpp
@@ -14,6 +14,7 @@
 constexpr Duration RetryPause = std::chrono::milliseconds(100);
 // Bounds the calls of a host while the store does not answer.
 constexpr Duration FailurePause = std::chrono::milliseconds(250);
+constexpr Duration PrefetchPause = std::chrono::seconds(4); // after an attempt that has failed
 
 } // namespace
 
@@ -24,7 +25,7 @@
     std::optional<Instant> knownAt;  ///< the record had the version
     std::optional<Instant> failedAt; ///< the newest attempt to find that out
     std::vector<Done> waiting;       ///< for the attempt in progress
-    bool mayAdd = false;             ///< a stream waits, so that the version may be added
+    bool mayAdd = false;             ///< a stream waits for it, so that the version may be added
     std::uint64_t attempt = 0;       ///< callbacks of earlier attempts are ignored
     bool isActive = false;           ///< an attempt is in progress
   };
@@ -51,6 +52,13 @@
     start(key, entry);
   }
 
+  void prefetch(const Key &key) {
+    auto &entry = entries[key];
+    const bool hasJustFailed = entry.failedAt && env.now() - *entry.failedAt < PrefetchPause;
+    if (!has(key) && !hasJustFailed)
+      start(key, entry);
+  }
+
   void start(const Key &key, Entry &entry) {
     if (std::exchange(entry.isActive, true))
       return;
@@ -74,11 +82,12 @@
               const StoreObject &object) {
     if (!isCurrent(key, attempt))
       return;
-    if (status == StoreStatus::NotFound)
+    const bool isAwaited = entries[key].mayAdd;
+    if (status == StoreStatus::NotFound && isAwaited)
       return retry(key, attempt);
     const auto record = status == StoreStatus::Ok ? parseVersionRecord(object.value) : std::nullopt;
     const bool isRecorded = record && record->versions.count(key.second) > 0;
-    if (isRecorded || !record || !entries[key].mayAdd)
+    if (isRecorded || !record || !isAwaited)
       return finish(key, attempt, isRecorded);
     add(key, attempt, *record, object.version);
   }
@@ -138,8 +147,7 @@
 void RecordedVersions::prefetch(const std::map<ServiceName, SoftwareVersions> &versions) {
   for (auto &[service, present] : versions)
     for (auto &version : present)
-      if (const Impl::Key key{service, version}; !impl->has(key))
-        impl->start(key, impl->entries[key]);
+      impl->prefetch({service, version});
 }
 
 void RecordedVersions::onStoreRestored() {
