Test that streams begin only at recorded versions; forget versions that are no longer used

The gateway's side of the record of versions had tests with processes only: an endpoint of a version that cannot be recorded gets no resumable stream, another version's does, and with none the request is refused at once with a time to come back; streams that nobody takes up are not held back.

--- a/src/recorded_versions.cpp
+++ b/src/recorded_versions.cpp
@@ -41,11 +41,13 @@
            env.now() - *it->second.knownAt < KnowledgeLifetime;
   }
 
+  bool hasFailedWithin(const Entry &entry, Duration d) const {
+    return entry.failedAt && env.now() - *entry.failedAt < d;
+  }
+
   void ensure(const Key &key, Done done) {
     auto &entry = entries[key];
-    const bool hasJustFailed =
-        !entry.isActive && entry.failedAt && env.now() - *entry.failedAt < FailurePause;
-    if (has(key) || hasJustFailed)
+    if (has(key) || (!entry.isActive && hasFailedWithin(entry, FailurePause)))
       return done(has(key));
     entry.waiting.push_back(std::move(done));
     entry.mayAdd = true;
@@ -54,11 +56,18 @@
 
   void prefetch(const Key &key) {
     auto &entry = entries[key];
-    const bool hasJustFailed = entry.failedAt && env.now() - *entry.failedAt < PrefetchPause;
-    if (!has(key) && !hasJustFailed)
+    if (!has(key) && !hasFailedWithin(entry, PrefetchPause))
       start(key, entry);
   }
 
+  /// Removes what is no longer known, or has failed some time ago.
+  void forgetOld() {
+    std::erase_if(entries, [&](auto &it) {
+      const auto &entry = it.second;
+      return !entry.isActive && !has(it.first) && !hasFailedWithin(entry, PrefetchPause);
+    });
+  }
+
   void start(const Key &key, Entry &entry) {
     if (std::exchange(entry.isActive, true))
       return;
@@ -145,6 +154,7 @@
 }
 
 void RecordedVersions::prefetch(const std::map<ServiceName, SoftwareVersions> &versions) {
+  impl->forgetOld();
   for (auto &[service, present] : versions)
     for (auto &version : present)
       impl->prefetch({service, version});
--- a/tests/platform_gateway_fixture_p.h
+++ b/tests/platform_gateway_fixture_p.h
@@ -18,6 +18,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,11 @@
                   ++confirmations;
                   asio::post(io, [=] { done(true); });
                 },
+            .ensureVersionRecorded =
+                [this](auto &, auto &version, auto done) {
+                  const bool recorded = unrecorded.count(version) == 0;
+                  asio::post(io, [=] { done(recorded); });
+                },
             .onModelNeedChanged = [this](auto &, auto &, int n) { needCount += n > 0 ? 1 : 0; },
             .onModelUnavailable = [this](auto &, auto &) { ++needCount; },
             .areKeysCurrent = [this] { return areKeysCurrent; },
@@ -247,6 +253,7 @@
   int needCount = 0;
   bool areKeysCurrent = true;
   bool mayRejectKeys = true;
+  std::set<SoftwareVersion> unrecorded;   ///< versions that cannot be recorded
   int confirmations = 0;                  ///< questions to endpoints for their incarnation
   std::map<EndpointName, Permit> permits; ///< answers to requests for permits
   std::vector<Duration> permitWaits;      ///< for which these requests could wait
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -341,6 +341,29 @@
   EXPECT_EQ(countQuestions(true), 0);
 }
 
+// Guards against a stream at a version that the store's record does not have, against holding a
+// request that can begin nowhere, and against refusing requests that no caller takes up.
+TEST_F(PlatformGatewayTest, StreamBeginsAtAVersionThatIsNotRecorded) {
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    endpoints[i].handler = makeStreamHandler("id: 1\ndata: a\n\n", true);
+    auto entry = view.find(EndpointName("e" + std::to_string(i)))->entry;
+    entry.softwareVersion = SoftwareVersion("v" + std::to_string(i));
+    view.putEndpoint(entry, steadyNow());
+  }
+  constexpr int Calls = 4;
+  unrecorded = {SoftwareVersion("v0")};
+  for (int n = 0; n < Calls; ++n)
+    EXPECT_EQ(call(makeCall("/resume/x")).response.result_int(), 200U);
+  EXPECT_EQ(endpoints[0].receivedRequests.size(), 0U);
+  unrecorded.insert(SoftwareVersion("v1"));
+  const auto startTime = steadyNow();
+  const auto refused = call(makeCall("/resume/x"));
+  EXPECT_EQ(refused.response.result_int(), 503U);
+  EXPECT_NE(refused.response.find(http::field::retry_after), refused.response.end());
+  EXPECT_LT(steadyNow() - startTime, 300ms);
+  EXPECT_EQ(call(makeCall("/once/x")).response.result_int(), 200U);
+}
+
 // Guards against a truncated stream that looks complete, and against a second run of its request.
 TEST_F(PlatformGatewayTest, StreamThatCannotBeResumedIsCut) {
   for (auto &it : endpoints)
