Apply the strict rules to heads that arrive in pieces

Cause: the parser takes the lines of a head as they arrive, and the check then looked at what was left in the buffer. If the head was cut before its last line end, the first bytes of the body were read as fields, hence the 400.

HeadCheck is fed with what the parser takes, piece by piece, and keeps its state for the message.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -195,6 +195,7 @@
   HttpTimeouts timeouts;
   StreamHooks hooks;
   std::optional<http::response_parser<ArrivedBody>> parser; ///< of the current response
+  HeadCheck headCheck{MessageKind::Response};
   tcp::socket socket;
   boost::beast::flat_buffer buffer;
   std::shared_ptr<ConnectionDeadlines> deadlines;
@@ -237,6 +238,7 @@
 
 void Call::resetParser(std::optional<std::uint64_t> bodyLimit) {
   parser.emplace();
+  headCheck = HeadCheck(MessageKind::Response);
   // An eager parser waits for more input before it delivers the pieces that it has parsed.
   parser->eager(false);
   parser->on_chunk_header(checkChunkHeader);
@@ -340,7 +342,7 @@
   if (state != HttpTransferStatus::Ok)
     co_return false;
   deadlines->expireAfter(DeadlineSlot::Progress, timeouts.silence);
-  const error_code ec = co_await readPart(socket, buffer, *parser);
+  const error_code ec = co_await readPart(socket, buffer, *parser, headCheck);
   // A pause of the reader must not count as silence of the peer.
   deadlines->clear(DeadlineSlot::Progress);
   if (ec)
--- a/src/http_connection.cpp
+++ b/src/http_connection.cpp
@@ -209,6 +209,7 @@
   phase = Phase::Reading;
   deadlines->expireAfter(DeadlineSlot::Progress, state->options.readTimeout);
   parser.emplace();
+  headCheck = HeadCheck(MessageKind::Request);
   parser->eager(false);
   parser->on_chunk_header(checkChunkHeader);
   parser->header_limit(static_cast<std::uint32_t>(state->options.maxHeaderBytes));
@@ -234,7 +235,7 @@
   if (!fits)
     co_return co_await sendError(503);
   while (!parser->is_header_done()) {
-    const error_code ec = co_await readPart(socket, buffer, *parser);
+    const error_code ec = co_await readPart(socket, buffer, *parser, headCheck);
     if (ec || reclaimed)
       co_return co_await sendReadError(ec);
   }
@@ -262,7 +263,7 @@
   }
   std::size_t reported = 0;
   while (!parser->is_done()) {
-    const error_code ec = co_await readPart(socket, buffer, *parser);
+    const error_code ec = co_await readPart(socket, buffer, *parser, headCheck);
     if (ec || reclaimed)
       co_return co_await sendReadError(ec);
     // A chunked body has no announced length, so it is counted as it arrives.
--- a/src/http_connection_p.h
+++ b/src/http_connection_p.h
@@ -3,6 +3,7 @@
 #include "connection_table_p.h"
 #include "http_body_p.h"
 #include "http_deadlines_p.h"
+#include "http_framing_p.h"
 #include "http_p.h"
 #include "memory_budget_p.h"
 
@@ -85,6 +86,7 @@
   Address peer;
   boost::beast::flat_buffer buffer;
   std::optional<http::request_parser<ArrivedBody>> parser;
+  HeadCheck headCheck{MessageKind::Request};
   HttpRequest request;
   std::shared_ptr<ConnectionDeadlines> deadlines;
   std::optional<MemoryBudget::Holder> ownMemory;     ///< of the connection itself
--- a/src/http_framing.cpp
+++ b/src/http_framing.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
-#include <optional>
+#include <utility>
 
 namespace catkin {
 
@@ -53,68 +53,66 @@
          end == text.data() + text.size();
 }
 
-/// What the head says of the end of its message.
-struct Framing {
-  std::optional<std::string_view> length;
-  bool hasCoding = false;
-};
+} // namespace
 
-error_code addLength(Framing &framing, std::string_view value) {
+error_code HeadCheck::addLength(std::string_view value) {
   if (!isLength(value))
     return http::error::bad_content_length;
-  if (framing.length.value_or(value) != value)
+  if (length.value_or(std::string(value)) != value)
     return http::error::multiple_content_length;
-  framing.length = value;
+  length = value;
   return {};
 }
 
-error_code addCoding(Framing &framing, std::string_view value) {
-  if (framing.hasCoding || !boost::beast::iequals(value, "chunked"))
+error_code HeadCheck::addCoding(std::string_view value) {
+  if (hasCoding || !boost::beast::iequals(value, "chunked"))
     return http::error::bad_transfer_encoding;
-  framing.hasCoding = true;
+  hasCoding = true;
   return {};
 }
 
-error_code addField(Framing &framing, std::string_view line) {
-  if (Spaces.find(line.front()) != std::string_view::npos)
+error_code HeadCheck::addField(std::string_view text) {
+  if (Spaces.find(text.front()) != std::string_view::npos)
     return http::error::bad_obs_fold;
-  const auto colon = line.find(':');
-  if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+  const auto colon = text.find(':');
+  if (colon == std::string_view::npos || !isToken(text.substr(0, colon)))
     return http::error::bad_field;
-  const auto name = line.substr(0, colon);
-  const auto value = trim(line.substr(colon + 1));
+  const auto name = text.substr(0, colon);
+  const auto value = trim(text.substr(colon + 1));
   if (boost::beast::iequals(name, "Content-Length"))
-    return addLength(framing, value);
+    return addLength(value);
   if (boost::beast::iequals(name, "Transfer-Encoding"))
-    return addCoding(framing, value);
+    return addCoding(value);
   return {};
 }
 
-/// Removes the first line from the text and returns it without its end.
-std::string_view takeLine(std::string_view &text) {
-  const auto end = text.find(LineEnd);
-  const auto line = text.substr(0, end);
-  text.remove_prefix(end == std::string_view::npos ? text.size() : end + LineEnd.size());
-  return line;
+/// Checks a line without its end.
+error_code HeadCheck::checkLine(std::string_view text) {
+  if (hasControl(text))
+    return http::error::bad_line_ending;
+  if (!std::exchange(hasStartLine, true)) {
+    isOld =
+        kind == MessageKind::Request ? text.ends_with(" HTTP/1.0") : text.starts_with("HTTP/1.0 ");
+    return {};
+  }
+  if (!text.empty())
+    return addField(text);
+  isDone = true;
+  return hasCoding && (length || isOld) ? http::error::bad_transfer_encoding : error_code();
 }
 
-} // namespace
-
-error_code checkHead(std::string_view bytes, MessageKind kind) {
-  const auto startLine = takeLine(bytes);
-  if (hasControl(startLine))
-    return http::error::bad_line_ending;
-  const bool isOld = kind == MessageKind::Request ? startLine.ends_with(" HTTP/1.0")
-                                                  : startLine.starts_with("HTTP/1.0 ");
-  Framing framing;
-  for (auto line = takeLine(bytes); !line.empty(); line = takeLine(bytes)) {
-    if (hasControl(line))
-      return http::error::bad_line_ending;
-    if (const error_code ec = addField(framing, line))
+error_code HeadCheck::feed(std::string_view bytes) {
+  while (!isDone && !bytes.empty()) {
+    const auto lineFeed = bytes.find('\n');
+    const std::size_t n = lineFeed == std::string_view::npos ? bytes.size() : lineFeed + 1;
+    line += bytes.substr(0, n);
+    bytes.remove_prefix(n);
+    if (!line.ends_with(LineEnd))
+      continue;
+    line.resize(line.size() - LineEnd.size());
+    if (const error_code ec = checkLine(std::exchange(line, {})))
       return ec;
   }
-  if (framing.hasCoding && (framing.length || isOld))
-    return http::error::bad_transfer_encoding;
   return {};
 }
 
--- a/src/http_read_p.h
+++ b/src/http_read_p.h
@@ -19,27 +19,24 @@
 /// The parser throws on input that it cannot hold, such as a field of a trailer over 64 KB. Beast's
 /// own read operations call it in their completion handlers, from where an exception would end the
 /// process. Here an exception becomes the error of the read. A head that breaks the strict rules of
-/// http_framing_p.h fails too; each parser also needs checkChunkHeader() as its on_chunk_header().
+/// http_framing_p.h fails too: each message needs a HeadCheck, and its parser checkChunkHeader() as
+/// its on_chunk_header().
 namespace catkin {
 
-/// Returns an error if the head at the beginning of the buffer must be refused.
-template <bool IsRequest>
-boost::beast::error_code checkBufferedHead(const boost::beast::flat_buffer &buffer) {
-  const auto bytes = buffer.cdata();
-  return checkHead({static_cast<const char *>(bytes.data()), bytes.size()},
-                   IsRequest ? MessageKind::Request : MessageKind::Response);
-}
-
 /// Parses what the buffer holds. Returns need_more if that is no whole part of the message.
 template <bool IsRequest>
 boost::beast::error_code parseBuffered(boost::beast::flat_buffer &buffer,
-                                       boost::beast::http::basic_parser<IsRequest> &parser) {
+                                       boost::beast::http::basic_parser<IsRequest> &parser,
+                                       HeadCheck &headCheck) {
   boost::beast::error_code ec;
   try {
-    const bool hadHead = parser.is_header_done();
-    const std::size_t n = parser.put(buffer.data(), ec);
-    if (!ec && !hadHead && parser.is_header_done())
-      ec = checkBufferedHead<IsRequest>(buffer);
+    const auto bytes = buffer.cdata();
+    const std::size_t n = parser.put(bytes, ec);
+    const bool isSound = !ec || ec == boost::beast::http::error::need_more;
+    // The parser takes the lines of a head as they arrive.
+    const auto headError = headCheck.feed({static_cast<const char *>(bytes.data()), n});
+    if (isSound && headError)
+      ec = headError;
     buffer.consume(n);
   } catch (const std::length_error &) {
     ec = boost::beast::http::error::header_limit;
@@ -54,13 +51,13 @@
 template <bool IsRequest>
 boost::asio::awaitable<boost::beast::error_code>
 readPart(boost::asio::ip::tcp::socket &socket, boost::beast::flat_buffer &buffer,
-         boost::beast::http::basic_parser<IsRequest> &parser) {
+         boost::beast::http::basic_parser<IsRequest> &parser, HeadCheck &headCheck) {
   namespace http = boost::beast::http;
   constexpr std::size_t MaxReadBytes = 64 * 1024;
   constexpr std::size_t MinReadBytes = 512;
   for (;;) {
     if (buffer.size() > 0) {
-      const auto ec = parseBuffered(buffer, parser);
+      const auto ec = parseBuffered(buffer, parser, headCheck);
       if (ec != http::error::need_more)
         co_return ec;
     }
--- a/tests/http_framing_test.cpp
+++ b/tests/http_framing_test.cpp
@@ -36,17 +36,29 @@
   bool operator==(const Reading &) const = default;
 };
 
-/// Reads a message as the server and the client do. Empty if it is refused or not whole.
-template <bool IsRequest> std::optional<Reading> parse(const std::string &bytes) {
+/// Reads a message as the server and the client do. Empty if it is refused or not whole. The bytes
+/// from `split` on arrive later than those before.
+template <bool IsRequest>
+std::optional<Reading> parse(const std::string &bytes, std::size_t split = 0) {
   boost::beast::flat_buffer buffer;
-  const auto space = buffer.prepare(bytes.size());
-  std::memcpy(space.data(), bytes.data(), bytes.size());
-  buffer.commit(bytes.size());
+  const auto arrive = [&](std::size_t from, std::size_t n) {
+    const auto space = buffer.prepare(n);
+    std::memcpy(space.data(), bytes.data() + from, n);
+    buffer.commit(n);
+  };
   http::parser<IsRequest, ArrivedBody> parser;
+  HeadCheck headCheck(IsRequest ? MessageKind::Request : MessageKind::Response);
   parser.eager(false);
   parser.on_chunk_header(checkChunkHeader);
+  arrive(0, split);
+  boost::system::error_code readError;
+  while (!parser.is_done() && buffer.size() > 0 && !readError)
+    readError = parseBuffered(buffer, parser, headCheck);
+  if (readError && readError != http::error::need_more)
+    return std::nullopt;
+  arrive(split, bytes.size() - split);
   while (!parser.is_done() && buffer.size() > 0)
-    if (parseBuffered(buffer, parser))
+    if (parseBuffered(buffer, parser, headCheck))
       return std::nullopt;
   boost::system::error_code ec;
   if (!parser.is_done() && parser.got_some())
@@ -262,6 +274,26 @@
     EXPECT_EQ(parse<false>(it.bytes), (Reading{it.body, it.bytes.size()})) << it.bytes;
 }
 
+// Guards against a head that is refused, or escapes the rules, since it has arrived in two pieces.
+TEST(HttpFraming, HeadInTwoPiecesIsReadInAnotherWay) {
+  for (const bool isRequest : {true, false})
+    for (auto &it : isRequest ? AcceptedRequests : AcceptedAnswers) {
+      const std::string bytes = it.bytes + (isRequest ? Next : "");
+      for (std::size_t n = 1; n < it.bytes.size(); ++n)
+        EXPECT_EQ(isRequest ? parse<true>(bytes, n) : parse<false>(bytes, n),
+                  (Reading{it.body, it.bytes.size()}))
+            << n << " of " << it.bytes;
+    }
+  for (auto &it : RefusedFields) {
+    const std::string bytes = joined({"POST / HTTP/1.1\r\nHost: h\r\n", it, "\r\n\r\nabcde"});
+    for (std::size_t n = 1; n < bytes.size(); ++n)
+      EXPECT_FALSE(parse<true>(bytes, n)) << n << " of " << bytes;
+  }
+  for (auto &it : FoundRequests)
+    for (std::size_t n = 1; n < it.size(); ++n)
+      EXPECT_FALSE(parse<true>(it, n)) << n << " of " << it;
+}
+
 /// Returns the text with one to three changes that concern the end of a message.
 std::string mutate(std::string text, unsigned seed) {
   static const std::vector<std::string> Pieces = {"\r\n",
