Begin streams without a record while a host knows one version only

The record of versions that a stream waits for does not exist in the first second or two of a fleet, before there is a planner, and cannot be read while the store is away. Without another version in the service's last 30 minutes, as this host has seen them, a stream cannot go on elsewhere by mistake, so it begins at once and its version is recorded in the background. A host asks again for a missing record after 1 s instead of 4.

--- a/src/recorded_versions.cpp
+++ b/src/recorded_versions.cpp
@@ -14,7 +14,7 @@
 constexpr Duration RetryPause = std::chrono::milliseconds(100);
 // Bounds the calls of a host while the store does not answer.
 constexpr Duration FailurePause = std::chrono::milliseconds(250);
-constexpr Duration PrefetchPause = std::chrono::seconds(4); // after an attempt that has failed
+constexpr Duration PrefetchPause = std::chrono::seconds(1); // after an attempt that has failed
 
 } // namespace
 
--- a/src/request_resumption.cpp
+++ b/src/request_resumption.cpp
@@ -118,6 +118,12 @@
   const bool canBeTakenUp = state.streaming && route.resumable;
   if (!canBeTakenUp || search->version() || !g.hooks.ensureVersionRecorded)
     co_return true;
+  // Without another version there is none at which the stream could go on by mistake.
+  const Instant from = g.hooks.now() - config::FleetMaxStreamAge;
+  if (!g.view.versions().hasSeenOther(service, to.softwareVersion, from)) {
+    g.hooks.ensureVersionRecorded(service, to.softwareVersion, [](bool) {});
+    co_return true;
+  }
   const bool recorded = co_await waitForCallback<bool>([&](auto done) {
     g.hooks.ensureVersionRecorded(service, to.softwareVersion, std::move(done));
   });
