--- a/src/fleet_messages.cpp
+++ b/src/fleet_messages.cpp
@@ -550,7 +550,7 @@
   return out;
 }
 
-std::uint64_t firstQuestionId(CoreEnv &env) {
+std::uint64_t randomQuestionId(CoreEnv &env) {
   constexpr unsigned UnusedBits = 12; // JSON numbers of all programs can hold the rest, and sums
   return env.random() >> UnusedBits;
 }
--- a/src/fleet_messages_p.h
+++ b/src/fleet_messages_p.h
@@ -211,9 +211,10 @@
                  PermitRequest, PermitReply, QuotaRequest, QuotaReply, StreamBegun, StreamRecords,
                  StreamQuestion, StreamAnswer, FreshnessQuestion, FreshnessAnswer>;
 
-/// Returns the first identifier of a host's questions to other hosts. It is random: answers to
-/// questions of an earlier process of the host may still be on their way. Later ones count up.
-std::uint64_t firstQuestionId(CoreEnv &env);
+/// Returns a random identifier for a question to other hosts. A host that counts up from there does
+/// not take answers to questions of its earlier process, which may still be on their way, for its
+/// own.
+std::uint64_t randomQuestionId(CoreEnv &env);
 
 /// Encodes a message as JSON.
 std::string encodeFleetMessage(const FleetMessage &message);
--- a/src/freshness_exchange.cpp
+++ b/src/freshness_exchange.cpp
@@ -76,7 +76,7 @@
     const auto sources = hooks.sources();
     if (sources.empty())
       return;
-    const std::uint64_t id = firstQuestionId(env);
+    const std::uint64_t id = randomQuestionId(env);
     freshness.onAsked(id, now);
     hooks.send(sources[unanswered++ % sources.size()], FreshnessQuestion{id, hooks.version()});
   }
--- a/src/stream_keepers.cpp
+++ b/src/stream_keepers.cpp
@@ -47,7 +47,7 @@
   std::set<Address> nextReceivers; ///< once `sharing` is done
 
   Impl(CoreEnv &env, const FleetView &view, StreamKeepersHooks hooks)
-      : env(env), view(view), hooks(std::move(hooks)), lastId(firstQuestionId(env)) {}
+      : env(env), view(view), hooks(std::move(hooks)), lastId(randomQuestionId(env)) {}
 
   void record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime) {
     origins.record(key, origin, lifetime, env.now());
--- a/src/team_quotas.cpp
+++ b/src/team_quotas.cpp
@@ -79,7 +79,7 @@
   Impl(CoreEnv &env, FleetView &view, const FleetPeers &peers, QuotaOptions options,
        TeamQuotasHooks h)
       : env(env), view(view), peers(peers), hooks(std::move(h)), issuer(options, env.now()),
-        lastId(firstQuestionId(env)), lastBootTime(env.bootTime()) {}
+        lastId(randomQuestionId(env)), lastBootTime(env.bootTime()) {}
 
   /// Returns the hosts ranked first and second for a team's quota, as far as there are any. This
   /// host has an empty address.
--- a/tests/raw_endpoint_p.h
+++ b/tests/raw_endpoint_p.h
@@ -70,12 +70,7 @@
 
   void stop() {
     stopping = true;
-    {
-      asio::io_context wake;
-      tcp::socket socket(wake);
-      boost::system::error_code ec;
-      socket.connect({asio::ip::address_v4::loopback(), bound}, ec);
-    }
+    RawServer::connectOnce(bound);
     thread.join();
     closeConnections();
     for (auto &it : connections)
--- a/tests/raw_server_p.h
+++ b/tests/raw_server_p.h
@@ -28,15 +28,19 @@
         bound(acceptor.local_endpoint().port()), thread([this] { serve(); }) {}
   ~RawServer() {
     stopping = true;
-    asio::io_context wake;
-    tcp::socket socket(wake);
-    boost::system::error_code ec;
-    socket.connect({asio::ip::address_v4::loopback(), bound}, ec);
+    connectOnce(bound);
     thread.join();
   }
   RawServer(const RawServer &) = delete;
   RawServer &operator=(const RawServer &) = delete;
   Address address() const { return {"127.0.0.1", bound}; }
+  /// Opens a connection and closes it, so that a thread that accepts connections goes on.
+  static void connectOnce(std::uint16_t port) {
+    asio::io_context context;
+    tcp::socket socket(context);
+    boost::system::error_code ec;
+    socket.connect({asio::ip::address_v4::loopback(), port}, ec);
+  }
   /// Reads one request head. Returns an empty text at the end of the connection.
   static std::string readHead(tcp::socket &socket) {
     std::string text;
