Take a refusal that ends its connection for a proof only if it cannot be a copy

Cause: a refusal with Connection: close counted as the answer to the request sent last on any connection, as no later answer follows it. After a refusal, the host sends the request to the same engine again; a late copy of the first refusal on another kept connection has the same id and may end the connection, too. Now it is no proof if the engine has refused this request before: the request may have run, 502. The first refusal of an engine cannot be a copy, and holds as before.

--- a/src/request_attempt.cpp
+++ b/src/request_attempt.cpp
@@ -149,6 +149,7 @@
       failure = AttemptFailure::Unproven;
     } else if (lastHead.notRun) {
       failure = AttemptFailure::Refused;
+      refusedBy.insert(to.name);
       result = EndpointResult::Refused;
       bool missing = lastHead.status == 421 && !caller.model.empty();
       if (missing && !lastHead.wrongEndpoint) {
@@ -218,15 +219,18 @@
       co_return;
     lastHead = decodeHead(stream, from);
   }
-  refusalProven = lastHead.notRun && provesNotRun(stream);
+  refusalProven = lastHead.notRun && provesNotRun(stream, from);
   if (lastHead.notRun && !lastHead.wrongRequest && !refusalProven)
     refusalProven = co_await confirmRefusal(stream, from);
 }
 
 /// Returns true if the refusal can only be the answer to this request: a connection that has served
-/// nothing before has no earlier answers, and one that ends has no later ones.
-bool RequestForwarder::provesNotRun(const HttpStream &stream) const {
-  return lastHead.hasRequestId && (!stream.isOnReusedConnection() || !stream.keepsConnection());
+/// nothing before has no earlier answers. One that ends has no later ones, but the refusal may be a
+/// copy of one that the endpoint has given to this request on any connection.
+bool RequestForwarder::provesNotRun(const HttpStream &stream, const FleetEndpoint &from) const {
+  const bool mayBeCopy = refusedBy.count(from.name) > 0;
+  return lastHead.hasRequestId &&
+         (!stream.isOnReusedConnection() || (!stream.keepsConnection() && !mayBeCopy));
 }
 
 /// Finds out whether a refusal is the answer to this request or an earlier one sent once more: the
--- a/src/request_forwarder_p.h
+++ b/src/request_forwarder_p.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -100,7 +101,7 @@
   void onAnswerBegun();
   asio::awaitable<void> readAnswerHead(HttpStream &stream, const FleetEndpoint &from);
   AnswerHead decodeHead(const HttpStream &stream, const FleetEndpoint &from) const;
-  bool provesNotRun(const HttpStream &stream) const;
+  bool provesNotRun(const HttpStream &stream, const FleetEndpoint &from) const;
   asio::awaitable<bool> confirmRefusal(HttpStream &stream, const FleetEndpoint &from);
   void recordSignals(const FleetEndpoint &from, Instant sentAt);
   asio::awaitable<AttemptOutcome> relayCompleteAnswer(HttpStream &stream, const AnswerHead &head);
@@ -176,6 +177,7 @@
   std::string streamType; ///< media type of the answer that has begun the stream
   /// Newest complete answer of an endpoint, used if no other endpoint gives a better one.
   std::optional<HttpResponse> fallback;
+  std::set<EndpointName> refusedBy; ///< endpoints that have refused the request
   int sends = 0;
   int permitDenials = 0;
   int missingAnswers = 0;   ///< answers that an endpoint does not hold the model
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -137,6 +137,28 @@
   EXPECT_EQ(statusOfSecondRequest(rejection + rejection), 502U);
 }
 
+// The endpoint has refused the request and repeats that, ending the connection, when it runs it.
+TEST_F(PlatformGatewayTest, RefusalThatEndsTheConnectionIsBelievedTwice) {
+  view.removeEndpoint(EndpointName("e1"), steadyNow());
+  std::atomic<int> runs = 0;
+  std::string copy = RawRefusal;
+  copy.insert(copy.find("Content-Length"), "Connection: close\r\n");
+  rawServers.push_back(std::make_unique<RawServer>([&, copy](tcp::socket &socket, int n) {
+    RawServer::readHead(socket);
+    if (n == 0) {
+      RawServer::send(socket, RawRefusal);
+      RawServer::readHead(socket);
+    }
+    ++runs;
+    RawServer::send(socket, (n == 0 ? copy : "") + RawAnswer);
+  }));
+  FleetEndpoint entry = view.find(EndpointName("e0"))->entry;
+  entry.address = rawServers.back()->address();
+  view.putEndpoint(entry, steadyNow());
+  EXPECT_EQ(call(makeCall("/unsafe/x")).response.result_int(), 502U);
+  EXPECT_EQ(runs, 1);
+}
+
 TEST_F(PlatformGatewayKeptConnectionTest, AnswerToAnotherRequestCostsTheRightOne) {
   std::string other = RawAnswer;
   other.replace(other.find("id1"), 3, "id0");
--- a/tests/refused_request_test.cpp
+++ b/tests/refused_request_test.cpp
@@ -211,6 +211,8 @@
       std::count_if(refused.begin(), refused.end(), [&](auto &id) { return ran.count(id) > 0; });
   const auto ranTwice =
       std::count_if(ran.begin(), ran.end(), [](auto &it) { return it.second > 1; });
+  for (auto &id : refused)
+    EXPECT_EQ(ran.count(id), 0U) << id;
   for (auto &[status, n] : statuses)
     std::printf("%u: %d, ", status, n);
   std::printf("%zu ran\n", ran.size());
