--- a/review/rig-2.cpp
+++ b/review/rig-2.cpp
@@ -260,7 +260,7 @@
 void Rig::restartAfterCrash(StandinEngine &engine) {
   auto timer = std::make_shared<asio::steady_timer>(io, engine.crashes.downTime);
   timer->async_wait([this, timer, &engine](boost::system::error_code) {
-    engine.startAgainWithFirstModels();
+    engine.startAgain({}); // engines restart empty
     store.put("servers", engine.id, engine.registryEntry("ready"));
   });
 }
@@ -377,13 +377,14 @@
 
 json::object makeConfig(std::uint64_t version, const json::array &routes) {
   json::array models;
-  models.push_back(json::object{{"name", "m0"},
-                                {"weights_mb", StandinModelMegabytes},
-                                {"load_s", 6.0},
-                                {"disk_s", 0.5},
-                                {"warm_s", 0.4},
-                                {"adapters", 0},
-                                {"adapter_mb", 40.0}});
+  for (auto *it : {"m0", "m1", "m2", "m3"})
+    models.push_back(json::object{{"name", it},
+                                  {"weights_mb", StandinModelMegabytes},
+                                  {"load_s", 6.0},
+                                  {"disk_s", 0.5},
+                                  {"warm_s", 0.4},
+                                  {"adapters", 0},
+                                  {"adapter_mb", 40.0}});
   const json::object engine{
       {"slots", 64},        {"weights_mb", 140000.0},       {"adapter_slots", 8},
       {"loads_per_s", 2.1}, {"kv_capacity_tokens", 232000}, {"models", models}};
