--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,147 +1,179 @@
 #include "../rig-2.h"
-#include "real_env_p.h"
 
-#include <algorithm>
-#include <array>
 #include <atomic>
 #include <cstdio>
 
-/// A part of a prompt crashes engines. The hosts find that out and refuse such requests. Then all
-/// hosts are killed at once and start again, while such requests still come now and then.
+/// Two software versions of the engines serve side by side. All hosts are killed at once and start
+/// again. Clients take their broken streams up at hosts that are in touch again.
 namespace review {
 namespace {
 
 constexpr int Hosts = 5;
-constexpr int Engines = 12;
-constexpr Millis ContactTime{3000};
+constexpr int Streams = 24;
+constexpr Millis EventPause{1200};
+constexpr Millis Deadline{15000};
+constexpr Millis BreakAfter{3200};
 constexpr Millis DownTime{1500};
-constexpr int RequestsOfGroup = 6;
-constexpr Millis Period{7000}; // from one group of such requests to the next
-constexpr int Groups = 6;
-constexpr std::size_t CrashesBeforeKill = 5;
-constexpr int AllowedRequests = 3;
-constexpr Millis SoundPause{150};
-
-// First parts of prompts, in turn.
-constexpr std::array FirstParts{"5c1e07a2", "91bd3f06", "e4402b7d",
-                                "3fa01b77", "b82c4d10", "07d9e5c4"};
-
-std::atomic<int> lastId = 0;
-
-/// Sends a stream request; `deadly` adds the part that crashes engines. The other parts and the
-/// model are those of sound requests.
-int sendStream(Rig &rig, int host, std::size_t firstPart, bool deadly, Record &record) {
-  const std::string number = std::to_string(10000 + ++lastId);
-  const std::string id = (deadly ? "d" : "a") + number;
-  const std::string part = deadly ? "dead01:400," : "";
-  Request request{
-      .target = "/s/x",
-      .headers = {{"Host", "h.example"},
-                  {"Request-Id", id},
-                  {"Model", "m0"},
-                  {"Token-Count", deadly ? "9590,52" : "9190,52"},
-                  {"Prompt-Prefix", std::string(FirstParts[firstPart % FirstParts.size()]) +
-                                        ":6300," + part + number + ":2890"},
-                  {"Deadline-Ms", "6000"}},
-      .limit = Millis(6500)};
-  record.line("sent " + id + " to host " + std::to_string(host));
+constexpr Millis ContactTime{3000};
+constexpr int MaxTries = 4; // of a client that takes its stream up
+
+/// One stream of a client.
+struct Stream {
+  std::string id;
+  Clock::time_point began;
+  std::string body; ///< all events that the client has
+  bool complete = false;
+  int tries = 0;
+  bool wentOn = false;
+};
+
+Millis timeLeft(const Stream &it) {
+  return std::chrono::duration_cast<Millis>(it.began + Deadline - Clock::now());
+}
+
+Headers headersOf(const std::string &id, Millis left) {
+  return {{"Host", "h.example"},
+          {"Request-Id", id},
+          {"Model", "m0"},
+          {"Token-Count", "300,40"},
+          {"Prompt-Prefix", "5c1e07a2:200," + id.substr(1) + ":100"},
+          {"Deadline-Ms", std::to_string(left.count())}};
+}
+
+/// Returns the part of a body that holds whole events.
+std::string wholeEvents(const std::string &body) {
+  const auto at = body.rfind("\n\n");
+  return at == std::string::npos ? std::string() : body.substr(0, at + 2);
+}
+
+std::string versionsIn(const std::string &body) {
+  std::string out;
+  for (auto *it : {"v1", "v2"})
+    if (body.find(it) != std::string::npos)
+      out += out.empty() ? it : std::string("+") + it;
+  return out;
+}
+
+/// Begins a stream. The client leaves once `closeWhen` holds.
+void beginStream(Rig &rig, int host, Stream &it, const std::function<bool()> &closeWhen,
+                 Record &record) {
+  it.began = Clock::now();
+  Request request{.target = "/s/x", .headers = headersOf(it.id, Deadline), .limit = Deadline};
+  request.onBody = [&](const std::string &) { return !closeWhen(); };
+  record.line("sent " + it.id + " to host " + std::to_string(host));
   const Answer answer = send(rig.ip(host), rig.port(), request);
-  record.line("answer " + id + " status " + std::to_string(answer.status) + " events " +
-              std::to_string(countEvents(answer.body)) + (answer.complete ? " complete" : ""));
-  return answer.status == 200 && answer.complete ? 1 : 0;
+  it.complete = answer.complete;
+  it.body = wholeEvents(answer.body);
+  record.line("answer " + it.id + " status " + std::to_string(answer.status) + " events " +
+              std::to_string(countEvents(it.body)) + " of " + versionsIn(it.body) +
+              (answer.complete ? " complete" : " broken off"));
 }
 
-std::size_t countCrashes(Rig &rig) {
-  std::size_t n = 0;
-  rig.run([&] {
-    for (auto &it : rig.engines)
-      n += it->crashes.times.size();
-  });
-  return n;
+/// Takes a stream up until it is complete. The client honours Retry-After.
+void takeUp(Rig &rig, int host, Stream &it, Record &record) {
+  while (!it.complete && it.tries < MaxTries && timeLeft(it) > Millis(500)) {
+    const int events = countEvents(it.body);
+    const std::string id = it.id + "f" + std::to_string(++it.tries);
+    Request request{
+        .target = "/s/x", .headers = headersOf(id, timeLeft(it)), .limit = timeLeft(it)};
+    request.headers.emplace_back("Last-Event-Id", std::to_string(events));
+    request.headers.emplace_back("Resumes", it.id);
+    host = (host + 1) % rig.hostCount();
+    record.line("sent " + id + " to host " + std::to_string(host) + " takes up " + it.id +
+                " after event " + std::to_string(events));
+    const Answer answer = send(rig.ip(host), rig.port(), request);
+    const std::string added = answer.status == 200 ? wholeEvents(answer.body) : std::string();
+    it.body += added;
+    it.complete = answer.status == 200 && answer.complete;
+    it.wentOn = it.wentOn || countEvents(added) > 0;
+    record.line("answer " + id + " status " + std::to_string(answer.status) + " events " +
+                std::to_string(countEvents(added)) + " retry-after " +
+                answer.header("Retry-After") +
+                (answer.status == 200 ? std::string() : " " + answer.body));
+    if (answer.status != 503)
+      continue;
+    const double pause = std::atof(answer.header("Retry-After").c_str());
+    std::this_thread::sleep_for(Millis(static_cast<int>(pause * 1000)));
+  }
 }
 
 int runCase(const std::string &folder) {
   Record record(folder + "/record.txt");
   Rig rig(Hosts);
-  for (int i = 0; i < Engines; ++i) {
-    auto &engine = rig.addEngine("i-" + std::to_string(i), "v1", {"m0"});
-    engine.crashes.deadlyParts = {"dead01"};
-    engine.crashes.downTime = Millis(3000);
-  }
-  rig.store.put("config", "main", makeConfig(1, {makeRoute("s", "/s/", "streaming", 6000, "llm")}));
+  for (auto *it : {"i-a1", "i-a2"})
+    rig.addEngine(it, "v1", {"m0"}).eventPause = EventPause;
+  for (auto *it : {"i-b1", "i-b2"})
+    rig.addEngine(it, "v2", {"m0"}).eventPause = EventPause;
+  rig.store.put("config", "main",
+                makeConfig(1, {makeRoute("s", "/s/", "streaming", 15000, "llm")}));
   rig.begin();
   if (!rig.waitUntilReady(Millis(20000)))
     return ExitNotRun;
-  std::this_thread::sleep_for(ContactTime);
-
-  std::atomic<bool> stop = false;
-  std::atomic<int> served = 0;
-  std::thread sound([&] {
-    for (int i = 0; !stop; ++i) {
-      served += sendStream(rig, i % Hosts, static_cast<std::size_t>(i), false, record);
-      std::this_thread::sleep_for(SoundPause);
-    }
-  });
+  std::this_thread::sleep_for(ContactTime + Millis(500));
+
+  std::atomic<bool> close = false;
+  std::vector<Stream> streams(Streams);
   std::vector<std::thread> clients;
-  std::vector<catkin::Instant> inTouchFrom{catkin::steadyNow()};
-  std::vector<catkin::Instant> killedAt;
-  auto next = Clock::now();
-  for (int group = 0; group < Groups; ++group) {
-    std::this_thread::sleep_until(next);
-    record.line("requests with the part that crashes engines");
-    for (int i = 0; i < RequestsOfGroup; ++i) {
-      clients.emplace_back([&, group, i] {
-        sendStream(rig, (group + i) % Hosts, static_cast<std::size_t>(i), true, record);
-      });
-    }
-    next += Period;
-    std::this_thread::sleep_for(Millis(1500));
-    const bool isKnown = countCrashes(rig) >= CrashesBeforeKill;
-    if (!isKnown || !killedAt.empty() || !hasTrouble())
-      continue;
+  for (int i = 0; i < Streams; ++i)
+    clients.emplace_back([&, i] {
+      auto &it = streams[static_cast<std::size_t>(i)];
+      it.id = "a" + std::to_string(1000 + i);
+      beginStream(
+          rig, i % Hosts, it, [&] { return close.load(); }, record);
+    });
+  std::this_thread::sleep_for(BreakAfter);
+  if (hasTrouble()) {
     record.line("all hosts are killed");
-    killedAt.push_back(catkin::steadyNow());
     rig.killAll(DownTime);
     record.line("all hosts were started again");
-    inTouchFrom.push_back(catkin::steadyNow() + ContactTime);
+  } else {
+    close = true; // the clients break the channels themselves, as the next event comes
+    std::this_thread::sleep_for(DownTime);
+  }
+  for (auto &it : clients)
+    it.join();
+  clients.clear();
+  const auto startedAgain = Clock::now();
+  if (!rig.waitUntilReady(Millis(10000)))
+    return ExitNotRun;
+  std::this_thread::sleep_until(startedAgain + ContactTime + Millis(300));
+
+  record.line("all hosts are in touch, the clients take up their streams");
+  std::vector<Stream> fresh(Streams);
+  for (int i = 0; i < Streams; ++i) {
+    clients.emplace_back(
+        [&, i] { takeUp(rig, i % Hosts, streams[static_cast<std::size_t>(i)], record); });
+    clients.emplace_back([&, i] {
+      auto &it = fresh[static_cast<std::size_t>(i)];
+      it.id = "b" + std::to_string(1000 + i);
+      beginStream(
+          rig, i % Hosts, it, [] { return false; }, record);
+    });
   }
-  std::this_thread::sleep_for(Millis(4000));
   for (auto &it : clients)
     it.join();
-  stop = true;
-  sound.join();
-
-  std::vector<catkin::Instant> crashes;
-  std::vector<std::pair<catkin::Instant, std::string>> arrivals;
-  rig.run([&] {
-    for (auto &it : rig.engines) {
-      crashes.insert(crashes.end(), it->crashes.times.begin(), it->crashes.times.end());
-      for (auto &call : it->crashes.deadlyCalls)
-        arrivals.emplace_back(call.at, it->id);
-    }
-  });
-  std::sort(crashes.begin(), crashes.end());
-  std::sort(arrivals.begin(), arrivals.end());
-  const auto isInTouch = [&](catkin::Instant at) {
-    return at >= inTouchFrom.back() || (killedAt.empty() || at < killedAt.front());
-  };
-  int counted = 0;
-  const auto first = crashes.empty() ? catkin::steadyNow() : crashes.front();
-  for (auto &[at, engine] : arrivals) {
-    const bool counts = crashes.size() >= 5 && at > crashes[4] + ContactTime && isInTouch(at);
-    counted += counts ? 1 : 0;
-    record.line("ran at " + engine + ", " +
-                std::to_string(std::chrono::duration<double>(at - first).count()) +
-                " s after the first crash" + (counts ? ", counts" : ""));
+
+  int takenUp = 0;
+  int wentOn = 0;
+  int mixed = 0;
+  int begun = 0;
+  for (auto &it : streams) {
+    takenUp += it.tries > 0 ? 1 : 0;
+    wentOn += it.wentOn ? 1 : 0;
+    mixed += versionsIn(it.body).find('+') == std::string::npos ? 0 : 1;
   }
-  const std::string result = "crashes " + std::to_string(crashes.size()) +
-                             ", requests with the part that reached engines " +
-                             std::to_string(arrivals.size()) + ", that count " +
-                             std::to_string(counted) + ", sound streams served " +
-                             std::to_string(served.load());
+  for (auto &it : fresh)
+    begun += it.body.empty() ? 0 : 1;
+  const std::string result = "taken up " + std::to_string(takenUp) + ", went on " +
+                             std::to_string(wentOn) + ", new streams " + std::to_string(Streams) +
+                             ", begun " + std::to_string(begun) + ", of two versions " +
+                             std::to_string(mixed);
   record.line(result);
   std::puts(result.c_str());
-  return counted > AllowedRequests ? ExitBroken : ExitHeld;
+  if (takenUp < 12)
+    return ExitNotRun;
+  // The share that goes on is under half of the share of new streams that begin.
+  return 2 * wentOn * Streams < begun * takenUp ? ExitBroken : ExitHeld;
 }
 
 } // namespace
