--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -23,3 +23,4 @@
   g++ -pthread "$out/case-$n.o" "$out/rig-2.o" "$out/standin.o" "$out/fleet_engine_standin.o" "$out/fleet_store_standin.o" \
     "${libraries[@]}" -o "$out/case-$n"
 done
+bash review/build-3.sh # cases 11 to 13
--- a/review/rig-3.cpp
+++ b/review/rig-3.cpp
@@ -442,6 +442,13 @@
   changed.notify_all();
 }
 
+int Store::waitingWatches(const std::string &kind, double seconds) {
+  const std::lock_guard lock(mutex);
+  const double until = now() - seconds;
+  return static_cast<int>(std::count_if(watching[kind].begin(), watching[kind].end(),
+                                        [&](double since) { return since <= until; }));
+}
+
 int Store::lists(const std::string &kind) {
   const std::lock_guard lock(mutex);
   return listed[kind];
@@ -462,8 +469,10 @@
     return !found.empty();
   };
   const int cutsBefore = cuts[kind];
+  const auto since = watching[kind].insert(now());
   changed.wait_for(lock, std::chrono::milliseconds(waitMs),
                    [&] { return cuts[kind] != cutsBefore || collect(); });
+  watching[kind].erase(since);
   if (cuts[kind] != cutsBefore)
     return {};
   return response(200, "Content-Type: application/json\r\n",
--- a/review/rig-3.h
+++ b/review/rig-3.h
@@ -127,6 +127,8 @@
   json::value content(const std::string &kind, const std::string &name);
   /// Ends the channels of all watches of a kind that are waiting now.
   void cutWatches(const std::string &kind);
+  /// Number of watches of a kind that have waited for `seconds` or more.
+  int waitingWatches(const std::string &kind, double seconds);
   /// Number of lists of a kind that have been answered.
   int lists(const std::string &kind);
   static constexpr int Machine = 200;
@@ -159,6 +161,7 @@
   std::uint64_t revision = 10;
   std::map<std::string, int> cuts;
   std::map<std::string, int> listed;
+  std::map<std::string, std::multiset<double>> watching; ///< since when
   Server server;
 };
 
