--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,223 +1,187 @@
 #include "../rig-2.h"
-#include "real_env_p.h"
 
-#include <algorithm>
 #include <atomic>
-#include <csignal>
 #include <cstdio>
-#include <mutex>
 
-/// Hosts are restarted one after the other while some tenants send many times what they may. Checks
-/// what the quotas of these tenants let through in any window.
+/// Two software versions of the engines serve side by side. All hosts are killed at once and start
+/// again. Clients take their broken streams up at hosts that are in touch again.
 namespace review {
 namespace {
 
-using catkin::HttpExchange;
-using catkin::HttpResponse;
-
-constexpr int Hosts = 8;
-constexpr int Tenants = 16;
-constexpr double TokensPerSecond = 20000;
-constexpr double Burst = 20000;
-constexpr double Window = 8;
-constexpr double Over = 0.1;
-constexpr double Slack = 110000;
-constexpr int Tokens = 9190 + 52; // of each request
-constexpr Millis Gap{1300};       // from one restart to the next
-constexpr Millis FloodTime{11000};
-// Together 7.2 requests a second, 6 times what the tenant sends usually: its quota is 1.8 times
-// that.
-constexpr int SendersOfTenant = 8;
-constexpr Millis SendPause{1110};
-
-/// A request that has run.
-struct Run {
-  double sentAt = 0;
-  double arrivedAt = 0;
+constexpr int Hosts = 5;
+constexpr int Streams = 24;
+constexpr Millis EventPause{1200};
+constexpr Millis Deadline{15000};
+constexpr Millis BreakAfter{3200};
+constexpr Millis DownTime{1500};
+constexpr Millis ContactTime{3000};
+constexpr int MaxTries = 4; // of a client that takes its stream up
+
+/// One stream of a client.
+struct Stream {
+  std::string id;
+  Clock::time_point began;
+  std::string body; ///< all events that the client has
+  bool complete = false;
+  int tries = 0;
+  bool wentOn = false;
 };
 
-std::string tenantName(int n) { return "tenant-" + std::to_string(n); }
-
-/// Returns the most tokens that were both sent and run in any window.
-double peakTokens(std::vector<Run> runs, double &from) {
-  std::sort(runs.begin(), runs.end(), [](auto &a, auto &b) { return a.sentAt < b.sentAt; });
-  double peak = 0;
-  for (auto &first : runs) {
-    double sum = 0;
-    for (auto &it : runs)
-      if (it.sentAt >= first.sentAt && it.arrivedAt <= first.sentAt + Window)
-        sum += Tokens;
-    if (sum > peak) {
-      peak = sum;
-      from = first.sentAt;
-    }
-  }
-  return peak;
+Millis timeLeft(const Stream &it) {
+  return std::chrono::duration_cast<Millis>(it.began + Deadline - Clock::now());
 }
 
-/// Serves requests without a model and notes when each has come.
-class Engine {
-public:
-  explicit Engine(std::string name) : id(std::move(name)) {}
-  boost::asio::awaitable<void> handle(HttpExchange &exchange) {
-    const auto &request = exchange.request();
-    HttpResponse response{boost::beast::http::status::ok, 11};
-    response.set("Request-Id", request["Request-Id"]);
-    if (request["Expect-Instance"] == id) {
-      response.set("Server-Stamp", id);
-      response.body() = "done";
-      const auto it = request["Request-Id"];
-      arrivals[std::string(it.data(), it.size())] = elapsed();
-    } else {
-      response.result(421);
-      response.set("Instance", id);
-    }
-    const bool delivered = co_await exchange.respond(std::move(response));
-    (void)delivered;
-  }
+Headers headersOf(const std::string &id, Millis left) {
+  return {{"Host", "h.example"},
+          {"Request-Id", id},
+          {"Model", "m0"},
+          {"Token-Count", "300,40"},
+          {"Prompt-Prefix", "5c1e07a2:200," + id.substr(1) + ":100"},
+          {"Deadline-Ms", std::to_string(left.count())}};
+}
 
-  const std::string id;
-  std::map<std::string, double> arrivals; ///< by request id
-};
+/// Returns the part of a body that holds whole events.
+std::string wholeEvents(const std::string &body) {
+  const auto at = body.rfind("\n\n");
+  return at == std::string::npos ? std::string() : body.substr(0, at + 2);
+}
 
-int runCase(const std::string &folder, const std::vector<int> &hot) {
-  Record record(folder + "/record.txt");
-  Rig rig(Hosts, "bounds.quota_window_s=8\nbounds.quota_over=0.1\nbounds.quota_slack=110000\n"
-                 "bounds.strict_revocation=false\nbounds.revoke_ms=5000\n");
-  std::vector<std::unique_ptr<Engine>> engines;
-  for (int i = 0; i < 3; ++i) {
-    engines.push_back(std::make_unique<Engine>("p-" + std::to_string(i)));
-    auto *engine = engines.back().get();
-    const auto address = rig.serve([engine](HttpExchange &it) { return engine->handle(it); });
-    rig.store.put("servers", engine->id,
-                  json::object{{"service", "app"},
-                               {"address", address.toString()},
-                               {"zone", "z"},
-                               {"version", "v1"},
-                               {"slots", 6},
-                               {"state", "ready"},
-                               {"sequence", 0},
-                               {"born", 1'700'000'000'000}});
+std::string versionsIn(const std::string &body) {
+  std::string out;
+  for (auto *it : {"v1", "v2"})
+    if (body.find(it) != std::string::npos)
+      out += out.empty() ? it : std::string("+") + it;
+  return out;
+}
+
+/// Begins a stream. The client leaves once `closeWhen` holds.
+void beginStream(Rig &rig, int host, Stream &it, const std::function<bool()> &closeWhen,
+                 Record &record) {
+  it.began = Clock::now();
+  Request request{.target = "/s/x", .headers = headersOf(it.id, Deadline), .limit = Deadline};
+  request.onBody = [&](const std::string &) { return !closeWhen(); };
+  record.line("sent " + it.id + " to host " + std::to_string(host));
+  const Answer answer = send(rig.ip(host), rig.port(), request);
+  it.complete = answer.complete;
+  it.body = wholeEvents(answer.body);
+  record.line("answer " + it.id + " status " + std::to_string(answer.status) + " events " +
+              std::to_string(countEvents(it.body)) + " of " + versionsIn(it.body) +
+              (answer.complete ? " complete" : " broken off"));
+}
+
+/// Takes a stream up until it is complete. The client honours Retry-After.
+void takeUp(Rig &rig, int host, Stream &it, Record &record) {
+  while (!it.complete && it.tries < MaxTries && timeLeft(it) > Millis(500)) {
+    const int events = countEvents(it.body);
+    const std::string id = it.id + "f" + std::to_string(++it.tries);
+    Request request{
+        .target = "/s/x", .headers = headersOf(id, timeLeft(it)), .limit = timeLeft(it)};
+    request.headers.emplace_back("Last-Event-Id", std::to_string(events));
+    request.headers.emplace_back("Resumes", it.id);
+    host = (host + 1) % rig.hostCount();
+    record.line("sent " + id + " to host " + std::to_string(host) + " takes up " + it.id +
+                " after event " + std::to_string(events));
+    const Answer answer = send(rig.ip(host), rig.port(), request);
+    const std::string added = answer.status == 200 ? wholeEvents(answer.body) : std::string();
+    it.body += added;
+    it.complete = answer.status == 200 && answer.complete;
+    it.wentOn = it.wentOn || countEvents(added) > 0;
+    record.line("answer " + id + " status " + std::to_string(answer.status) + " events " +
+                std::to_string(countEvents(added)) + " retry-after " +
+                answer.header("Retry-After") +
+                (answer.status == 200 ? std::string() : " " + answer.body));
+    if (answer.status != 503)
+      continue;
+    const double pause = std::atof(answer.header("Retry-After").c_str());
+    std::this_thread::sleep_for(Millis(static_cast<int>(pause * 1000)));
   }
-  auto config = makeConfig(1, {makeRoute("u", "/u/", "unsafe", 4000, "app")});
-  json::array tenants;
-  for (int i = 0; i < Tenants; ++i)
-    tenants.push_back(json::object{{"name", tenantName(i)},
-                                   {"api_keys", json::array{"key-" + std::to_string(i)}},
-                                   {"priority", 1},
-                                   {"rate_per_s", TokensPerSecond},
-                                   {"burst", Burst},
-                                   {"unit", "token_count"},
-                                   {"plain_tokens", 100}});
-  config["tenants"] = tenants;
-  rig.store.put("config", "main", config);
+}
+
+int runCase(const std::string &folder) {
+  Record record(folder + "/record.txt");
+  Rig rig(Hosts);
+  for (auto *it : {"i-a1", "i-a2"})
+    rig.addEngine(it, "v1", {"m0"}).eventPause = EventPause;
+  for (auto *it : {"i-b1", "i-b2"})
+    rig.addEngine(it, "v2", {"m0"}).eventPause = EventPause;
+  rig.store.put("config", "main",
+                makeConfig(1, {makeRoute("s", "/s/", "streaming", 15000, "llm")}));
   rig.begin();
   if (!rig.waitUntilReady(Millis(20000)))
     return ExitNotRun;
-  std::this_thread::sleep_for(Millis(12000)); // the quotas count from the start of the hosts
-
-  std::mutex mutex; // guards sent and hostIsUp
-  std::map<std::string, std::pair<int, double>> sent;
-  std::vector<bool> hostIsUp(Hosts, true);
-  std::atomic<bool> stop = false;
-  std::atomic<int> lastId = 0;
-  std::vector<std::thread> senders;
-  const auto sendOne = [&](int tenant) {
-    const int n = ++lastId;
-    const std::string id = "q" + std::to_string(100000 + n);
-    int host = n % Hosts;
-    {
-      const std::lock_guard lock(mutex);
-      for (int i = 0; i < Hosts && !hostIsUp[static_cast<std::size_t>(host)]; ++i)
-        host = (host + 1) % Hosts;
-      sent[id] = {tenant, elapsed()};
-    }
-    const Request request{.target = "/u/x",
-                          .headers = {{"Host", "h.example"},
-                                      {"Request-Id", id},
-                                      {"X-Api-Key", "key-" + std::to_string(tenant)},
-                                      {"Token-Count", "9190,52"},
-                                      {"Deadline-Ms", "4000"}},
-                          .limit = Millis(4500)};
-    const Answer answer = send(rig.ip(host), rig.port(), request);
-    record.line("sent " + id + " for " + tenantName(tenant) + " to host " + std::to_string(host) +
-                ", answer " + std::to_string(answer.status));
-  };
-  for (int tenant : hot)
-    for (int i = 0; i < SendersOfTenant; ++i)
-      senders.emplace_back([&, tenant, i] {
-        std::this_thread::sleep_for(SendPause * i / SendersOfTenant);
-        for (auto next = Clock::now(); !stop; next += SendPause) {
-          sendOne(tenant);
-          std::this_thread::sleep_until(next);
-        }
-      });
-  const auto end = Clock::now() + FloodTime;
-  std::vector<std::thread> restarts;
-  std::mutex rigMutex; // guards the list of the rig's processes
-  for (int n = 0; n < Hosts && hasTrouble(); ++n) {
-    record.line("SIGTERM to host " + std::to_string(n));
-    {
-      const std::lock_guard lock(mutex);
-      hostIsUp[static_cast<std::size_t>(n)] = false;
-    }
-    const std::lock_guard lock(rigMutex);
-    rig.signalHost(n, SIGTERM);
-    restarts.emplace_back([&, n] {
-      for (bool runs = true; runs;) {
-        std::this_thread::sleep_for(Millis(50));
-        const std::lock_guard again(rigMutex);
-        runs = rig.isRunning(n);
-        if (!runs)
-          rig.startHost(n);
-      }
-      record.line("host " + std::to_string(n) + " was started again");
-      while (!rig.isReady(n))
-        std::this_thread::sleep_for(Millis(50));
-      const std::lock_guard up(mutex);
-      hostIsUp[static_cast<std::size_t>(n)] = true;
+  std::this_thread::sleep_for(ContactTime + Millis(500));
+
+  std::atomic<bool> close = false;
+  std::vector<Stream> streams(Streams);
+  std::vector<std::thread> clients;
+  for (int i = 0; i < Streams; ++i)
+    clients.emplace_back([&, i] {
+      auto &it = streams[static_cast<std::size_t>(i)];
+      it.id = "a" + std::to_string(1000 + i);
+      beginStream(
+          rig, i % Hosts, it, [&] { return close.load(); }, record);
     });
-    std::this_thread::sleep_for(Gap);
+  std::this_thread::sleep_for(BreakAfter);
+  if (hasTrouble()) {
+    record.line("all hosts are killed");
+    rig.killAll(DownTime);
+    record.line("all hosts were started again");
+  } else {
+    close = true; // the clients break the channels themselves, as the next event comes
+    std::this_thread::sleep_for(DownTime);
   }
-  std::this_thread::sleep_until(end);
-  stop = true;
-  for (auto &it : senders)
+  for (auto &it : clients)
     it.join();
-  for (auto &it : restarts)
+  clients.clear();
+  const auto startedAgain = Clock::now();
+  if (!rig.waitUntilReady(Millis(10000)))
+    return ExitNotRun;
+  std::this_thread::sleep_until(startedAgain + ContactTime + Millis(300));
+
+  record.line("all hosts are in touch, the clients take up their streams");
+  std::vector<Stream> fresh(Streams);
+  for (int i = 0; i < Streams; ++i) {
+    clients.emplace_back(
+        [&, i] { takeUp(rig, i % Hosts, streams[static_cast<std::size_t>(i)], record); });
+    clients.emplace_back([&, i] {
+      auto &it = fresh[static_cast<std::size_t>(i)];
+      it.id = "b" + std::to_string(1000 + i);
+      beginStream(
+          rig, i % Hosts, it, [] { return false; }, record);
+    });
+  }
+  for (auto &it : clients)
     it.join();
 
-  std::map<int, std::vector<Run>> runs;
-  rig.run([&] {
-    for (auto &engine : engines)
-      for (auto &[id, at] : engine->arrivals)
-        if (sent.count(id) > 0)
-          runs[sent[id].first].push_back({sent[id].second, at});
-  });
-  const double allowed = (TokensPerSecond * Window + Burst) * (1 + Over) + Slack;
-  bool broken = false;
-  for (auto &[tenant, list] : runs) {
-    double from = 0;
-    const double peak = peakTokens(list, from);
-    broken = broken || peak > allowed;
-    char text[200];
-    std::snprintf(text, sizeof text,
-                  "%s: at most %.0f tokens ran in %.0f s, from %.3f on; allowed %.0f",
-                  tenantName(tenant).c_str(), peak, Window, from, allowed);
-    record.line(text);
-    std::puts(text);
+  int takenUp = 0;
+  int wentOn = 0;
+  int mixed = 0;
+  int begun = 0;
+  for (auto &it : streams) {
+    takenUp += it.tries > 0 ? 1 : 0;
+    wentOn += it.wentOn ? 1 : 0;
+    mixed += versionsIn(it.body).find('+') == std::string::npos ? 0 : 1;
   }
-  return broken ? ExitBroken : ExitHeld;
+  for (auto &it : fresh)
+    begun += it.body.empty() ? 0 : 1;
+  const std::string result = "taken up " + std::to_string(takenUp) + ", went on " +
+                             std::to_string(wentOn) + ", new streams " + std::to_string(Streams) +
+                             ", begun " + std::to_string(begun) + ", of two versions " +
+                             std::to_string(mixed);
+  record.line(result);
+  std::puts(result.c_str());
+  if (takenUp < 12)
+    return ExitNotRun;
+  // The share that goes on is under half of the share of new streams that begin.
+  return 2 * wentOn * Streams < begun * takenUp ? ExitBroken : ExitHeld;
 }
 
 } // namespace
 } // namespace review
 
-int main(int argc, char **argv) {
+int main(int, char **argv) {
   try {
-    std::vector<int> hot;
-    for (int i = 2; i < argc; ++i)
-      hot.push_back(std::atoi(argv[i]));
-    return review::runCase(argv[1], hot);
+    return review::runCase(argv[1]);
   } catch (const std::exception &e) {
     std::fprintf(stderr, "%s\n", e.what());
     return review::ExitNotRun;
--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,7 +3,7 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/case-10 ] && [ -x target/bin/catkin-platformd ] || exit 2
-timeout 110 target/review-2/case-10 review/10 2 3
+timeout 110 target/review-2/case-10 review/10
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
