--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -108,6 +108,12 @@
     keptUntil = now + config::FleetReregistrationTime;
   if (state.acceptsRequests() && (afterOutage || readsInfrequently)) {
     state.expiresAt = state.expiresAt.value_or(keptUntil);
+    logLine(LogLevel::Info, "endpoint without a registration, kept for now",
+            {{"endpoint", name.value},
+             {"incarnation", state.entry.incarnation},
+             {"kept_ms", toMillis(*state.expiresAt - now)},
+             {"after_outage", afterOutage},
+             {"since_reconnected_ms", toMillis(now - registryReconnectedAt)}});
   } else {
     onGone(state, now);
     states.erase(it);
