Tell an outage of the store from a watch that is cut off

Cause: a watch that ended without an answer counted as an outage of the store and the next answer as its end. For 2.5 s afterwards each removal was taken for an entry that had lapsed in the outage, and the endpoint was kept.

Change: StoreContact measures for how long the store has answered none of this host's followers. Only a silence with a failed call in it, in which registrations can lapse (two intervals of renewal, heartbeat_ms), counts as an outage. A watch of the registry lasts at most 0.8 of that, so that no cut can look like one.

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -6,6 +6,7 @@
 #include "json_p.h"
 #include "log_p.h"
 #include "recorded_versions_p.h"
+#include "store_contact_p.h"
 
 namespace catkin {
 
@@ -21,6 +22,12 @@
 // Watch times as shares of FleetHostOptions::recoveryBound. A dead connection is noticed only when
 // the watch should have ended, and a list must follow within the bound.
 constexpr double CloseWatchShare = 0.62;
+// Longest watch as a share of the shortest outage that matters. A watch that is cut off near its
+// end must not look like an outage.
+constexpr double OutageWatchShare = 0.8;
+constexpr Duration MinCloseWatchWait = std::chrono::milliseconds(500);
+// Intervals without a renewal after which the registry removes a registration.
+constexpr int RegistrationLapseIntervals = 3;
 constexpr double SentinelWatchShare = 0.25; // other hosts depend on the sentinels' heartbeats
 // Pause between watches as a share of FleetHostOptions::drainBound. The planner announces holdings
 // sooner, so one watch may return many changes of them.
@@ -51,6 +58,7 @@
   FleetAdapter adapter;
   CoreEnv &env;
   FleetView view;
+  StoreContact feed; ///< of all followers
   FleetPeers peers;
   FleetLinks links;
   HostRegistration registration;
@@ -90,7 +98,11 @@
   std::set<HostName> missingHosts; ///< hosts whose registrations a restored store does not have
 
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
-      : options(std::move(o)), adapter(std::move(a)), env(*adapter.env), peers(options.self),
+      : options(std::move(o)), adapter(std::move(a)), env(*adapter.env),
+        feed(env, *adapter.feed,
+             {.shortestOutage = shortestOutage(),
+              .outageEnded = [this] { view.onRegistryOutageEnded(env.now()); }}),
+        peers(options.self),
         links(executor, [this](auto &message, auto &from) { onMessage(message, from); }),
         registration(env, HostKind, options.self),
         permits(env, view,
@@ -156,7 +168,7 @@
                    .send = [this](auto &to, auto &message) { links.send({to}, message); },
                    .readStore = [this] { configuration.reload(); }}),
         configuration(
-            env, *adapter.feed, exchange,
+            env, feed, exchange,
             {.kind = options.configKind,
              .name = options.configName,
              .watch = {.maxWait = closeWatchWait()}},
@@ -169,7 +181,7 @@
                                 std::uint64_t era) { freshness.onStoreAnswer(sentAt, era); },
              .connectionChanged = [this](bool on) { onConfigConnection(on); },
              .restored = [this](std::uint64_t era) { onStoreRestored(era); }}),
-        endpointFollower(env, *adapter.feed,
+        endpointFollower(env, feed,
                          {.kind = options.endpointKind,
                           .limits = {.maxWait = closeWatchWait()},
                           .batchPause = CloseBatchPause},
@@ -177,14 +189,22 @@
                           .connectionChanged = [this](bool on) { onRegistryConnection(on); },
                           .restored = [this](std::uint64_t era) { onStoreRestored(era); }}),
         hostFollower(
-            env, *adapter.feed,
+            env, feed,
             {.kind = HostKind, .limits = {.maxWait = MaxWatchWait}, .batchPause = HostBatchPause},
             {.changed = [this](auto &it) { onHost(it); },
              .connectionChanged = {},
              .restored = [this](std::uint64_t era) { onStoreRestored(era); }}) {}
 
+  /// An endpoint renews its registration at once or at its next interval after an outage, so the
+  /// outage alone must span the others.
+  Duration shortestOutage() const {
+    return (RegistrationLapseIntervals - 1) * options.registrationInterval;
+  }
+
   Duration closeWatchWait() const {
-    return fromSeconds(toSeconds(options.recoveryBound) * CloseWatchShare);
+    const Duration wait = fromSeconds(toSeconds(options.recoveryBound) * CloseWatchShare);
+    const Duration limit = fromSeconds(toSeconds(shortestOutage()) * OutageWatchShare);
+    return std::min(wait, std::max<Duration>(limit, MinCloseWatchWait));
   }
 
   Duration sentinelWatchWait() const {
@@ -302,7 +322,7 @@
   }
 
   void onRegistryConnection(bool connected) {
-    view.setRegistryConnected(connected, env.now());
+    view.setRegistryConnected(connected);
     logConnection("endpoints", connected);
     if (std::exchange(registryEverConnected, true) && connected)
       hostFollower.restart();
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -31,6 +31,8 @@
   Duration drainBound = std::chrono::seconds(2);
   /// Time within which this host must be up to date again after a disturbance has ended.
   Duration recoveryBound = std::chrono::seconds(3);
+  /// Interval at which endpoints renew their registrations.
+  Duration registrationInterval = std::chrono::milliseconds(1200);
   FreshnessOptions freshness; ///< of the configuration, for requests with keys
   QuotaOptions quota;         ///< how the requests of teams are counted
   std::string configKind;     ///< kind of the object that holds the configuration
--- a/src/fleet_view.cpp
+++ b/src/fleet_view.cpp
@@ -102,8 +102,8 @@
   if (it == states.end())
     return;
   auto &state = it->second;
-  auto keptUntil = registryReconnectedAt + config::FleetReregistrationTime;
-  const bool afterOutage = everConnected && registryReconnectedAt != Instant{} && now < keptUntil;
+  auto keptUntil = registryOutageEndedAt + config::FleetReregistrationTime;
+  const bool afterOutage = registryOutageEndedAt != Instant{} && now < keptUntil;
   if (readsInfrequently && !afterOutage)
     keptUntil = now + config::FleetReregistrationTime;
   if (state.acceptsRequests() && (afterOutage || readsInfrequently)) {
@@ -113,7 +113,7 @@
              {"incarnation", state.entry.incarnation},
              {"kept_ms", toMillis(*state.expiresAt - now)},
              {"after_outage", afterOutage},
-             {"since_reconnected_ms", toMillis(now - registryReconnectedAt)}});
+             {"since_outage_ms", afterOutage ? toMillis(now - registryOutageEndedAt) : -1}});
   } else {
     onGone(state, now);
     states.erase(it);
@@ -125,8 +125,7 @@
 /// have announced that they leave do so, whatever the copy says; hosts that have just started hear
 /// of them.
 void FleetView::onStoreRestored(Instant now) {
-  if (everConnected)
-    registryReconnectedAt = now;
+  onRegistryOutageEnded(now);
   for (auto &it : restoreGuard.onRestored(now))
     endpointSignals.onLeaving(it, now);
   for (auto &[name, state] : states) {
@@ -138,9 +137,12 @@
   }
 }
 
-void FleetView::setRegistryConnected(bool connected, Instant now) {
-  if (connected && !registryConnected && everConnected)
-    registryReconnectedAt = now;
+void FleetView::onRegistryOutageEnded(Instant now) {
+  if (everConnected)
+    registryOutageEndedAt = now;
+}
+
+void FleetView::setRegistryConnected(bool connected) {
   everConnected = everConnected || connected;
   registryConnected = connected;
 }
--- a/src/fleet_view_p.h
+++ b/src/fleet_view_p.h
@@ -95,8 +95,11 @@
   /// The registration has disappeared. Shortly after a store outage, the endpoint may just have
   /// been unable to renew it. It is then kept until it has had enough time to register again.
   void removeEndpoint(const EndpointName &name, Instant now);
-  /// This host has lost or regained its connection to the registry.
-  void setRegistryConnected(bool connected, Instant now);
+  /// This host has lost or regained its connection to the registry. That alone says nothing about
+  /// the endpoints: a watch that is cut off leaves their registrations alone.
+  void setRegistryConnected(bool connected);
+  /// An outage of the store has ended that was long enough for registrations to lapse.
+  void onRegistryOutageEnded(Instant now);
   /// The store has come back from an older copy of itself.
   void onStoreRestored(Instant now);
   /// This host reads the registry at long intervals, so it may miss an outage of the store.
@@ -196,7 +199,7 @@
   StoreRevision newestArrivalRevision;
   std::list<std::function<void()>> waiters;
   bool registryConnected = false;
-  Instant registryReconnectedAt; ///< end of the last outage; default value if there was none
+  Instant registryOutageEndedAt; ///< default value if there was no outage
   bool everConnected = false;
   bool readsInfrequently = false;
 };
--- a/standins/fleet_standins_p.h
+++ b/standins/fleet_standins_p.h
@@ -40,6 +40,8 @@
   /// Returns the content of an object if it is a string; empty otherwise.
   std::string text(const std::string &kind, const std::string &name) const;
   int count(const std::string &kind) const; ///< number of objects
+  /// Ends the connections of the watches of a kind that wait.
+  void cutWatches(const std::string &kind) { ++watchCuts[kind]; }
   /// Discards all events, so that watchers must list the objects and start again.
   void dropHistory();
   /// Comes back from a copy that is `age` old, in the next era. What the operator and the engines
@@ -61,7 +63,9 @@
     json::object object;
   };
   json::object describe(const std::string &kind, const std::string &name) const;
-  asio::awaitable<HttpResponse> watch(const std::string &kind, std::uint64_t from, Duration wait);
+  /// Returns nothing if the watch is cut off.
+  asio::awaitable<std::optional<HttpResponse>> watch(const std::string &kind, std::uint64_t from,
+                                                     Duration wait);
   HttpResponse list(const std::string &kind) const;
   HttpResponse write(const HttpRequest &request, const std::string &kind, std::string name);
   HttpResponse erase(const std::string &kind, const std::string &name);
@@ -88,6 +92,7 @@
   std::deque<Copy> copies;
   Kinds lostKinds;                    ///< the state before the newest restore
   std::uint64_t restoredRevision = 0; ///< of the copy that the newest restore came back from
+  std::map<std::string, int> watchCuts; ///< calls of cutWatches() by kind
   std::deque<Event> history;
   std::uint64_t historyFrom = 0; ///< watches from earlier revisions get 410
   std::uint64_t revision = 0;
--- a/standins/fleet_store_standin.cpp
+++ b/standins/fleet_store_standin.cpp
@@ -135,13 +135,16 @@
                       json::object{{"items", items}, {"truncated", false}, {"as_of", revision}});
 }
 
-asio::awaitable<HttpResponse> StandinStore::watch(const std::string &kind, std::uint64_t from,
-                                                  Duration wait) {
+asio::awaitable<std::optional<HttpResponse>>
+StandinStore::watch(const std::string &kind, std::uint64_t from, Duration wait) {
   // `as_of` must not be later than the events already examined: an event that arrives during the
   // last pause would be skipped by the next watch.
   std::uint64_t seen = from;
   const std::uint64_t eraBefore = era;
+  const int cutsBefore = watchCuts[kind];
   for (Duration waited{}; waited <= wait; waited += 10ms) {
+    if (watchCuts[kind] != cutsBefore)
+      co_return std::nullopt;
     if (from < historyFrom || from > revision || era != eraBefore)
       co_return makeResponse(410);
     json::array events;
@@ -197,11 +200,16 @@
       response = erase(kind, name);
     else if (writing)
       response = write(request, kind, name);
-    else if (target.query.count("watch") > 0)
-      response =
+    else if (target.query.count("watch") > 0) {
+      auto answer =
           co_await watch(kind, standin::numberOr(target.query["watch"], 0),
                          std::chrono::milliseconds(standin::numberOr(target.query["wait_ms"], 0)));
-    else if (name.empty())
+      if (!answer) {
+        exchange.abort();
+        co_return;
+      }
+      response = std::move(*answer);
+    } else if (name.empty())
       response = list(kind);
     else if (kinds[kind].count(name) > 0)
       response = makeResponse(200, describe(kind, name));
--- a/tests/fleet_view_test.cpp
+++ b/tests/fleet_view_test.cpp
@@ -82,23 +82,23 @@
 // store turns away, and against a status call for each stream.
 TEST(FleetViewTest, EndpointComesBackWhileTheRegistryIsAway) {
   FleetView view;
-  view.setRegistryConnected(true, Start);
+  view.setRegistryConnected(true);
   view.putEndpoint(makeEndpoint("a"), Start);
   const auto *state = view.find(EndpointName("a"));
   EXPECT_FALSE(view.isIncarnationDoubtful(*state, Start));
-  view.setRegistryConnected(false, Start);
+  view.setRegistryConnected(false);
   EXPECT_TRUE(view.isIncarnationDoubtful(*state, Start));
   view.onConfirmed({EndpointName("a"), 1}, true, Start);
   EXPECT_FALSE(view.isIncarnationDoubtful(*state, Start + 400ms));
   EXPECT_TRUE(view.isIncarnationDoubtful(*state, Start + 600ms));
-  view.setRegistryConnected(true, Start + 1s);
+  view.setRegistryConnected(true);
   EXPECT_FALSE(view.isIncarnationDoubtful(*state, Start + 1s));
 }
 
 // Guards against a notice that is dropped although it shows a restart that this host has not read.
 TEST(FleetViewTest, PlannerKnowsOfARestartThatThisHostHasNotRead) {
   FleetView view;
-  view.setRegistryConnected(true, Start);
+  view.setRegistryConnected(true);
   view.putEndpoint(makeEndpoint("a"), Start);
   const auto *state = view.find(EndpointName("a"));
   view.applyNotice({EndpointName("a"), 0, 3, 1, {}}, Start);
@@ -112,14 +112,27 @@
   EXPECT_FALSE(view.isIncarnationDoubtful(*state, Start));
 }
 
+// Guards against requests to an endpoint that has gone, since a watch of the registry was cut off a
+// moment before and that counted as an outage of the store.
+TEST(FleetViewTest, LostConnectionIsNoOutage) {
+  FleetView view;
+  view.setRegistryConnected(true);
+  view.putEndpoint(makeEndpoint("a"), Start - 1min);
+  view.setRegistryConnected(false);
+  view.setRegistryConnected(true);
+  view.removeEndpoint(EndpointName("a"), Start);
+  EXPECT_EQ(view.find(EndpointName("a")), nullptr);
+}
+
 // Guards against a store outage that removes all endpoints: registrations that expired during the
 // outage return within two seconds.
 TEST(FleetViewTest, LapsedRegistrationsMayReturn) {
   FleetView view;
-  view.setRegistryConnected(true, Start - 1min);
+  view.setRegistryConnected(true);
   view.putEndpoint(makeEndpoint("a"), Start - 1min);
-  view.setRegistryConnected(false, Start - 10s);
-  view.setRegistryConnected(true, Start);
+  view.setRegistryConnected(false);
+  view.setRegistryConnected(true);
+  view.onRegistryOutageEnded(Start);
   view.removeEndpoint(EndpointName("a"), Start);
   view.expire(Start + 1s);
   EXPECT_NE(choose(view), nullptr);
@@ -133,7 +146,7 @@
 
 TEST(FleetViewTest, EndpointThatWasGoneIsBackInAnOlderCopyOfTheStore) {
   FleetView view;
-  view.setRegistryConnected(true, Start - 1min);
+  view.setRegistryConnected(true);
   view.putEndpoint(makeEndpoint("a"), Start);
   view.removeEndpoint(EndpointName("a"), Start);
   view.onStoreRestored(Start);
@@ -146,7 +159,7 @@
 
 TEST(FleetViewTest, EndpointOfAnOlderCopyOutlivesItsRemoval) {
   FleetView view;
-  view.setRegistryConnected(true, Start - 1min);
+  view.setRegistryConnected(true);
   view.putEndpoint(makeEndpoint("a"), Start);
   view.removeEndpoint(EndpointName("a"), Start);
   view.onStoreRestored(Start);
@@ -194,7 +207,7 @@
 
 TEST(FleetViewTest, EndpointThatRegisteredAfterTheCopyIsGoneAtOnce) {
   FleetView view;
-  view.setRegistryConnected(true, Start - 1min);
+  view.setRegistryConnected(true);
   view.putEndpoint(makeEndpoint("a"), Start);
   view.onStoreRestored(Start);
   view.removeEndpoint(EndpointName("a"), Start);
@@ -216,7 +229,7 @@
 
 TEST(FleetViewTest, EndpointThatACopyHadForgottenLeavesForGood) {
   FleetView view;
-  view.setRegistryConnected(true, Start - 1min);
+  view.setRegistryConnected(true);
   auto entry = makeEndpoint("a");
   entry.revision = {1, 30};
   view.putEndpoint(entry, Start);
@@ -231,7 +244,7 @@
 
 TEST(FleetViewTest, RemovalOfAForgottenEndpointIsTakenForItsLeave) {
   FleetView view;
-  view.setRegistryConnected(true, Start - 1min);
+  view.setRegistryConnected(true);
   auto entry = makeEndpoint("a");
   entry.revision = {1, 30};
   view.putEndpoint(entry, Start);
@@ -246,7 +259,7 @@
 
 TEST(FleetViewTest, RemovedEndpointIsGoneAtOnceWithoutAnOutage) {
   FleetView view;
-  view.setRegistryConnected(true, Start - 1min);
+  view.setRegistryConnected(true);
   view.putEndpoint(makeEndpoint("a"), Start);
   view.removeEndpoint(EndpointName("a"), Start);
   EXPECT_EQ(view.find(EndpointName("a")), nullptr);
@@ -437,7 +450,7 @@
 // dropped endpoints whose registrations had expired during the outage and returned shortly after.
 TEST(FleetViewTest, RegistrationMayReturnWhereAnOutageMayHaveBeenMissed) {
   FleetView view;
-  view.setRegistryConnected(true, Start - 1min);
+  view.setRegistryConnected(true);
   view.setReadsInfrequently(true);
   view.putEndpoint(makeRegisteredEndpoint("a", 7), Start);
   view.putEndpoint(makeRegisteredEndpoint("b", 8), Start);
--- a/tests/platform_gateway_test.cpp
+++ b/tests/platform_gateway_test.cpp
@@ -352,7 +352,7 @@
   auto request = makeCall("/talk/x");
   request.set("Model", "m");
   const auto countQuestions = [&](bool registryConnected) {
-    view.setRegistryConnected(registryConnected, steadyNow());
+    view.setRegistryConnected(registryConnected);
     const int before = confirmations;
     for (int n = 0; n < 3; ++n)
       EXPECT_EQ(call(request).response.body(), "id: 1\ndata: a\n\n");
