Archive which version began a stream, so that streams go on after the loss of all hosts

Cause: which version began a stream is in the memory of hosts only, and the one record that outlives them, the versions of a service, decides only if there is one.

Change: while a service has several versions, two hosts of the fleet, the recorders, are told of each stream and write them to the store, a segment a second at most. A host that learns nothing from others reads the segments. It believes one of the store's present era only, and only after the engine that wrote the first events has said that it still is the incarnation taken for it: its version cannot have been another one then. All else is refused as before.

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -42,6 +42,9 @@
 // Changes of the host list are not urgent, so hosts that start together share one answer.
 constexpr Duration HostBatchPause = std::chrono::milliseconds(500);
 
+// Hosts that write the archive of streams, so that the loss of one loses nothing.
+constexpr int Recorders = 2;
+
 // Crashes that break many connections at once are announced together.
 constexpr Duration AnnouncementDelay = std::chrono::milliseconds(20);
 // Longest time until all hosts have heard what one of them announces: two heartbeats in a small
@@ -67,6 +70,8 @@
   VersionRecorder versionRecorder;
   VersionReader versionReader;
   RecordedVersions recordedVersions;
+  StreamArchiveWriter archiveWriter;
+  StreamArchiveReader archiveReader;
   StreamKeepers streams;
   DigestCache digests; ///< digests of other data centres
   CrashWatch crashWatch;
@@ -113,12 +118,21 @@
                {.leaving = [this] { return stopping; },
                 .send = [this](auto &to, auto &message) { links.send({to}, message); }}),
         versionRecorder(env), versionReader(env), recordedVersions(env),
+        archiveWriter(env, feed, options.self.host.value,
+                      {.find = [this](auto &key) { return streams.archived(key); },
+                       .storeEra = [this] { return endpointFollower.revision().era; }}),
+        archiveReader(env, feed),
         streams(env, view,
                 {.keepers = [this](auto &key,
                                    int n) { return peers.rankedHosts(key.hash, n, env.now()); },
                  .send = [this](auto &to, auto &message) { links.send({to}, message); },
                  .findOnlyVersion = [this](auto &service,
-                                           auto done) { findOnlyVersion(service, done); }}),
+                                           auto done) { findOnlyVersion(service, done); },
+                 .findArchived = [this](auto &key,
+                                        auto done) { archiveReader.find(key, std::move(done)); },
+                 .archive = [this](auto &key) { archive(key); },
+                 .confirmIncarnation =
+                     [this](auto &to, auto done) { confirmIncarnation(to, std::move(done)); }}),
         crashWatch(env, view, *adapter.engines,
                    {.mayProbe = [this](RequestTrait it) { return isResponsibleFor(it); },
                     .announce = [this] { announceState(); }}),
@@ -321,6 +335,21 @@
     hostFollower.restart();
   }
 
+  void archive(const StreamKey &key) {
+    const auto stream = streams.archived(key);
+    const Instant from = env.now() - config::FleetMaxStreamAge;
+    if (stream && view.versions().hasSeenSeveral(stream->origin.service, from))
+      archiveWriter.add(key);
+  }
+
+  /// Streams are archived while a service has several versions: otherwise the record of its
+  /// versions suffices.
+  void chooseRecorders(Instant now) {
+    const bool isNeeded = view.versions().hasSeenSeveral(now - config::FleetMaxStreamAge);
+    streams.setRecorders(isNeeded ? peers.responsibleHosts(ArchiveKind, Recorders, stopping, now)
+                                  : std::vector<Address>());
+  }
+
   void onRegistryConnection(bool connected) {
     view.setRegistryConnected(connected);
     logConnection("endpoints", connected);
@@ -338,6 +367,7 @@
     view.onStoreRestored(env.now());
     versionRecorder.onStoreRestored();
     recordedVersions.onStoreRestored();
+    streams.archiveAll();
     registration.add(); // the copy may be older than the registration
     configuration.onStoreRestored(era);
     endpointFollower.restartIfBefore(era);
@@ -602,6 +632,8 @@
     permits.expire();
     quotas.expire();
     streams.expire();
+    archiveReader.expire();
+    chooseRecorders(now);
     crashWatch.setReportDelay(peers.isLargeFleet(now) ? LargeFleetReportDelay
                                                       : SmallFleetReportDelay);
     crashWatch.expire();
--- a/src/stream_keepers.cpp
+++ b/src/stream_keepers.cpp
@@ -4,6 +4,7 @@
 #include "log_p.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -40,19 +41,30 @@
 
   /// Passes records on to other hosts, a part of them in each step.
   struct Sharing {
-    std::set<Address> receivers; ///< empty for all keepers of each record
+    std::set<Address> receivers; ///< keepers that get their records; see `recorders`
+    std::set<Address> recorders; ///< get each record; if both are empty, all keepers get theirs
     std::vector<StreamKey> keys; ///< not yet passed on
   };
   std::optional<Sharing> sharing;
   std::set<Address> nextReceivers; ///< once `sharing` is done
+  std::set<Address> nextRecorders; ///< the same
+  std::set<Address> recorders;     ///< other hosts that write the archive
+  bool isRecorder = false;
 
   Impl(CoreEnv &env, const FleetView &view, StreamKeepersHooks hooks)
       : env(env), view(view), hooks(std::move(hooks)), lastId(randomQuestionId(env)) {}
 
   void record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime) {
-    origins.record(key, origin, lifetime, env.now());
+    const bool changed = origins.record(key, origin, lifetime, env.now());
     if (wasReplaced(origin))
       origins.doubt(key);
+    if (changed)
+      archive(key);
+  }
+
+  void archive(const StreamKey &key) {
+    if (isRecorder && hooks.archive)
+      hooks.archive(key);
   }
 
   /// Returns true if this host knows that another version runs under the writer's name by now.
@@ -77,19 +89,26 @@
     };
     const Instant now = env.now();
     const Instant began = now - clampAge(it.age);
-    origins.merge(it.key, {.origin = it.origin,
-                           .since = began,
-                           .expiresAt = now + clampAge(it.lifetime),
-                           .doubtful = it.doubtful || beganAfterReplacement(it.origin, began)});
+    const bool changed =
+        origins.merge(it.key, {.origin = it.origin,
+                               .since = began,
+                               .expiresAt = now + clampAge(it.lifetime),
+                               .doubtful = it.doubtful || beganAfterReplacement(it.origin, began)});
+    if (changed)
+      archive(it.key);
   }
 
-  void share(std::set<Address> receivers) {
+  void share(std::set<Address> receivers, std::set<Address> newRecorders = {}) {
     if (origins.size() == 0)
       return;
     logLine(LogLevel::Info, "records of streams passed on",
-            {{"records", origins.size()}, {"receivers", receivers.size()}});
+            {{"records", origins.size()},
+             {"receivers", receivers.size()},
+             {"recorders", newRecorders.size()}});
     const bool isRunning = sharing.has_value();
-    sharing = Sharing{.receivers = std::move(receivers), .keys = origins.keys()};
+    sharing = Sharing{.receivers = std::move(receivers),
+                      .recorders = std::move(newRecorders),
+                      .keys = origins.keys()};
     if (!isRunning)
       env.after(StepPause, [self = shared_from_this()] { self->shareStep(); });
   }
@@ -105,8 +124,18 @@
     if (!sharing->keys.empty())
       return env.after(StepPause, [self = shared_from_this()] { self->shareStep(); });
     sharing.reset();
-    if (!nextReceivers.empty())
-      share(std::exchange(nextReceivers, {}));
+    if (!nextReceivers.empty() || !nextRecorders.empty())
+      share(std::exchange(nextReceivers, {}), std::exchange(nextRecorders, {}));
+  }
+
+  /// Returns the hosts that are to get the record now.
+  std::set<Address> receiversOf(const StreamKey &key) const {
+    std::set<Address> out = sharing->recorders;
+    const bool toAllKeepers = sharing->receivers.empty() && sharing->recorders.empty();
+    for (auto &it : hooks.keepers(key, Keepers))
+      if (toAllKeepers || sharing->receivers.count(it) > 0)
+        out.insert(it);
+    return out;
   }
 
   /// Adds a record to the messages to those receivers that should keep it, and sends full messages.
@@ -120,9 +149,7 @@
                               .age = now - it->since,
                               .lifetime = it->expiresAt - now,
                               .doubtful = it->doubtful};
-    for (auto &to : hooks.keepers(key, Keepers)) {
-      if (!sharing->receivers.empty() && sharing->receivers.count(to) == 0)
-        continue;
+    for (auto &to : receiversOf(key)) {
       auto &message = messages[to];
       message.records.push_back(record);
       if (message.records.size() >= RecordsPerMessage)
@@ -175,28 +202,75 @@
               [self = shared_from_this(), id] { self->send(id); });
   }
 
-  /// No host knows the stream. Its version is certain only if the service has had no other.
+  /// No host knows the stream. Its version is certain if the service has had no other, or if the
+  /// archive has the stream.
   void finishUnknown(std::uint64_t id) {
     const auto &ask = asks.at(id);
+    const StreamKey key = ask.key;
     const bool allAnswered = ask.asked.size() == ask.answered.size();
     const OriginAnswer answer{.source =
                                   allAnswered ? OriginSource::Unknown : OriginSource::NoAnswer};
-    if (!ask.service || !hooks.findOnlyVersion)
-      return finish(id, answer);
-    const ServiceName service = *ask.service;
+    const auto service = ask.service;
     auto finishRead = takeFinish(id);
-    hooks.findOnlyVersion(service, [finishRead, service, answer](const RecordedVersion &recorded) {
+    if (!service || !hooks.findOnlyVersion)
+      return searchArchive(key, answer, finishRead);
+    hooks.findOnlyVersion(*service, [self = shared_from_this(), key, finishRead, service,
+                                     answer](const RecordedVersion &recorded) {
       OriginAnswer out = answer;
-      if (recorded.only) {
-        out.origin = StreamOrigin{.service = service, .version = *recorded.only, .writer = {}};
-        out.source = OriginSource::OnlyVersion;
-      } else if (!recorded.answered) {
-        out.source = OriginSource::NoAnswer;
+      if (!recorded.only) {
+        out.source = recorded.answered ? answer.source : OriginSource::NoAnswer;
+        return self->searchArchive(key, out, finishRead);
       }
+      out.origin = StreamOrigin{.service = *service, .version = *recorded.only, .writer = {}};
+      out.source = OriginSource::OnlyVersion;
       finishRead(out);
     });
   }
 
+  /// `answer` is the one to give if the archive has no record.
+  void searchArchive(const StreamKey &key, const OriginAnswer &answer, const Done &finishRead) {
+    if (!hooks.findArchived)
+      return finishRead(answer);
+    hooks.findArchived(key,
+                       [self = shared_from_this(), answer, finishRead](const ArchiveAnswer &found) {
+                         if (found.stream)
+                           return self->judge(*found.stream, finishRead);
+                         OriginAnswer out = answer;
+                         out.source = found.answered ? answer.source : OriginSource::NoAnswer;
+                         finishRead(out);
+                       });
+  }
+
+  /// An archived record is believed if the endpoint itself says that it still is the incarnation
+  /// that was taken for the writer of the stream's events. Its version cannot have been another
+  /// one.
+  void judge(const ArchivedStream &stream, const Done &finishRead) {
+    const Duration age = std::chrono::seconds(env.wallSeconds() - stream.beganAt);
+    OriginAnswer out{.source = OriginSource::Doubtful, .age = std::max(age, Duration())};
+    const auto &writer = stream.origin.writer;
+    const auto *state = view.find(writer.endpoint);
+    if (stream.doubtful || !state || state->entry.incarnation != writer.incarnation)
+      return finishRead(out);
+    hooks.confirmIncarnation(
+        state->entry, [self = shared_from_this(), stream, finishRead, out](bool confirmed) mutable {
+          if (confirmed)
+            return finishRead(self->takeFromArchive(stream, out.age));
+          out.source = OriginSource::NoAnswer;
+          finishRead(out);
+        });
+  }
+
+  OriginAnswer takeFromArchive(const ArchivedStream &stream, Duration age) {
+    const Instant now = env.now();
+    const Duration left = std::chrono::seconds(stream.endsAt - env.wallSeconds());
+    origins.merge(stream.key,
+                  {.origin = stream.origin, .since = now - age, .expiresAt = now + left});
+    OriginAnswer out = ownAnswer(stream.key);
+    if (out.origin)
+      out.source = OriginSource::Archive;
+    return out;
+  }
+
   void finish(std::uint64_t id, const OriginAnswer &answer) { takeFinish(id)(answer); }
 
   /// Ends the question and returns a function that passes on its answer.
@@ -235,10 +309,51 @@
 
 void StreamKeepers::record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime) {
   impl->record(key, origin, lifetime);
+  std::set<Address> receivers = impl->recorders;
   for (auto &to : impl->hooks.keepers(key, Keepers))
+    receivers.insert(to);
+  for (auto &to : receivers)
     impl->hooks.send(to, StreamBegun{.key = key, .origin = origin, .lifetime = lifetime});
 }
 
+void StreamKeepers::setRecorders(const std::vector<Address> &hosts) {
+  std::set<Address> others(hosts.begin(), hosts.end());
+  const bool isRecorder = others.erase(Address{}) > 0;
+  std::set<Address> added;
+  std::set_difference(others.begin(), others.end(), impl->recorders.begin(), impl->recorders.end(),
+                      std::inserter(added, added.end()));
+  impl->recorders = std::move(others);
+  if (!std::exchange(impl->isRecorder, isRecorder) && isRecorder)
+    archiveAll();
+  if (added.empty())
+    return;
+  if (impl->sharing)
+    impl->nextRecorders.merge(added);
+  else
+    impl->share({}, std::move(added));
+}
+
+std::optional<ArchivedStream> StreamKeepers::archived(const StreamKey &key) const {
+  auto *it = impl->origins.find(key);
+  const Instant now = impl->env.now();
+  if (!it || it->expiresAt <= now)
+    return std::nullopt;
+  const std::int64_t wallNow = impl->env.wallSeconds();
+  const auto seconds = [](Duration d) {
+    return std::chrono::duration_cast<std::chrono::seconds>(d).count();
+  };
+  return ArchivedStream{.key = key,
+                        .origin = it->origin,
+                        .beganAt = wallNow - seconds(now - it->since),
+                        .endsAt = wallNow + seconds(it->expiresAt - now) + 1,
+                        .doubtful = it->doubtful};
+}
+
+void StreamKeepers::archiveAll() {
+  for (auto &it : impl->origins.keys())
+    impl->archive(it);
+}
+
 bool StreamKeepers::isTrusted(const StreamKey &key) {
   auto *it = impl->origins.find(key);
   return it && !it->doubtful;
--- a/src/stream_keepers_p.h
+++ b/src/stream_keepers_p.h
@@ -3,6 +3,7 @@
 #include "env_p.h"
 #include "fleet_messages_p.h"
 #include "fleet_view_p.h"
+#include "stream_archive_p.h"
 #include "stream_origins_p.h"
 #include "version_record_p.h"
 
@@ -20,6 +21,12 @@
   std::function<void(const Address &, const FleetMessage &)> send;
   /// Finds the only version that can have begun a stream of the service. May be empty.
   std::function<void(const ServiceName &, VersionReader::Done)> findOnlyVersion;
+  /// Looks for the stream in the store's archive. May be empty.
+  std::function<void(const StreamKey &, StreamArchiveReader::Done)> findArchived;
+  /// Writes the record of a stream to the archive. May be empty.
+  std::function<void(const StreamKey &)> archive;
+  /// Asks an endpoint whether it is the incarnation that is registered. Needed by findArchived.
+  std::function<void(const FleetEndpoint &, std::function<void(bool)>)> confirmIncarnation;
 };
 
 /// The records of one host and its questions to others.
@@ -43,6 +50,13 @@
   /// Sends all records to their present keepers, since this host stops.
   void shareAll();
 
+  /// Sets the hosts that write the archive. An empty address is this host.
+  void setRecorders(const std::vector<Address> &hosts);
+  /// Returns the record of a stream in the form in which it is archived; nothing if there is none.
+  std::optional<ArchivedStream> archived(const StreamKey &key) const;
+  /// Archives all records again, if this host is a recorder: the store has lost the archive.
+  void archiveAll();
+
   /// Messages of other hosts.
   /// The sender is told if this host knows that another version runs under the writer's name.
   void onBegun(const StreamBegun &message, const Address &from);
--- a/src/stream_origin_p.h
+++ b/src/stream_origin_p.h
@@ -30,14 +30,15 @@
   OwnRecord,   ///< this host relayed events of the stream, or keeps its record for another host
   OtherHost,   ///< another host has answered
   OnlyVersion, ///< no other version of the service can have begun it, by the store's record
+  Archive,     ///< the record in the store
   Unknown,     ///< all hosts that were asked have answered that they do not know it
   NoAnswer,    ///< not all hosts that were asked have answered
   Doubtful,    ///< the writer may have been replaced by another version before it wrote
   Count
 };
 template <> struct EnumNames<OriginSource> {
-  static constexpr std::array<std::string_view, 6> Table{"own_record", "other_host", "only_version",
-                                                         "unknown",    "no_answer",  "doubtful"};
+  static constexpr std::array<std::string_view, 7> Table{
+      "own_record", "other_host", "only_version", "archive", "unknown", "no_answer", "doubtful"};
 };
 
 /// Answer to the question for the origin of a stream.
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -10,24 +10,28 @@
   return {XXH64(firstRequestId.data(), firstRequestId.size(), 0)};
 }
 
-void StreamOrigins::record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime,
+bool StreamOrigins::record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime,
                            Instant now) {
-  merge(key, {.origin = origin, .since = now, .expiresAt = now + lifetime});
+  return merge(key, {.origin = origin, .since = now, .expiresAt = now + lifetime});
 }
 
-void StreamOrigins::merge(const StreamKey &key, const Record &added) {
+bool StreamOrigins::merge(const StreamKey &key, const Record &added) {
   auto [it, isNew] = records.try_emplace(key, added);
   auto &record = it->second;
   const bool sameVersion = record.origin.service == added.origin.service &&
                            record.origin.version == added.origin.version;
+  const bool wasDoubtful = record.doubtful;
+  const bool isExtended = added.expiresAt >= record.expiresAt + MinExtension;
   record.doubtful = record.doubtful || added.doubtful || !sameVersion;
   record.since = std::min(record.since, added.since);
   if (!isNew)
     byExpiry.erase({record.expiresAt, key});
   record.expiresAt = std::max(record.expiresAt, added.expiresAt);
   byExpiry.emplace(record.expiresAt, key);
+  const bool isDoubtNew = record.doubtful && !wasDoubtful;
   if (records.size() > capacity)
     drop(records.find(byExpiry.begin()->second));
+  return isNew || isExtended || isDoubtNew;
 }
 
 void StreamOrigins::doubt(const StreamKey &key) {
--- a/src/stream_origins_p.h
+++ b/src/stream_origins_p.h
@@ -13,6 +13,8 @@
 class StreamOrigins {
 public:
   static constexpr std::size_t MaxRecords = 100'000;
+  /// A record that another host passes on has about the same end each time.
+  static constexpr Duration MinExtension = std::chrono::seconds(1);
 
   explicit StreamOrigins(std::size_t capacity = MaxRecords) : capacity(capacity) {}
 
@@ -25,10 +27,11 @@
   };
 
   /// Records an origin or extends its record. If all records are in use, the one that expires first
-  /// is dropped.
-  void record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime, Instant now);
+  /// is dropped. Returns true if the record is new or differs from the one before.
+  bool record(const StreamKey &key, const StreamOrigin &origin, Duration lifetime, Instant now);
   /// Adds a record of another host, or extends this host's record of the stream.
-  void merge(const StreamKey &key, const Record &record);
+  /// Returns the same as record().
+  bool merge(const StreamKey &key, const Record &record);
   /// The record is not to be believed.
   void doubt(const StreamKey &key);
   /// This incarnation now runs under the endpoint's name. If it is of another version, it may have
--- a/tests/stream_restart_test.cpp
+++ b/tests/stream_restart_test.cpp
@@ -14,7 +14,10 @@
 constexpr int Engines = 8;
 constexpr int Streams = 24;
 constexpr auto RouteTimeout = 3s;
-constexpr auto HostPause = 2s; // for hosts to hear each other and the planner to be chosen
+constexpr auto LongTimeout = 12s;    // of routes whose streams are taken up after a long pause
+constexpr auto ArchiveTime = 1500ms; // for a stream to be in the store
+constexpr auto ContactTime = 3s;     // for hosts that have started to be up to date
+constexpr auto HostPause = 2s;       // for hosts to hear each other and the planner to be chosen
 
 class RestartedFleet : public ::testing::TestWithParam<int> {
 protected:
@@ -140,6 +143,35 @@
   EXPECT_EQ(takeUpAll(GetParam()), Streams);
 }
 
+// Guards against streams of two versions that nobody can take up once all hosts were killed.
+TEST_P(RestartedFleet, AllHostsForgetStreamsOfTwoVersions) {
+  startFleet({"v1", "v2"});
+  cluster.changeConfig({.timeout = LongTimeout});
+  beginStreams(0);
+  std::this_thread::sleep_for(ArchiveTime);
+  killAllHosts();
+  startAllHosts();
+  std::this_thread::sleep_for(ContactTime);
+  EXPECT_EQ(takeUpAll(GetParam()), Streams);
+  EXPECT_EQ(countMixed(), 0);
+}
+
+// Guards against a record of a stream that outlives its writer: engines come back under their names
+// with the other version while no host runs, and nobody knows which one the stream has met.
+TEST_P(RestartedFleet, WritersComeBackWhileAllHostsAreDown) {
+  startFleet({"v1", "v2"});
+  cluster.changeConfig({.timeout = LongTimeout});
+  beginStreams(0);
+  std::this_thread::sleep_for(ArchiveTime);
+  killAllHosts();
+  for (int i = 0; i < Engines; ++i)
+    setVersion(i, i % 2 == 0 ? "v2" : "v1");
+  startAllHosts();
+  std::this_thread::sleep_for(ContactTime);
+  EXPECT_EQ(takeUpAll(GetParam()), 0);
+  EXPECT_EQ(countMixed(), 0);
+}
+
 // Guards against hosts that stop and start in turn until none has the records of streams.
 TEST_P(RestartedFleet, RestartsInTurnForgetStreamsOfTwoVersions) {
   startFleet({"v1", "v2"});
