Take an answer with a status above 599 for no answer

Cause: the HTTP client checked only that a status is not below 200. Change: one rule for all that it reads, from endpoints on plain and streaming routes, from other hosts and from the store: a final status is 200 to 599. Everything else is a malformed answer.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -43,6 +43,8 @@
 constexpr int TcpKeepAliveSeconds = 1;
 constexpr int TcpKeepAliveProbes = 2;
 constexpr int TcpUserTimeoutMs = 2500;
+constexpr unsigned MinFinalStatus = 200;
+constexpr unsigned MaxStatus = 599;
 constexpr auto SilenceRecheckInterval = std::chrono::milliseconds(200);
 
 void setOption(tcp::socket &socket, int level, int name, int value) {
@@ -252,8 +254,10 @@
 asio::awaitable<void> Call::readHead() {
   while (state == HttpTransferStatus::Ok && !parser->is_header_done())
     co_await readSome();
-  // After an interim response, the next request would read the final response as its own.
-  if (state == HttpTransferStatus::Ok && parser->get().result_int() < 200)
+  // After an interim response, the next request would read the final response as its own. A status
+  // of another class than the five of HTTP does not say whether the request has succeeded.
+  const unsigned status = parser->get().result_int();
+  if (state == HttpTransferStatus::Ok && (status < MinFinalStatus || status > MaxStatus))
     fail(HttpTransferStatus::Malformed);
 }
 
--- a/tests/platform_gateway_fixture_p.h
+++ b/tests/platform_gateway_fixture_p.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config.h"
 #include "fleet_gateway_p.h"
 #include "raw_server_p.h"
 #include "real_env_p.h"
@@ -101,7 +102,8 @@
             .areKeysCurrent = [this] { return areKeysCurrent; },
             .mayRejectKeys = [this] { return mayRejectKeys; }});
     frontServer = std::make_unique<HttpServer>(
-        io.get_executor(), HttpServerOptions{.listen = {"127.0.0.1", 0}},
+        io.get_executor(),
+        HttpServerOptions{.listen = {"127.0.0.1", 0}, .maxBodyBytes = config::FleetBodyBytes},
         [this](HttpExchange &it) { return gateway->handle(it); });
     ASSERT_EQ(frontServer->start(), "");
   }
