Wait for the whole request to be taken before an answer that ends with its connection is whole

Callers: an endpoint answers a long upload early without a length, ends its own direction and breaks off with the request unread; the caller got the part as a complete 200 (plain routes, 4 of 4 variants of ResetAnswer.AnswerEndsBeforeTheUploadAndIsReset; streams were cut).

Cause: the request was in the buffers of the connection, so writing it had succeeded, and the client read the end of the answer before the reset. How much the buffers hold decided what the caller got.

Change: the end of a response without a length counts once the peer has acknowledged the whole request without an error. An early answer whose sender reads on stays whole (EarlyAnswerWithoutLengthIsWhole).

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -12,7 +13,9 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -43,6 +46,7 @@
 constexpr int TcpKeepAliveSeconds = 1;
 constexpr int TcpKeepAliveProbes = 2;
 constexpr int TcpUserTimeoutMs = 2500;
+constexpr auto RequestTakenCheckInterval = std::chrono::milliseconds(5);
 constexpr unsigned MinFinalStatus = 200;
 constexpr unsigned MaxStatus = 599;
 constexpr auto SilenceRecheckInterval = std::chrono::milliseconds(200);
@@ -81,6 +85,21 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+/// Returns true, once, if the connection has been reset or has failed otherwise.
+bool hasError(tcp::socket &socket) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  return ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+         error != 0;
+}
+
+/// Returns true if the peer has acknowledged all that was sent, or if that is not known.
+bool hasTakenRequest(tcp::socket &socket) {
+  int unacknowledged = 0;
+  const bool isKnown = ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+  return !isKnown || unacknowledged == 0;
+}
+
 /// Idle connections by address.
 class ConnectionPool {
 public:
@@ -178,6 +197,7 @@
   void prepareRequest(HttpRequest &request) const;
   void resetParser(std::optional<std::uint64_t> bodyLimit);
   asio::awaitable<bool> readSome();
+  asio::awaitable<void> awaitRequestTaken();
   void fail(HttpTransferStatus reason) {
     if (state == HttpTransferStatus::Ok)
       state = reason;
@@ -261,6 +281,22 @@
     fail(HttpTransferStatus::Malformed);
 }
 
+/// The end of the connection is the end of a response without a length. A reset that follows shows
+/// that the server has broken off: it comes while the server does not read the rest of the request.
+asio::awaitable<void> Call::awaitRequestTaken() {
+  asio::steady_timer timer(ioExecutor);
+  deadlines->expireAfter(DeadlineSlot::Progress, timeouts.silence);
+  bool isReset = hasError(socket);
+  while (state == HttpTransferStatus::Ok && !isReset && !hasTakenRequest(socket)) {
+    timer.expires_after(RequestTakenCheckInterval);
+    co_await timer.async_wait(Tuple);
+    isReset = hasError(socket);
+  }
+  deadlines->clear(DeadlineSlot::Progress);
+  if (isReset)
+    fail(HttpTransferStatus::Broken);
+}
+
 asio::awaitable<bool> Call::sendFurther(HttpRequest request) {
   if (state != HttpTransferStatus::Ok)
     co_return false;
@@ -351,6 +387,8 @@
   deadlines->clear(DeadlineSlot::Progress);
   if (ec)
     onError(ec);
+  if (state == HttpTransferStatus::Ok && parser->is_done() && parser->need_eof())
+    co_await awaitRequestTaken();
   if (state != HttpTransferStatus::Ok)
     co_return false;
   if (parser->is_done() && !hooks.mayReadFurther)
--- a/tests/reset_answer_test.cpp
+++ b/tests/reset_answer_test.cpp
@@ -121,6 +121,17 @@
   }
 }
 
+// Guards against an endpoint that ends its answer and then breaks off while most of the request is
+// still on the way: how much of it the buffers of the host hold must not decide what the caller
+// gets.
+TEST_F(ResetAnswer, AnswerEndsBeforeTheUploadAndIsReset) {
+  for (std::size_t read : {std::size_t(0), UploadBytes / 2}) {
+    serve({.answer = HeadWithoutLength + "part", .readBytes = read, .end = End::CloseThenReset});
+    for (auto &path : paths())
+      EXPECT_EQ(upload(path, UploadBytes).response.result_int(), 502U) << path << " " << read;
+  }
+}
+
 // Guards against an answer that is lost although it is whole: the endpoint has answered early, ends
 // its direction and reads the request to its end.
 TEST_F(ResetAnswer, EarlyAnswerWithoutLengthIsWhole) {
