Close the connections to servers that have gone

Cause: the HTTP client looked at the idle connections of an address only when a call to the same address began or ended. Up to 64 to each server that had gone stayed open.

Change: the pool, now a module of its own, checks all unused addresses once a second when it is used. Idle connections also make room for those in use, together at most as many as callers may open.

--- a/src/fleet_gateway_impl_p.h
+++ b/src/fleet_gateway_impl_p.h
@@ -42,7 +42,8 @@
   Impl(const asio::any_io_executor &executor, FleetView &view, const RequestCodec &codec,
        FleetGatewayOptions options, FleetGatewayHooks hooks)
       : executor(executor), view(view), codec(codec), options(std::move(options)),
-        hooks(std::move(hooks)), client(executor), budget(this->options.budget),
+        hooks(std::move(hooks)), client(executor, this->options.maxConnections),
+        budget(this->options.budget),
         crashGuard(this->hooks.crashGuard ? *this->hooks.crashGuard : noCrashGuard),
         streamOrigins(this->hooks.streamOrigins ? *this->hooks.streamOrigins : noStreamOrigins),
         memory(this->options.memory ? this->options.memory
--- a/src/fleet_gateway_p.h
+++ b/src/fleet_gateway_p.h
@@ -99,6 +99,7 @@
   RetryBudgetOptions budget;
   /// Account of the process for answers and forwarded requests; null: one of the gateway's own.
   std::shared_ptr<MemoryBudget> memory;
+  std::size_t maxConnections = HttpClient::MaxConnections; ///< to endpoints, see HttpClient
 };
 
 /// Functions that the host provides to the gateway.
--- a/src/fleet_host_p.h
+++ b/src/fleet_host_p.h
@@ -23,6 +23,7 @@
   FleetHostEntry self; ///< this host's own registration
   RetryBudgetOptions budget;
   std::shared_ptr<MemoryBudget> memory; ///< account of the process; null: one of the gateway's own
+  std::size_t maxConnections = HttpClient::MaxConnections; ///< to endpoints, see HttpClient
   /// Pause between the acquisition of the lease and the first order.
   Duration firstOrderDelay{};
   /// Window in which the weight store limits the number of loads.
@@ -40,7 +41,10 @@
   std::string endpointKind;   ///< kind of the endpoints' registrations
 
   FleetGatewayOptions gatewayOptions() const {
-    return {.dataCentre = self.dataCentre, .budget = budget, .memory = memory};
+    return {.dataCentre = self.dataCentre,
+            .budget = budget,
+            .memory = memory,
+            .maxConnections = maxConnections};
   }
 };
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,3 +1,4 @@
+#include "connection_pool_p.h"
 #include "http_body_p.h"
 #include "http_deadlines_p.h"
 #include "http_read_p.h"
@@ -19,11 +20,9 @@
 #include <sys/socket.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <charconv>
-#include <map>
-#include <mutex>
 #include <optional>
+#include <utility>
 
 namespace catkin {
 
@@ -35,10 +34,6 @@
 constexpr auto Tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t MaxResponseHeaderBytes = 32 * 1024;
 constexpr std::size_t ReadAheadBytes = 64 * 1024;
-constexpr std::size_t MaxIdlePerAddress = 64;
-// Shorter than the server's idle timeout, so that the server rarely closes a connection that the
-// client is about to reuse.
-constexpr auto MaxIdleTime = std::chrono::seconds(30);
 // A connection is reused only within this share of the idle timeout that the peer has announced.
 constexpr double IdleTimeoutShare = 0.7;
 // A peer that has lost the state of the connection may neither respond nor reset the connection.
@@ -65,24 +60,16 @@
 }
 
 /// Returns how long the connection of a response may stay idle and still be reused: a share of the
-/// timeout in the Keep-Alive header, at most MaxIdleTime.
+/// timeout in the Keep-Alive header, at most ConnectionPool::MaxIdleTime.
 Duration announcedIdleTimeout(const http::response_header<> &head) {
   auto text = head["Keep-Alive"];
   auto at = text.find("timeout=");
   if (at == boost::beast::string_view::npos)
-    return MaxIdleTime;
+    return ConnectionPool::MaxIdleTime;
   int seconds = 0;
   auto digits = text.substr(at + std::string_view("timeout=").size());
   std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  return std::min<Duration>(MaxIdleTime, fromSeconds(seconds * IdleTimeoutShare));
-}
-
-/// Returns true if an idle connection is open and the peer has sent nothing since its last
-/// response.
-bool isReusable(tcp::socket &socket) {
-  char byte = 0;
-  const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return std::min<Duration>(ConnectionPool::MaxIdleTime, fromSeconds(seconds * IdleTimeoutShare));
 }
 
 /// Returns true, once, if the connection has been reset or has failed otherwise.
@@ -100,64 +87,6 @@
   return !isKnown || unacknowledged == 0;
 }
 
-/// Idle connections by address.
-class ConnectionPool {
-public:
-  /// Removes and returns a connection that has been idle for `maxIdle` at most, if there is one.
-  std::optional<tcp::socket> acquire(const Address &to, Duration maxIdle) {
-    const std::lock_guard lock(mutex);
-    auto it = idle.find(to.toString());
-    if (it == idle.end())
-      return std::nullopt;
-    closeExpired(it->second);
-    while (!it->second.empty()) {
-      IdleConnection connection = std::move(it->second.back());
-      it->second.pop_back();
-      const bool fresh = ConnectionDeadlines::Clock::now() - connection.since <=
-                         std::min(maxIdle, connection.limit);
-      if (fresh && isReusable(connection.socket))
-        return std::move(connection.socket);
-    }
-    idle.erase(it);
-    return std::nullopt;
-  }
-
-  /// Stores a connection for reuse while it is idle for less than `limit`.
-  void returnIdle(const Address &to, tcp::socket socket, Duration limit) {
-    const std::lock_guard lock(mutex);
-    auto &connections = idle[to.toString()];
-    closeExpired(connections);
-    if (connections.size() < MaxIdlePerAddress)
-      connections.push_back({std::move(socket), ConnectionDeadlines::Clock::now(), limit});
-  }
-
-  /// Closes all idle connections to an address.
-  void closeIdle(const Address &to) {
-    const std::lock_guard lock(mutex);
-    idle.erase(to.toString());
-  }
-
-private:
-  struct IdleConnection {
-    tcp::socket socket;
-    ConnectionDeadlines::Clock::time_point since;
-    Duration limit; ///< longest idle time before reuse
-  };
-
-  /// Closes the connections that have been idle for longer than MaxIdleTime. The list is sorted by
-  /// idle time, longest first.
-  static void closeExpired(std::vector<IdleConnection> &connections) {
-    const auto limit = ConnectionDeadlines::Clock::now() - MaxIdleTime;
-    auto it = connections.begin();
-    while (it != connections.end() && it->since < limit)
-      ++it;
-    connections.erase(connections.begin(), it);
-  }
-
-  std::mutex mutex;                                        // guards idle
-  std::map<std::string, std::vector<IdleConnection>> idle; // by "ip:port"
-};
-
 /// State of one request on one connection, for both HttpClient::request and HttpClient::open.
 class Call final : public HttpStream {
 public:
@@ -225,6 +154,7 @@
   std::size_t sent = 0;
   bool isOutOfStep = false; ///< it is not known how many responses are still to come
   bool reused = false;
+  bool isCounted = false; ///< by the pool as in use
   bool finished = false;
 };
 
@@ -320,6 +250,8 @@
 
 /// Reuses an idle connection or opens a new one. Returns false if neither succeeds.
 asio::awaitable<bool> Call::connect() {
+  if (!std::exchange(isCounted, true))
+    pool->addInUse();
   if (auto idle = pool->acquire(to, timeouts.maxIdleForReuse)) {
     socket = std::move(*idle);
     reused = true;
@@ -415,6 +347,8 @@
   if (finished)
     return;
   finished = true;
+  if (isCounted)
+    pool->removeInUse();
   if (deadlines)
     deadlines->stop();
   // After an interim response, the next request would read the final response as its own.
@@ -429,13 +363,15 @@
 } // namespace
 
 struct HttpClient::Impl {
-  explicit Impl(asio::any_io_executor e) : executor(std::move(e)) {}
+  Impl(asio::any_io_executor e, std::size_t maxConnections)
+      : executor(std::move(e)), pool(std::make_shared<ConnectionPool>(
+                                    ConnectionPoolOptions{.maxConnections = maxConnections})) {}
   asio::any_io_executor executor;
-  std::shared_ptr<ConnectionPool> pool = std::make_shared<ConnectionPool>();
+  std::shared_ptr<ConnectionPool> pool;
 };
 
-HttpClient::HttpClient(asio::any_io_executor executor)
-    : impl(std::make_shared<Impl>(std::move(executor))) {}
+HttpClient::HttpClient(asio::any_io_executor executor, std::size_t maxConnections)
+    : impl(std::make_shared<Impl>(std::move(executor), maxConnections)) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/http_p.h
+++ b/src/http_p.h
@@ -206,7 +206,10 @@
 public:
   static constexpr std::size_t MaxResponseBytes = 16 * 1024 * 1024;
 
-  explicit HttpClient(asio::any_io_executor executor);
+  static constexpr std::size_t MaxConnections = 4096;
+
+  /// Closes idle connections that would exceed `maxConnections` together with those in use.
+  explicit HttpClient(asio::any_io_executor executor, std::size_t maxConnections = MaxConnections);
   ~HttpClient();
   /// Sends a request and reads the whole response. A response body longer than `maxBodyBytes` ends
   /// the request as Malformed.
--- a/tests/machine_limits_test.cpp
+++ b/tests/machine_limits_test.cpp
@@ -27,7 +27,8 @@
     const auto limits = connectionLimits(descriptors);
     // Connections that are being closed or refused take an eighth of the limit each, and each
     // request in progress takes a connection to an endpoint.
-    const std::size_t callers = limits.callers * 5 / 4 + limits.callers;
+    const std::size_t callers = limits.callers * 5 / 4 + limits.endpoints;
+    EXPECT_GE(limits.endpoints, limits.callers);
     EXPECT_LE(callers + limits.directory * 5 / 4 + 64 + 200, descriptors);
     EXPECT_GE(limits.callers, (descriptors - 264) / 3);
   }
