--- a/src/stream_archive.cpp
+++ b/src/stream_archive.cpp
@@ -271,7 +271,7 @@
   }
 };
 
-StreamArchiveWriter::StreamArchiveWriter(CoreEnv &env, ObjectFeed &feed, std::string host,
+StreamArchiveWriter::StreamArchiveWriter(CoreEnv &env, ObjectFeed &feed, const std::string &host,
                                          Hooks hooks)
     : impl(std::make_shared<Impl>(env, feed, host, std::move(hooks))) {}
 
--- a/src/stream_archive_p.h
+++ b/src/stream_archive_p.h
@@ -59,7 +59,7 @@
     std::function<std::uint64_t()> storeEra; ///< of the newest answer
   };
 
-  StreamArchiveWriter(CoreEnv &env, ObjectFeed &feed, std::string host, Hooks hooks);
+  StreamArchiveWriter(CoreEnv &env, ObjectFeed &feed, const std::string &host, Hooks hooks);
   ~StreamArchiveWriter();
   /// Writes the record of the stream soon. A failed write is repeated.
   void add(const StreamKey &key);
--- a/standins/fleet_standins_p.h
+++ b/standins/fleet_standins_p.h
@@ -90,8 +90,8 @@
   Kinds kinds;
   std::map<std::string, std::string> rawContents; ///< by placeholder
   std::deque<Copy> copies;
-  Kinds lostKinds;                    ///< the state before the newest restore
-  std::uint64_t restoredRevision = 0; ///< of the copy that the newest restore came back from
+  Kinds lostKinds;                      ///< the state before the newest restore
+  std::uint64_t restoredRevision = 0;   ///< of the copy that the newest restore came back from
   std::map<std::string, int> watchCuts; ///< calls of cutWatches() by kind
   std::deque<Event> history;
   std::uint64_t historyFrom = 0; ///< watches from earlier revisions get 410
--- a/tests/cut_watch_test.cpp
+++ b/tests/cut_watch_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <thread>
+#include <vector>
 
 /// Tests with daemons as processes whose watches the store cuts off, as it may at any time.
 namespace catkin::platform {
@@ -35,6 +36,7 @@
   /// Sends requests to all hosts at the same time until `end`.
   void sendUntil(Instant end) {
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(GetParam()));
     for (int host = 0; host < GetParam(); ++host)
       callers.emplace_back([this, host, end] {
         while (steadyNow() < end) {
--- a/tests/reset_answer_test.cpp
+++ b/tests/reset_answer_test.cpp
@@ -56,8 +56,8 @@
   }
 
   static const std::vector<std::string> &paths() {
-    static const std::vector<std::string> all{"/safe/x", "/unsafe/x", "/once/x", "/resume/x"};
-    return all;
+    static const std::vector<std::string> All{"/safe/x", "/unsafe/x", "/once/x", "/resume/x"};
+    return All;
   }
 
 private:
