Archive the streams of a service that is the second one with several versions

A recorder that already writes the streams of one service dropped those of another one that it was told of before that one's second version appeared, and nobody told it again. Found by reading; the recorders now archive all their records when a service joins. VersionHistoryTest.ServicesHaveSeveralVersions guards the part that decides.

--- a/src/fleet_host.cpp
+++ b/src/fleet_host.cpp
@@ -8,6 +8,8 @@
 #include "recorded_versions_p.h"
 #include "store_contact_p.h"
 
+#include <algorithm>
+
 namespace catkin {
 
 namespace {
@@ -98,8 +100,9 @@
   StoreRevision newestPeerArrival; ///< revision of the newest endpoint known to other hosts
   Instant registryRefreshedAt;
   bool announcementScheduled = false;
-  std::uint64_t storeEra = 0;      ///< newest one in which the store has come back
-  Instant restoredAt;              ///< when this host noticed that
+  std::uint64_t storeEra = 0;             ///< newest one in which the store has come back
+  Instant restoredAt;                     ///< when this host noticed that
+  std::set<ServiceName> archivedServices; ///< with several versions, as of the last heartbeat
   std::set<HostName> missingHosts; ///< hosts whose registrations a restored store does not have
 
   Impl(const asio::any_io_executor &executor, FleetHostOptions o, FleetAdapter a)
@@ -354,17 +357,22 @@
 
   void archive(const StreamKey &key) {
     const auto stream = streams.archived(key);
-    const Instant from = env.now() - config::FleetMaxStreamAge;
-    if (stream && view.versions().hasSeenSeveral(stream->origin.service, from))
+    if (stream && archivedServices.count(stream->origin.service) > 0)
       archiveWriter.add(key);
   }
 
   /// Streams are archived while a service has several versions: otherwise the record of its
   /// versions suffices.
   void chooseRecorders(Instant now) {
-    const bool isNeeded = view.versions().hasSeenSeveral(now - config::FleetMaxStreamAge);
+    auto services = view.versions().servicesWithSeveral(now - config::FleetMaxStreamAge);
+    const bool isNeeded = !services.empty();
+    const bool hasNew = !std::includes(archivedServices.begin(), archivedServices.end(),
+                                       services.begin(), services.end());
+    archivedServices = std::move(services);
     streams.setRecorders(isNeeded ? peers.responsibleHosts(ArchiveKind, Recorders, stopping, now)
                                   : std::vector<Address>());
+    if (hasNew)
+      streams.archiveAll();
   }
 
   void onRegistryConnection(bool connected) {
--- a/src/version_history.cpp
+++ b/src/version_history.cpp
@@ -26,15 +26,15 @@
          });
 }
 
-bool VersionHistory::hasSeenSeveral(const ServiceName &service, Instant from) const {
-  auto it = lastSeen.find(service);
-  return it != lastSeen.end() && std::count_if(it->second.begin(), it->second.end(),
-                                               [&](auto &seen) { return seen.second >= from; }) > 1;
-}
-
-bool VersionHistory::hasSeenSeveral(Instant from) const {
-  return std::any_of(lastSeen.begin(), lastSeen.end(),
-                     [&](auto &it) { return hasSeenSeveral(it.first, from); });
+std::set<ServiceName> VersionHistory::servicesWithSeveral(Instant from) const {
+  std::set<ServiceName> out;
+  for (auto &[service, versions] : lastSeen) {
+    const auto n = std::count_if(versions.begin(), versions.end(),
+                                 [&](auto &seen) { return seen.second >= from; });
+    if (n > 1)
+      out.insert(service);
+  }
+  return out;
 }
 
 } // namespace catkin
--- a/src/version_history_p.h
+++ b/src/version_history_p.h
@@ -18,10 +18,8 @@
   /// Returns true if this host has seen another version of the service since `from`.
   bool hasSeenOther(const ServiceName &service, const SoftwareVersion &version, Instant from) const;
 
-  /// Returns true if this host has seen several versions of the service since `from`.
-  bool hasSeenSeveral(const ServiceName &service, Instant from) const;
-  /// Returns true if there is such a service.
-  bool hasSeenSeveral(Instant from) const;
+  /// Returns the services of which this host has seen several versions since `from`.
+  std::set<ServiceName> servicesWithSeveral(Instant from) const;
 
 private:
   std::map<ServiceName, std::map<SoftwareVersion, Instant>> lastSeen;
--- a/tests/version_record_test.cpp
+++ b/tests/version_record_test.cpp
@@ -238,5 +238,17 @@
   EXPECT_EQ(env.store.version(), before);
 }
 
+// Guards against streams of a service that is archived only once another one is.
+TEST(VersionHistoryTest, ServicesHaveSeveralVersions) {
+  const Instant start{1h};
+  VersionHistory history;
+  history.onSeen(Service, SoftwareVersion("v1"), start);
+  history.onSeen(ServiceName("t"), SoftwareVersion("v1"), start);
+  EXPECT_TRUE(history.servicesWithSeveral(start).empty());
+  history.onSeen(Service, SoftwareVersion("v2"), start + 1s);
+  EXPECT_EQ(history.servicesWithSeveral(start), std::set<ServiceName>{Service});
+  EXPECT_TRUE(history.servicesWithSeveral(start + 1s).empty());
+}
+
 } // namespace
 } // namespace catkin::fleet
