--- a/review/rig-4.cpp
+++ b/review/rig-4.cpp
@@ -78,6 +78,21 @@
   return out;
 }
 
+/// Splits a head into its start line and its fields.
+void parseHead(const std::string &text, Message &out) {
+  std::istringstream head(text);
+  std::string line;
+  std::getline(head, line);
+  out.start = line.substr(0, line.find('\r'));
+  while (std::getline(head, line)) {
+    line = line.substr(0, line.find('\r'));
+    const auto colon = line.find(':');
+    const auto value = line.find_first_not_of(" \t", colon + 1);
+    out.headers.emplace_back(line.substr(0, colon),
+                             value == std::string::npos ? "" : line.substr(value));
+  }
+}
+
 /// Returns the answer of another server at the address, or of one that lacks an id; empty if the
 /// request is for this one.
 std::string rejection(const Message &request, const std::string &id) {
@@ -168,6 +183,25 @@
   return out;
 }
 
+std::string Socket::readBytes(double timeoutSeconds) {
+  for (const double until = seconds() + timeoutSeconds; fill(until);) {
+  }
+  return std::exchange(rest, {});
+}
+
+Message Socket::readHead(double timeoutSeconds) {
+  const double until = seconds() + timeoutSeconds;
+  Message out;
+  auto end = rest.find("\r\n\r\n");
+  for (; end == std::string::npos; end = rest.find("\r\n\r\n"))
+    if (!fill(until))
+      return out;
+  parseHead(rest.substr(0, end), out);
+  rest.erase(0, end + 4);
+  out.complete = true;
+  return out;
+}
+
 void Socket::close() {
   if (fd >= 0)
     ::close(fd);
@@ -200,23 +234,9 @@
 
 Message Socket::read(double timeoutSeconds) {
   const double until = seconds() + timeoutSeconds;
-  Message out;
-  auto end = rest.find("\r\n\r\n");
-  for (; end == std::string::npos; end = rest.find("\r\n\r\n"))
-    if (!fill(until))
-      return out;
-  std::istringstream head(rest.substr(0, end));
-  rest.erase(0, end + 4);
-  std::string line;
-  std::getline(head, line);
-  out.start = line.substr(0, line.find('\r'));
-  while (std::getline(head, line)) {
-    line = line.substr(0, line.find('\r'));
-    const auto colon = line.find(':');
-    const auto value = line.find_first_not_of(" \t", colon + 1);
-    out.headers.emplace_back(line.substr(0, colon),
-                             value == std::string::npos ? "" : line.substr(value));
-  }
+  Message out = readHead(timeoutSeconds);
+  if (!std::exchange(out.complete, false))
+    return out;
   if (out.header("Transfer-Encoding") == "chunked") {
     for (;;) {
       auto at = rest.find("\r\n");
--- a/review/rig-4.h
+++ b/review/rig-4.h
@@ -76,6 +76,10 @@
   bool send(std::string_view text);
   /// Reads a request or a response. Its field `complete` tells whether it is whole.
   Message read(double timeoutSeconds);
+  /// Reads the head of a response. The response to a HEAD request has nothing else.
+  Message readHead(double timeoutSeconds);
+  /// Returns all further bytes that arrive within a time.
+  std::string readBytes(double timeoutSeconds);
   void close();
 
 private:
