--- a/review/rig-4.cpp
+++ b/review/rig-4.cpp
@@ -717,8 +717,8 @@
 
 } // namespace
 
-Deployment::Deployment(const std::string &caseFolder, Machine machine)
-    : record(caseFolder + "/record.txt"), folder(temporaryFolder()), network(randomNetwork()) {
+Deployment::Deployment(const std::string &recordPath, Machine machine)
+    : record(recordPath), folder(temporaryFolder()), network(randomNetwork()) {
   ::signal(SIGPIPE, SIG_IGN);
   const std::string servers = network + "1";
   store = std::make_unique<Store>(servers);
--- a/review/rig-4.h
+++ b/review/rig-4.h
@@ -243,7 +243,7 @@
 /// engines and three hosts.
 class Deployment {
 public:
-  Deployment(const std::string &caseFolder, Machine machine);
+  Deployment(const std::string &recordPath, Machine machine);
   ~Deployment();
   Deployment(const Deployment &) = delete;
   Deployment &operator=(const Deployment &) = delete;
